--- /dev/null
+++ b/apps/environment.cpp
@@ -0,0 +1,35 @@
+// Flags from environment variables.
+#include "apps/environment.h"
+
+#include <gflags/gflags.h>
+
+#include <cctype>
+#include <cstdlib>
+
+namespace papayaplank {
+
+auto ApplyEnvironment(const std::string& file_part)
+    -> std::vector<std::string> {
+  std::vector<std::string> faults;
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  for (const auto& flag : flags) {
+    if (flag.filename.find(file_part) == std::string::npos) continue;
+    std::string variable = "PAPAYAPLANK_";
+    for (const auto c : flag.name) {
+      variable +=
+          static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    }
+    const auto* value = std::getenv(variable.c_str());
+    if (value == nullptr) continue;
+    const auto set = gflags::SetCommandLineOptionWithMode(
+        flag.name.c_str(), value, gflags::SET_FLAGS_DEFAULT);
+    if (set.empty()) {
+      faults.push_back(variable + " is '" + value + "', which is no " +
+                       flag.type + "; correct or unset it");
+    }
+  }
+  return faults;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/base/mailbox.h
@@ -0,0 +1,44 @@
+// Mailbox of a task: the only way in which tasks talk to one another.
+#ifndef BASE_MAILBOX_H_
+#define BASE_MAILBOX_H_
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <utility>
+
+#include "base/units.h"
+
+namespace papayaplank {
+
+// An unbounded queue of messages with many senders and one receiver.
+// Senders bound what they send; see the queue limits of the fairness library.
+template <typename Message>
+class Mailbox {
+ public:
+  // Adds a message and wakes the receiver.
+  auto Post(Message message) -> void {
+    {
+      const std::lock_guard lock(mutex_);
+      messages_.push_back(std::move(message));
+    }
+    ready_.notify_one();
+  }
+
+  // Takes all messages; waits up to `limit` for the first one.
+  auto TakeAll(Duration limit) -> std::deque<Message> {
+    std::unique_lock lock(mutex_);
+    ready_.wait_for(lock, limit, [this] { return !messages_.empty(); });
+    return std::exchange(messages_, {});
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable ready_;
+  // Guarded by `mutex_`; oldest first.
+  std::deque<Message> messages_;
+};
+
+}  // namespace papayaplank
+
+#endif  // BASE_MAILBOX_H_
--- /dev/null
+++ b/base/strong_id.h
@@ -0,0 +1,63 @@
+// Strong identifier types: two kinds of id never mix by accident.
+#ifndef BASE_STRONG_ID_H_
+#define BASE_STRONG_ID_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace papayaplank {
+
+// An identifier of one kind. `Tag` names the kind; `Value` is its storage.
+template <typename Tag, typename Value>
+class StrongId {
+ public:
+  StrongId() = default;
+  explicit StrongId(Value value) : value_(std::move(value)) {}
+
+  auto value() const -> const Value& { return value_; }
+  auto is_empty() const -> bool { return value_ == Value(); }
+
+  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend auto operator<<(std::ostream& out, const StrongId& id)
+      -> std::ostream& {
+    return out << id.value_;
+  }
+
+ private:
+  Value value_{};
+};
+
+// A customer of the operators, named in the configuration.
+using CustomerId = StrongId<struct CustomerTag, std::string>;
+// A router process; unique over its address and start.
+using RouterId = StrongId<struct RouterTag, std::string>;
+// A model runner or plain service instance.
+using TargetId = StrongId<struct TargetTag, std::string>;
+// A set of targets that serve the same model or service.
+using PoolId = StrongId<struct PoolTag, std::string>;
+// A request class of a template.
+using ClassId = StrongId<struct ClassTag, std::string>;
+// A data centre.
+using DataCenterId = StrongId<struct DataCenterTag, std::string>;
+// A region: data centres close to one another.
+using RegionId = StrongId<struct RegionTag, std::string>;
+// One request of a caller; unique over the whole fleet.
+using RequestId = StrongId<struct RequestTag, std::string>;
+// A version of the configuration; 0 means that none is in force.
+using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+
+}  // namespace papayaplank
+
+template <typename Tag, typename Value>
+struct std::hash<papayaplank::StrongId<Tag, Value>> {
+  auto operator()(const papayaplank::StrongId<Tag, Value>& id) const
+      -> std::size_t {
+    return std::hash<Value>()(id.value());
+  }
+};
+
+#endif  // BASE_STRONG_ID_H_
--- /dev/null
+++ b/base/units.h
@@ -0,0 +1,62 @@
+// Units: monotonic time, cost of a request, weight of a customer.
+#ifndef BASE_UNITS_H_
+#define BASE_UNITS_H_
+
+#include <chrono>
+#include <compare>
+
+namespace papayaplank {
+
+using Duration = std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The clock of the decision libraries: monotonic, read only by the shells.
+// Source: the caller of each function passes `now`.
+struct FleetClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<FleetClock>;
+  static constexpr bool is_steady = true;  // NOLINT: name set by the standard
+
+  // Reads the monotonic clock of the operating system.
+  static auto now() -> time_point {  // NOLINT: name set by the standard
+    return time_point(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+  }
+};
+
+using Time = FleetClock::time_point;
+
+// Service received, in cost units: one unit is one generated token.
+struct Cost {
+  double units = 0;
+  friend auto operator<=>(const Cost&, const Cost&) = default;
+};
+
+// Share of a customer relative to others; always positive.
+struct Weight {
+  double value = 1;
+  friend auto operator<=>(const Weight&, const Weight&) = default;
+};
+
+// Service divided by weight, in cost units per unit of weight.
+struct VirtualTime {
+  double value = 0;
+  friend auto operator<=>(const VirtualTime&, const VirtualTime&) = default;
+  friend auto operator+(VirtualTime a, VirtualTime b) -> VirtualTime {
+    return VirtualTime{a.value + b.value};
+  }
+  friend auto operator-(VirtualTime a, VirtualTime b) -> VirtualTime {
+    return VirtualTime{a.value - b.value};
+  }
+};
+
+inline auto operator/(Cost cost, Weight weight) -> VirtualTime {
+  return VirtualTime{cost.units / weight.value};
+}
+
+}  // namespace papayaplank
+
+#endif  // BASE_UNITS_H_
--- /dev/null
+++ b/capacity/adaptive_limit.cpp
@@ -0,0 +1,40 @@
+// Additive increase, multiplicative decrease.
+#include "capacity/adaptive_limit.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+constexpr Duration kWindow = seconds(1);
+constexpr int kMinimumObservations = 20;
+constexpr double kDecrease = 0.9;
+
+}  // namespace
+
+AdaptiveLimit::AdaptiveLimit(int start, LatencyObjective objective)
+    : objective_(objective),
+      maximum_(std::max(1, start) * 2),
+      limit_(std::max(1, start)) {}
+
+auto AdaptiveLimit::Observe(LatencySample sample) -> void {
+  window_.observations += sample.observations;
+  window_.misses += sample.misses;
+}
+
+auto AdaptiveLimit::Tick(bool is_saturated, Time now) -> void {
+  if (now < next_change_) return;
+  if (window_.observations < kMinimumObservations) return;
+  next_change_ = now + kWindow;
+  const auto share = static_cast<double>(window_.misses) / window_.observations;
+  window_ = {};
+  if (share > objective_.miss_share) {
+    limit_ = std::max(1, static_cast<int>(limit_ * kDecrease));
+    return;
+  }
+  // Half of the allowance keeps the limit from swinging about the objective.
+  const auto has_reserve = share < objective_.miss_share / 2;
+  if (is_saturated && has_reserve) limit_ = std::min(maximum_, limit_ + 1);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/capacity/slot_owner.cpp
@@ -0,0 +1,340 @@
+// Lending by virtual time, with leases that outlive neither side.
+#include "capacity/slot_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayaplank {
+namespace {
+
+auto Least(SlotCounts a, SlotCounts b) -> SlotCounts {
+  return {std::min(a.shared, b.shared), std::min(a.headroom, b.headroom)};
+}
+
+auto Most(SlotCounts a, SlotCounts b) -> SlotCounts {
+  return {std::max(a.shared, b.shared), std::max(a.headroom, b.headroom)};
+}
+
+}  // namespace
+
+SlotOwner::SlotOwner(RouterId self, LeaseOptions options,
+                     LatencyObjective objective)
+    : self_(std::move(self)), options_(options), objective_(objective) {}
+
+auto SlotOwner::OwnedTarget::lent() const -> SlotCounts {
+  SlotCounts sum;
+  for (const auto& [borrower, lease] : leases) {
+    sum.shared += lease.counted.shared;
+    sum.headroom += lease.counted.headroom;
+  }
+  return sum;
+}
+
+auto SlotOwner::OwnedTarget::capacity(double headroom_share) const
+    -> SlotCounts {
+  if (info.is_leaving) return {};
+  const auto shared = limit.limit();
+  const auto headroom =
+      std::max(1, static_cast<int>(std::ceil(shared * headroom_share)));
+  return {shared, headroom};
+}
+
+auto SlotOwner::Own(const TargetInfo& target) -> void {
+  const auto found = targets_.find(target.id);
+  if (found != targets_.end()) {
+    found->second.info = target;
+    return;
+  }
+  targets_.emplace(
+      target.id,
+      OwnedTarget{target, AdaptiveLimit(target.slots, objective_), {}, {}});
+}
+
+auto SlotOwner::Disown(const TargetId& target) -> void {
+  targets_.erase(target);
+}
+
+auto SlotOwner::IsOwned(const TargetId& target) const -> bool {
+  return targets_.count(target) != 0;
+}
+
+auto SlotOwner::TryUse(const TargetId& target, bool headroom) -> bool {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) return false;
+  const auto free = FreeOf(found->second);
+  if ((headroom ? free.headroom : free.shared) <= 0) return false;
+  ++(headroom ? found->second.in_use.headroom : found->second.in_use.shared);
+  return true;
+}
+
+auto SlotOwner::Release(const TargetId& target, bool headroom) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) return;
+  auto& count =
+      headroom ? found->second.in_use.headroom : found->second.in_use.shared;
+  count = std::max(0, count - 1);
+}
+
+auto SlotOwner::AdoptUse(const TargetId& target, SlotCounts in_use) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) return;
+  found->second.in_use.shared += in_use.shared;
+  found->second.in_use.headroom += in_use.headroom;
+}
+
+auto SlotOwner::Handle(const SlotDemand& demand, Time now) -> void {
+  auto& demands = demands_[demand.pool];
+  if (demand.wanted.total() == 0) {
+    demands.erase(demand.router);
+    return;
+  }
+  demands[demand.router] = {demand, now};
+  ResendUnconfirmed(demand, now);
+}
+
+auto SlotOwner::ResendUnconfirmed(const SlotDemand& demand, Time now) -> void {
+  for (auto& [id, target] : targets_) {
+    if (target.info.pool != demand.pool) continue;
+    const auto found = target.leases.find(demand.router);
+    if (found == target.leases.end() || found->second.is_confirmed) continue;
+    auto& lease = found->second;
+    lease.echo_us = demand.sent_at_us;
+    lease.expires = now + options_.duration + options_.margin;
+    lease.sequence = next_sequence_++;
+    resends_.push_back(UpdateFor(id, demand.router, lease));
+  }
+}
+
+auto SlotOwner::Handle(const LeaseReport& report, const LocalDemand& local,
+                       const PoolId& pool, Time now)
+    -> std::vector<AddressedUpdate> {
+  std::vector<AddressedUpdate> updates;
+  for (const auto& held : report.leases) {
+    const auto found = targets_.find(held.target);
+    if (found == targets_.end()) continue;
+    if (found->second.info.pool != pool) continue;
+    auto update = Settle(found->second, report.router, held, local,
+                         report.sent_at_us, now);
+    if (update) updates.push_back(std::move(*update));
+  }
+  return updates;
+}
+
+auto SlotOwner::Settle(OwnedTarget& target, const RouterId& borrower,
+                       const HeldLease& held, const LocalDemand& local,
+                       std::int64_t echo_us, Time now)
+    -> std::optional<AddressedUpdate> {
+  const auto is_known = target.leases.count(borrower) != 0;
+  if (!is_known && held.busy.total() == 0) {
+    return AddressedUpdate{
+        borrower,
+        {self_, target.info.id, next_sequence_++, SlotCounts{}, echo_us}};
+  }
+  auto& lease = target.leases[borrower];
+  if (!is_known) {
+    // An earlier owner granted it, or it expired here: only the requests in
+    // progress are adopted, and nothing new starts on it.
+    lease.counted = held.busy;
+    lease.allowed = held.busy;
+  }
+  if (echo_us < lease.reported_us) return std::nullopt;
+  lease.reported_us = echo_us;
+  lease.is_confirmed = true;
+  if (held.seen_sequence >= lease.sequence || !is_known) {
+    lease.counted = Least(lease.counted, Most(held.held, held.busy));
+    lease.allowed = Least(lease.allowed, lease.counted);
+  }
+  Recall(target, borrower, held, local, lease);
+  lease.echo_us = echo_us;
+  lease.expires = now + options_.duration + options_.margin;
+  lease.sequence = next_sequence_++;
+  const auto update = UpdateFor(target.info.id, borrower, lease);
+  if (lease.counted.total() == 0) target.leases.erase(borrower);
+  return update;
+}
+
+auto SlotOwner::Recall(const OwnedTarget& target, const RouterId& borrower,
+                       const HeldLease& held, const LocalDemand& local,
+                       Lease& lease) -> void {
+  if (target.info.is_leaving) {
+    lease.allowed = {};
+    return;
+  }
+  auto lowest = held.virtual_time;
+  if (local.has_any()) lowest = std::min(lowest, local.virtual_time);
+  const auto* behind = MostBehind(target.info.pool, false);
+  if (behind != nullptr && behind->request.router != borrower) {
+    lowest = std::min(lowest, behind->request.virtual_time);
+  }
+  if (held.virtual_time > lowest + options_.threshold) {
+    const auto in_use = std::min(lease.allowed.shared, held.busy.shared);
+    lease.allowed.shared = std::max(0, in_use - 1);
+  }
+  const auto over = -FreeOf(target).shared;
+  if (over > 0) lease.allowed.shared = std::max(0, lease.allowed.shared - over);
+}
+
+auto SlotOwner::DropBorrower(const RouterId& borrower) -> void {
+  for (auto& [id, target] : targets_) target.leases.erase(borrower);
+  for (auto& [pool, demands] : demands_) demands.erase(borrower);
+}
+
+auto SlotOwner::Lend(const PoolId& pool, const LocalDemand& local, Time now)
+    -> std::vector<AddressedUpdate> {
+  auto updates = std::exchange(resends_, {});
+  for (const auto headroom : {false, true}) {
+    for (;;) {
+      const auto* behind = MostBehind(pool, headroom);
+      if (behind == nullptr) break;
+      const auto has_local = headroom ? local.has_interactive : local.has_any();
+      const auto is_local_first =
+          has_local && local.virtual_time <=
+                           behind->request.virtual_time + options_.threshold;
+      if (is_local_first) break;
+      auto* target = BestTarget(pool, headroom);
+      if (target == nullptr) break;
+      auto& demand = demands_[pool][behind->request.router];
+      const auto counts = headroom ? SlotCounts{0, 1} : SlotCounts{1, 0};
+      updates.push_back(Grant(*target, demand, counts, now));
+    }
+  }
+  // One update a lease: the newest says it all.
+  std::map<std::pair<RouterId, TargetId>, AddressedUpdate> newest;
+  for (auto& each : updates) {
+    newest[{each.borrower, each.update.target}] = each;
+  }
+  std::vector<AddressedUpdate> result;
+  for (auto& [key, each] : newest) result.push_back(std::move(each));
+  return result;
+}
+
+auto SlotOwner::Grant(OwnedTarget& target, Demand& demand, SlotCounts counts,
+                      Time now) -> AddressedUpdate {
+  const auto& borrower = demand.request.router;
+  auto& lease = target.leases[borrower];
+  lease.counted.shared += counts.shared;
+  lease.counted.headroom += counts.headroom;
+  lease.allowed.shared += counts.shared;
+  lease.allowed.headroom += counts.headroom;
+  lease.is_confirmed = false;
+  lease.echo_us = demand.request.sent_at_us;
+  lease.expires = now + options_.duration + options_.margin;
+  lease.sequence = next_sequence_++;
+  demand.request.wanted.shared -= counts.shared;
+  demand.request.wanted.headroom -= counts.headroom;
+  // The borrower will charge a request to this slot; until it reports, its
+  // virtual time is taken to have moved by that much.
+  const auto weight = Weight{std::max(0.01, demand.request.backlog_weight)};
+  demand.request.virtual_time =
+      demand.request.virtual_time + demand.request.mean_estimate / weight;
+  return UpdateFor(target.info.id, borrower, lease);
+}
+
+auto SlotOwner::UpdateFor(const TargetId& target, const RouterId& borrower,
+                          const Lease& lease) const -> AddressedUpdate {
+  return {borrower,
+          {self_, target, lease.sequence, lease.allowed, lease.echo_us}};
+}
+
+auto SlotOwner::Expire(Time now) -> void {
+  for (auto& [id, target] : targets_) {
+    std::erase_if(target.leases, [now](const auto& item) {
+      return item.second.expires <= now;
+    });
+  }
+  for (auto& [pool, demands] : demands_) {
+    std::erase_if(demands, [this, now](const auto& item) {
+      return now - item.second.received > options_.demand_lifetime;
+    });
+  }
+}
+
+auto SlotOwner::IsOwedToPeer(const PoolId& pool, const LocalDemand& local) const
+    -> bool {
+  const auto* behind = MostBehind(pool, false);
+  if (behind == nullptr) return false;
+  return local.virtual_time > behind->request.virtual_time + options_.threshold;
+}
+
+auto SlotOwner::MostBehind(const PoolId& pool, bool headroom) const
+    -> const Demand* {
+  const auto found = demands_.find(pool);
+  if (found == demands_.end()) return nullptr;
+  const Demand* best = nullptr;
+  for (const auto& [router, demand] : found->second) {
+    const auto& wanted = demand.request.wanted;
+    if ((headroom ? wanted.headroom : wanted.shared) <= 0) continue;
+    if (best != nullptr &&
+        best->request.virtual_time <= demand.request.virtual_time) {
+      continue;
+    }
+    best = &demand;
+  }
+  return best;
+}
+
+auto SlotOwner::BestTarget(const PoolId& pool, bool headroom) -> OwnedTarget* {
+  OwnedTarget* best = nullptr;
+  int best_free = 0;
+  for (auto& [id, target] : targets_) {
+    if (target.info.pool != pool) continue;
+    const auto free = FreeOf(target);
+    const auto count = headroom ? free.headroom : free.shared;
+    if (count <= best_free) continue;
+    best = &target;
+    best_free = count;
+  }
+  return best;
+}
+
+auto SlotOwner::Observe(const TargetId& target, LatencySample sample) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) found->second.limit.Observe(sample);
+}
+
+auto SlotOwner::AdjustLimits(Time now) -> void {
+  for (auto& [id, target] : targets_) {
+    target.limit.Tick(FreeOf(target).shared <= 0, now);
+  }
+}
+
+auto SlotOwner::FreeOf(const OwnedTarget& target) const -> SlotCounts {
+  const auto capacity = target.capacity(options_.headroom_share);
+  const auto lent = target.lent();
+  return {capacity.shared - target.in_use.shared - lent.shared,
+          capacity.headroom - target.in_use.headroom - lent.headroom};
+}
+
+auto SlotOwner::FreeOf(const TargetId& target) const -> SlotCounts {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? SlotCounts{} : FreeOf(found->second);
+}
+
+auto SlotOwner::LimitOf(const TargetId& target) const -> SlotCounts {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) return {};
+  return found->second.capacity(options_.headroom_share);
+}
+
+auto SlotOwner::InUseOf(const TargetId& target) const -> SlotCounts {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? SlotCounts{} : found->second.in_use;
+}
+
+auto SlotOwner::LentOf(const TargetId& target) const -> SlotCounts {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? SlotCounts{} : found->second.lent();
+}
+
+auto SlotOwner::OwnedTargets() const -> std::vector<TargetId> {
+  std::vector<TargetId> ids;
+  for (const auto& [id, target] : targets_) ids.push_back(id);
+  return ids;
+}
+
+auto SlotOwner::PoolOf(const TargetId& target) const -> PoolId {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? PoolId() : found->second.info.pool;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/config/configuration.h
@@ -0,0 +1,78 @@
+// The configuration in force: an immutable version that a change replaces.
+#ifndef CONFIG_CONFIGURATION_H_
+#define CONFIG_CONFIGURATION_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "config/document.h"
+
+namespace papayaplank {
+
+// One version of all templates and customers. Copies share their entries.
+class Configuration {
+ public:
+  // The next version, or every fault of the change.
+  using Result = std::variant<Configuration, std::vector<DocumentError>>;
+
+  // Applies a change document, all of it or nothing:
+  // {"format": 1, "templates": [..], "customers": [..],
+  //  "remove_templates": [NAME..], "remove_customers": [NAME..]}.
+  auto Apply(std::string_view change_text, ConfigVersion version) const
+      -> Result;
+
+  // Reads a whole snapshot written by `Snapshot`.
+  static auto FromSnapshot(std::string_view text) -> Result;
+
+  // The whole configuration as JSON text, with its version.
+  auto Snapshot() const -> std::string;
+
+  // Text of one template or customer; empty when there is none.
+  auto TemplateText(const std::string& name) const -> std::string;
+  auto CustomerText(const CustomerId& id) const -> std::string;
+
+  // The customer of an API key by the key's SHA-256; null when unknown.
+  auto FindByKeyHash(const std::string& key_hash) const
+      -> std::shared_ptr<const Customer>;
+
+  // The customer of that id; null when unknown.
+  auto FindCustomer(const CustomerId& id) const
+      -> std::shared_ptr<const Customer>;
+
+  auto version() const -> ConfigVersion { return version_; }
+  auto customer_count() const -> std::size_t { return customers_.size(); }
+  auto template_count() const -> std::size_t { return templates_.size(); }
+
+ private:
+  struct TemplateEntry {
+    Template parsed;
+    std::string text;
+  };
+  struct CustomerEntry {
+    CustomerDocument document;
+    std::shared_ptr<const Customer> resolved;
+    std::string text;
+  };
+  class Builder;
+
+  ConfigVersion version_;
+  // Every customer's template is in `templates_`.
+  std::map<std::string, std::shared_ptr<const TemplateEntry>> templates_;
+  std::map<CustomerId, std::shared_ptr<const CustomerEntry>> customers_;
+  // A key hash belongs to exactly one customer of `customers_`.
+  std::unordered_map<std::string, std::shared_ptr<const Customer>> by_key_;
+};
+
+// The first class of the customer that matches the request; null if none.
+auto MatchClass(const Customer& customer, std::string_view method,
+                std::string_view path, std::string_view class_header)
+    -> const RequestClass*;
+
+}  // namespace papayaplank
+
+#endif  // CONFIG_CONFIGURATION_H_
--- /dev/null
+++ b/dispatch/prefix_affinity.h
@@ -0,0 +1,45 @@
+// Which targets lately held a prompt prefix in their cache. The knowledge is
+// late and has gaps, so it only breaks ties between targets with free slots.
+#ifndef DISPATCH_PREFIX_AFFINITY_H_
+#define DISPATCH_PREFIX_AFFINITY_H_
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+// Hash of the leading part of a prompt; zero means that there is none.
+using PrefixHash = StrongId<struct PrefixTag, std::uint64_t>;
+
+// Bounded memory of the newest target of each prefix.
+class PrefixAffinity {
+ public:
+  explicit PrefixAffinity(std::size_t capacity);
+
+  // Records that `target` has computed or announced the prefix.
+  auto RecordStored(PrefixHash prefix, const TargetId& target) -> void;
+  // Records an eviction that the target announced.
+  auto RecordEvicted(PrefixHash prefix, const TargetId& target) -> void;
+  // Forgets a target that has left or restarted.
+  auto Forget(const TargetId& target) -> void;
+
+  auto IsStoredAt(PrefixHash prefix, const TargetId& target) const -> bool;
+
+ private:
+  struct Entry {
+    PrefixHash prefix;
+    TargetId target;
+  };
+
+  std::size_t capacity_;
+  // Newest first; `index_` holds exactly its prefixes.
+  std::list<Entry> entries_;
+  std::unordered_map<PrefixHash, std::list<Entry>::iterator> index_;
+};
+
+}  // namespace papayaplank
+
+#endif  // DISPATCH_PREFIX_AFFINITY_H_
--- /dev/null
+++ b/dispatch/retry_policy.cpp
@@ -0,0 +1,105 @@
+// Rules of retries.
+#include "dispatch/retry_policy.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+constexpr Duration kFirstDelay = milliseconds(20);
+constexpr Duration kLongestDelay = seconds(2);
+constexpr int kMaxDoublings = 7;
+constexpr std::size_t kMaxBalances = 8192;
+
+}  // namespace
+
+auto RanName(Ran ran) -> std::string_view {
+  switch (ran) {
+    case Ran::kNo:
+      return "no";
+    case Ran::kUnknown:
+      return "unknown";
+    case Ran::kYes:
+      return "yes";
+  }
+  return "unknown";
+}
+
+auto AttemptResultName(AttemptResult result) -> std::string_view {
+  switch (result) {
+    case AttemptResult::kComplete:
+      return "complete";
+    case AttemptResult::kRefused:
+      return "refused";
+    case AttemptResult::kNotReached:
+      return "not_reached";
+    case AttemptResult::kBroken:
+      return "broken";
+    case AttemptResult::kSilent:
+      return "silent";
+    case AttemptResult::kCrossed:
+      return "crossed";
+    case AttemptResult::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+auto RanAfter(AttemptResult result) -> Ran {
+  switch (result) {
+    case AttemptResult::kComplete:
+      return Ran::kYes;
+    case AttemptResult::kRefused:
+    case AttemptResult::kNotReached:
+      return Ran::kNo;
+    case AttemptResult::kBroken:
+    case AttemptResult::kSilent:
+    case AttemptResult::kCrossed:
+    case AttemptResult::kCancelled:
+      return Ran::kUnknown;
+  }
+  return Ran::kUnknown;
+}
+
+auto IsRetryAllowed(const RetryQuestion& question) -> bool {
+  const auto& report = question.report;
+  if (report.result == AttemptResult::kComplete) return false;
+  if (report.result == AttemptResult::kCancelled) return false;
+  if (question.now >= question.deadline) return false;
+  if (question.attempts >= question.max_attempts) return false;
+  if (RanAfter(report.result) == Ran::kNo) return !report.has_caller_seen_head;
+  if (!question.is_idempotent) return false;
+  return !report.has_caller_seen_head || report.is_resumable;
+}
+
+auto RetryDelay(int attempts, Random& random) -> Duration {
+  const auto doublings = std::clamp(attempts - 1, 0, kMaxDoublings);
+  const auto bound = std::min(kLongestDelay, kFirstDelay * (1 << doublings));
+  return Duration(static_cast<Duration::rep>(
+      random.Uniform() * static_cast<double>(bound.count())));
+}
+
+RetryBudget::RetryBudget(double share, double reserve)
+    : share_(share), reserve_(reserve) {}
+
+auto RetryBudget::Balance(const std::string& key) -> double& {
+  if (balances_.size() >= kMaxBalances && balances_.count(key) == 0) {
+    balances_.erase(balances_.begin());
+  }
+  return balances_.try_emplace(key, reserve_).first->second;
+}
+
+auto RetryBudget::RecordFirstAttempt(const std::string& key) -> void {
+  auto& balance = Balance(key);
+  balance = std::min(reserve_, balance + share_);
+}
+
+auto RetryBudget::TrySpend(const std::string& first, const std::string& second)
+    -> bool {
+  if (Balance(first) < 1 || Balance(second) < 1) return false;
+  Balance(first) -= 1;
+  Balance(second) -= 1;
+  return true;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/fairness/cost_estimator.cpp
@@ -0,0 +1,40 @@
+// Exponential moving averages of request costs.
+#include "fairness/cost_estimator.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kMaxAverages = 4096;
+constexpr int kSamplesToTrust = 8;
+constexpr double kSmoothing = 0.1;
+// Share of the mean that is charged at the start.
+constexpr double kLean = 0.8;
+
+}  // namespace
+
+auto CostEstimator::Estimate(const CustomerId& customer,
+                             const ClassId& request_class, Cost hint) const
+    -> Cost {
+  const auto found = averages_.find({customer, request_class});
+  if (found == averages_.end()) return Cost{hint.units * kLean};
+  const auto& average = found->second;
+  const auto trust =
+      std::min(1.0, static_cast<double>(average.samples) / kSamplesToTrust);
+  return Cost{kLean * (trust * average.mean + (1 - trust) * hint.units)};
+}
+
+auto CostEstimator::Learn(const CustomerId& customer,
+                          const ClassId& request_class, Cost actual) -> void {
+  if (averages_.size() >= kMaxAverages &&
+      averages_.count({customer, request_class}) == 0) {
+    averages_.erase(averages_.begin());
+  }
+  auto& average = averages_[{customer, request_class}];
+  ++average.samples;
+  const auto rate = std::max(kSmoothing, 1.0 / average.samples);
+  average.mean += rate * (actual.units - average.mean);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/metrics/metric_registry.cpp
@@ -0,0 +1,215 @@
+// Histograms on Boost.Histogram and their text form.
+#include "metrics/metric_registry.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+namespace histogram = boost::histogram;
+
+// Customers with histograms of their own; the rest is shown as "other".
+constexpr std::size_t kMaxCustomersShown = 64;
+constexpr unsigned kBinsPerHistogram = 48;
+constexpr double kSmallestSeconds = 0.0001;
+constexpr double kLargestSeconds = 1000;
+constexpr double kSmallestCost = 0.1;
+constexpr double kLargestCost = 100000;
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Histogram = decltype(histogram::make_histogram(std::declval<Axis>()));
+
+auto MakeAxis(Measure measure) -> Axis {
+  if (measure == Measure::kServiceCost) {
+    return Axis(kBinsPerHistogram, kSmallestCost, kLargestCost);
+  }
+  return Axis(kBinsPerHistogram, kSmallestSeconds, kLargestSeconds);
+}
+
+auto MeasureName(Measure measure) -> std::string {
+  switch (measure) {
+    case Measure::kQueueWait:
+      return "papayaplank_queue_wait_seconds";
+    case Measure::kFirstByte:
+      return "papayaplank_first_byte_seconds";
+    case Measure::kChunkGap:
+      return "papayaplank_chunk_gap_seconds";
+    case Measure::kServiceCost:
+      return "papayaplank_service_cost_units";
+  }
+  return "papayaplank_unknown";
+}
+
+auto EscapeLabel(const std::string& value) -> std::string {
+  std::string escaped;
+  for (const auto c : value) {
+    if (c == '\\' || c == '"') escaped += '\\';
+    if (c == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    escaped += c;
+  }
+  return escaped;
+}
+
+auto LabelText(const std::vector<MetricLabel>& labels) -> std::string {
+  if (labels.empty()) return "";
+  std::string text = "{";
+  const char* separator = "";
+  for (const auto& label : labels) {
+    text += separator + label.name + "=\"" + EscapeLabel(label.value) + "\"";
+    separator = ",";
+  }
+  return text + "}";
+}
+
+// One bin with its upper edge; the last one has no edge.
+struct Bin {
+  double upper = 0;
+  double count = 0;
+};
+
+// All bins in order, with those below and above the axis.
+auto BinsOf(const Histogram& histogram) -> std::vector<Bin> {
+  const auto& axis = histogram.axis(0);
+  std::vector<Bin> bins;
+  bins.reserve(static_cast<std::size_t>(axis.size()) + 2);
+  for (int i = -1; i <= axis.size(); ++i) {
+    const double count = histogram.at(i);
+    bins.push_back({axis.value(i + 1), count});
+  }
+  return bins;
+}
+
+auto QuantileOf(const Histogram& histogram, double total, double share)
+    -> double {
+  double below = 0;
+  for (const auto& bin : BinsOf(histogram)) {
+    below += bin.count;
+    if (below >= total * share) return bin.upper;
+  }
+  return 0;
+}
+
+}  // namespace
+
+struct MetricRegistry::Histograms {
+  struct Key {
+    Measure measure;
+    CustomerId customer;
+    ClassId request_class;
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Entry {
+    Histogram bins;
+    double sum = 0;
+  };
+  std::map<Key, Entry> entries;
+  std::set<CustomerId> customers;
+};
+
+MetricRegistry::MetricRegistry()
+    : histograms_(std::make_unique<Histograms>()) {}
+MetricRegistry::~MetricRegistry() = default;
+
+auto MetricRegistry::Observe(Measure measure, const CustomerId& customer,
+                             const ClassId& request_class, double value)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  auto& shown = histograms_->customers;
+  auto name = customer;
+  if (shown.count(customer) == 0 && shown.size() >= kMaxCustomersShown) {
+    name = CustomerId("other");
+  } else {
+    shown.insert(customer);
+  }
+  const Histograms::Key key{measure, name, request_class};
+  auto found = histograms_->entries.find(key);
+  if (found == histograms_->entries.end()) {
+    found = histograms_->entries
+                .emplace(key,
+                         Histograms::Entry{
+                             histogram::make_histogram(MakeAxis(measure)), 0})
+                .first;
+  }
+  found->second.bins(value);
+  found->second.sum += value;
+}
+
+auto MetricRegistry::Count(const std::string& name,
+                           const std::vector<MetricLabel>& labels,
+                           std::uint64_t increment) -> void {
+  const std::lock_guard lock(mutex_);
+  values_[name + LabelText(labels)] += static_cast<double>(increment);
+}
+
+auto MetricRegistry::Set(const std::string& name,
+                         const std::vector<MetricLabel>& labels, double value)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  values_[name + LabelText(labels)] = value;
+}
+
+auto MetricRegistry::Exposition() const -> std::string {
+  const std::lock_guard lock(mutex_);
+  std::ostringstream out;
+  out.precision(12);
+  for (const auto& [name, value] : values_) out << name << ' ' << value << '\n';
+  for (const auto& [key, entry] : histograms_->entries) {
+    const auto name = MeasureName(key.measure);
+    const std::string labels =
+        "customer=\"" + EscapeLabel(key.customer.value()) + "\",class=\"" +
+        EscapeLabel(key.request_class.value()) + "\"";
+    double below = 0;
+    const auto bins = BinsOf(entry.bins);
+    for (const auto& bin : bins) {
+      below += bin.count;
+      const auto has_edge = &bin != &bins.back();
+      if (bin.count == 0 || !has_edge) continue;
+      out << name << "_bucket{" << labels << ",le=\"" << bin.upper << "\"} "
+          << below << '\n';
+    }
+    out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << below << '\n'
+        << name << "_sum{" << labels << "} " << entry.sum << '\n'
+        << name << "_count{" << labels << "} " << below << '\n';
+  }
+  return out.str();
+}
+
+auto MetricRegistry::QuantilesOf(Measure measure, const CustomerId& customer,
+                                 const ClassId& request_class) const
+    -> Quantiles {
+  const std::lock_guard lock(mutex_);
+  auto sum = histogram::make_histogram(MakeAxis(measure));
+  for (const auto& [key, entry] : histograms_->entries) {
+    if (key.measure != measure) continue;
+    if (!customer.is_empty() && key.customer != customer) continue;
+    if (!request_class.is_empty() && key.request_class != request_class) {
+      continue;
+    }
+    sum += entry.bins;
+  }
+  const double total = histogram::algorithm::sum(sum);
+  if (total == 0) return {};
+  return {static_cast<std::uint64_t>(total), QuantileOf(sum, total, 0.50),
+          QuantileOf(sum, total, 0.95), QuantileOf(sum, total, 0.99)};
+}
+
+auto MetricRegistry::Observed(Measure measure) const
+    -> std::vector<std::pair<CustomerId, ClassId>> {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::pair<CustomerId, ClassId>> result;
+  for (const auto& [key, entry] : histograms_->entries) {
+    if (key.measure == measure) {
+      result.emplace_back(key.customer, key.request_class);
+    }
+  }
+  return result;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/metrics/metric_registry.h
@@ -0,0 +1,81 @@
+// Counters, gauges and Boost histograms with bounded label sets.
+#ifndef METRICS_METRIC_REGISTRY_H_
+#define METRICS_METRIC_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+// What a histogram measures.
+enum class Measure {
+  kQueueWait,    // Seconds from arrival to the start of the first attempt.
+  kFirstByte,    // Seconds from arrival to the first byte of the answer.
+  kChunkGap,     // Seconds between two chunks of a stream.
+  kServiceCost,  // Cost units of a request.
+};
+
+// Summary of a histogram, for reports.
+struct Quantiles {
+  std::uint64_t count = 0;
+  double p50 = 0;
+  double p95 = 0;
+  double p99 = 0;
+};
+
+// A label of a counter or gauge.
+struct MetricLabel {
+  std::string name;
+  std::string value;
+};
+
+// All metrics of a process. Tasks share it; each call locks briefly.
+class MetricRegistry {
+ public:
+  MetricRegistry();
+  ~MetricRegistry();
+  MetricRegistry(const MetricRegistry&) = delete;
+  auto operator=(const MetricRegistry&) -> MetricRegistry& = delete;
+
+  // Adds an observation in seconds or cost units. Beyond the bound on
+  // customers shown, it counts for the customer "other".
+  auto Observe(Measure measure, const CustomerId& customer,
+               const ClassId& request_class, double value) -> void;
+
+  // Adds to a counter.
+  auto Count(const std::string& name, const std::vector<MetricLabel>& labels,
+             std::uint64_t increment = 1) -> void;
+
+  // Sets a gauge, or a counter that is kept elsewhere.
+  auto Set(const std::string& name, const std::vector<MetricLabel>& labels,
+           double value) -> void;
+
+  // All metrics in the Prometheus text format.
+  auto Exposition() const -> std::string;
+
+  // Quantiles over the given customer and class, or over all when empty.
+  auto QuantilesOf(Measure measure, const CustomerId& customer,
+                   const ClassId& request_class) const -> Quantiles;
+
+  // Customers and classes that have observations.
+  auto Observed(Measure measure) const
+      -> std::vector<std::pair<CustomerId, ClassId>>;
+
+ private:
+  struct Histograms;
+
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`, as the maps below.
+  std::unique_ptr<Histograms> histograms_;
+  std::map<std::string, double> values_;
+};
+
+}  // namespace papayaplank
+
+#endif  // METRICS_METRIC_REGISTRY_H_
--- /dev/null
+++ b/metrics/metrics.h
@@ -0,0 +1,8 @@
+// Public header of the metrics library: counters and histograms per customer
+// and class, shown in the Prometheus text format.
+#ifndef METRICS_METRICS_H_
+#define METRICS_METRICS_H_
+
+#include "metrics/metric_registry.h"
+
+#endif  // METRICS_METRICS_H_
--- /dev/null
+++ b/placement/rendezvous.cpp
@@ -0,0 +1,71 @@
+// Highest-random-weight ranking of members.
+#include "placement/rendezvous.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+auto Rank(const std::string& key, const Member& member) -> std::uint64_t {
+  return StableHash(member.id.value(), StableHash(key));
+}
+
+template <typename Filter>
+auto Highest(const std::string& key, const std::vector<Member>& members,
+             const Filter& filter) -> std::optional<RouterId> {
+  const Member* best = nullptr;
+  std::uint64_t best_rank = 0;
+  for (const auto& member : members) {
+    if (!filter(member)) continue;
+    const auto rank = Rank(key, member);
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &member;
+    best_rank = rank;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->id;
+}
+
+}  // namespace
+
+auto OwnerOf(const TargetInfo& target, const std::vector<Member>& members)
+    -> std::optional<RouterId> {
+  const auto& key = target.id.value();
+  auto owner = Highest(key, members, [&target](const Member& member) {
+    return member.data_center == target.data_center;
+  });
+  if (owner) return owner;
+  owner = Highest(key, members, [&target](const Member& member) {
+    return member.region == target.region;
+  });
+  if (owner) return owner;
+  return Highest(key, members, [](const Member&) { return true; });
+}
+
+auto HomeSet(const CustomerId& customer, const DataCenterId& data_center,
+             std::size_t size, const std::vector<Member>& members)
+    -> std::vector<Member> {
+  struct Ranked {
+    bool is_near;
+    std::uint64_t rank;
+    const Member* member;
+  };
+  std::vector<Ranked> ranked;
+  ranked.reserve(members.size());
+  for (const auto& member : members) {
+    ranked.push_back({member.data_center == data_center,
+                      Rank(customer.value(), member), &member});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.is_near != b.is_near) return a.is_near;
+    return a.rank > b.rank;
+  });
+  std::vector<Member> homes;
+  for (const auto& each : ranked) {
+    if (homes.size() == size) break;
+    homes.push_back(*each.member);
+  }
+  return homes;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/router/fleet_view.h
@@ -0,0 +1,60 @@
+// What this router knows of the fleet: members, targets, and who owns what.
+#ifndef ROUTER_FLEET_VIEW_H_
+#define ROUTER_FLEET_VIEW_H_
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "membership/membership.h"
+#include "placement/placement.h"
+
+namespace papayaplank {
+
+// Changes of ownership found by `FleetView::Refresh`.
+struct OwnershipChange {
+  std::vector<TargetId> gained;
+  std::vector<TargetId> lost;
+  // Targets that are listed no more.
+  std::vector<TargetId> removed;
+};
+
+// Targets with their owners over the active members.
+class FleetView {
+ public:
+  explicit FleetView(RouterId self) : self_(std::move(self)) {}
+
+  // Takes a new list of targets. Targets that said themselves that they are
+  // leaving stay so while they are listed.
+  auto SetTargets(std::vector<TargetInfo> targets) -> void;
+
+  // Marks a target as leaving, from its own signal or from a peer.
+  auto MarkLeaving(const TargetId& target) -> void;
+
+  // Computes owners anew when members or targets have changed.
+  auto Refresh(const MemberList& members) -> OwnershipChange;
+
+  auto FindTarget(const TargetId& id) const -> const TargetInfo*;
+  auto TargetsOf(const PoolId& pool) const -> const std::vector<TargetId>&;
+  auto OwnerOfTarget(const TargetId& id) const -> RouterId;
+  // Owners of the pool's targets other than this router, each once.
+  auto OtherOwnersOf(const PoolId& pool) const -> std::vector<RouterId>;
+  auto HasPool(const PoolId& pool) const -> bool;
+  auto targets() const -> const std::map<TargetId, TargetInfo>& {
+    return targets_;
+  }
+
+ private:
+  RouterId self_;
+  std::map<TargetId, TargetInfo> targets_;
+  std::map<PoolId, std::vector<TargetId>> by_pool_;
+  std::map<TargetId, RouterId> owners_;
+  std::set<TargetId> leaving_;
+  std::vector<TargetId> removed_;
+  std::uint64_t seen_generation_ = 0;
+  bool has_new_targets_ = false;
+};
+
+}  // namespace papayaplank
+
+#endif  // ROUTER_FLEET_VIEW_H_
--- /dev/null
+++ b/router/router_core.h
@@ -0,0 +1,273 @@
+// Composes membership, placement, fairness, capacity and dispatch into the
+// decisions of one router.
+#ifndef ROUTER_ROUTER_CORE_H_
+#define ROUTER_ROUTER_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "capacity/capacity.h"
+#include "dispatch/dispatch.h"
+#include "fairness/fairness.h"
+#include "membership/membership.h"
+#include "router/account_exchange.h"
+#include "router/core_messages.h"
+#include "router/fleet_view.h"
+
+namespace papayaplank {
+
+// How far the routers act together. The product runs `kFleet`; the others are
+// baselines of the measurements.
+enum class SharingMode {
+  kFifo,   // Each router alone, first come first served.
+  kLocal,  // Fair among the customers of each router, targets split.
+  kFleet,  // Fair over the fleet: slots move between routers.
+};
+
+struct RouterOptions {
+  MembershipOptions membership;
+  LeaseOptions lease;
+  LatencyObjective objective;
+  SharingMode mode = SharingMode::kFleet;
+  // Bound on catching up, in cost units per unit of weight.
+  VirtualTime catch_up_limit{20000};
+  Duration gossip_period = seconds(1);
+  Duration account_period = seconds(1);
+  std::size_t gossip_peers = 2;
+  std::size_t summaries_per_gossip = 10;
+  std::size_t accounts_per_period = 12;
+  // Requests that wait at this router, of all customers.
+  std::size_t max_waiting = 20000;
+  // Retries earned by each first attempt, and the reserve, per key.
+  double retry_share = 0.1;
+  double retry_reserve = 10;
+  // Longest wait of an interactive request before a batch stream of this
+  // router is cancelled for it, to be resumed later.
+  Duration preempt_after = milliseconds(300);
+  // A pause of the process longer than this drops all leases held.
+  Duration pause_limit = milliseconds(700);
+};
+
+// Counts since the start, for metrics.
+struct CoreCounters {
+  std::uint64_t admitted = 0;
+  std::uint64_t started = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumed = 0;
+  std::uint64_t preempted = 0;
+  std::uint64_t slots_lent = 0;
+  std::uint64_t peer_messages_sent = 0;
+  std::uint64_t pauses = 0;
+};
+
+// State of one pool here, for status and metrics.
+struct PoolStatus {
+  PoolId pool;
+  Backlog backlog;
+  VirtualTime virtual_time;
+  int running = 0;
+  int owned_targets = 0;
+  int free_slots = 0;
+};
+
+// All decisions of one router.
+class RouterCore {
+ public:
+  using Commands = std::vector<CoreCommand>;
+
+  RouterCore(Member self, RouterOptions options, std::uint64_t seed);
+
+  // Takes one message and returns what the shells are to do.
+  auto Handle(const CoreInput& input, Time now) -> Commands;
+
+  // Does what is due; called at least every 50 ms.
+  auto Tick(Time now) -> Commands;
+
+  // Answers for callers and operators.
+  auto Homes(const CustomerId& customer, const DataCenterId& near) const
+      -> std::vector<Member>;
+  auto Members() const -> std::vector<Member>;
+  auto Pools() const -> std::vector<PoolStatus>;
+  auto Targets() const -> std::vector<TargetInfo>;
+  auto SlotsOf(const TargetId& target) const -> SlotCounts;
+  auto OwnerOfTarget(const TargetId& target) const -> RouterId;
+  auto AccountOf(const CustomerId& customer, const PoolId& pool) const
+      -> VirtualTime;
+  auto counters() const -> const CoreCounters& { return counters_; }
+  auto is_stopping() const -> bool { return is_stopping_; }
+  auto HasRequest(const RequestId& id) const -> bool {
+    return requests_.count(id) != 0;
+  }
+  // Requests that wait or run; zero ends a graceful shutdown.
+  auto open_requests() const -> std::size_t { return requests_.size(); }
+
+ private:
+  enum class Stage { kClaiming, kWaiting, kDelayed, kRunning };
+
+  struct Request {
+    RequestArrived arrival;
+    Stage stage = Stage::kWaiting;
+    Time arrived_at{};
+    Time deadline{};
+    // Charged at the start of the current attempt.
+    Cost charged;
+    // Charged beyond the estimate while the stream runs.
+    Cost progress_charged;
+    int attempts = 0;
+    int tokens = 0;
+    int attempt_tokens = 0;
+    TargetId target;
+    bool is_headroom = false;
+    // Whether the slot is one of this router's own, not a leased one.
+    bool is_own_slot = false;
+    bool is_preempted = false;
+    bool is_caller_gone = false;
+    // Whether a claim row holds this request.
+    bool has_claim = false;
+    std::set<TargetId> failed_at;
+    Time started_at{};
+  };
+
+  struct Pool {
+    explicit Pool(VirtualTime catch_up_limit) : queue(catch_up_limit) {}
+    PoolQueue queue;
+    // Waiting ids in order of arrival, for the `kFifo` baseline.
+    Time next_demand{};
+    bool has_open_demand = false;
+    // Owners asked in turn.
+    std::size_t next_owner = 0;
+    int running = 0;
+    // Starts since `rate_since` and the rate before, a second.
+    int starts = 0;
+    double start_rate = 0;
+    double mean_estimate = 100;
+  };
+
+  // Requests (router_core.cpp).
+  auto On(const RequestArrived& message, Time now) -> void;
+  auto On(const RequestCancelled& message, Time now) -> void;
+  auto On(const ClaimResolved& message, Time now) -> void;
+  auto On(const AttemptProgress& message, Time now) -> void;
+  auto On(const AttemptEnded& message, Time now) -> void;
+  auto Admit(const RequestArrived& message, Time now) -> bool;
+  auto Enqueue(Request& request) -> void;
+  auto Refuse(const RequestId& id, FailReason reason, Duration retry_after)
+      -> void;
+  auto Fail(Request& request, FailReason reason, Ran ran, Duration retry_after)
+      -> void;
+  auto Complete(Request& request, const AttemptReport& report) -> void;
+  auto ReleaseSlot(Request& request) -> void;
+  auto SettleCharge(Request& request, Cost actual) -> void;
+  auto RetryOrFail(Request& request, const AttemptReport& report, Time now)
+      -> void;
+  auto ExpireWaiting(Time now) -> void;
+  auto RequeueDelayed(Time now) -> void;
+  auto ShedOne(Pool& pool) -> void;
+  auto ExpectedWait(const Pool& pool, const Customer& customer) const
+      -> Duration;
+
+  // Slots (router_core.cpp).
+  auto Pump(const PoolId& pool_id, Time now) -> void;
+  auto StartOne(const PoolId& pool_id, Pool& pool, Time now) -> bool;
+  auto TakeSlot(const PoolId& pool_id, const Request& request, bool headroom,
+                Time now) -> std::optional<TargetId>;
+  auto Candidates(const PoolId& pool_id, const Request& request, bool headroom,
+                  Time now) const -> std::vector<Candidate>;
+  auto Start(Request& request, Pool& pool, const QueuedRequest& queued,
+             Time now) -> void;
+  auto Preempt(Time now) -> void;
+  auto DemandOf(const Pool& pool) const -> LocalDemand;
+
+  // Peers (router_core_peers.cpp).
+  auto On(const PeerReceived& message, Time now) -> void;
+  auto OnPeer(const std::string& from, const Ping& ping, Time now) -> void;
+  auto OnPeer(const std::string& from, const Ack& ack, Time now) -> void;
+  auto OnPeer(const std::string& from, const SlotDemand& demand, Time now)
+      -> void;
+  auto OnPeer(const std::string& from, const LeaseUpdates& updates, Time now)
+      -> void;
+  auto OnPeer(const std::string& from, const LeaseReport& report, Time now)
+      -> void;
+  auto OnPeer(const std::string& from, const StateGossip& gossip, Time now)
+      -> void;
+  auto OnPeer(const std::string& from, const AccountReport& report, Time now)
+      -> void;
+  auto OnPeer(const std::string& from, const AccountReply& reply, Time now)
+      -> void;
+  auto On(const InstancesListed& message, Time now) -> void;
+  auto On(const TargetLeaving& message, Time now) -> void;
+  auto On(const CacheChanged& message, Time now) -> void;
+  auto On(const ConfigInForce& message, Time now) -> void;
+  auto On(const StopRequested& message, Time now) -> void;
+  auto SendTo(const RouterId& router, PeerMessage message) -> void;
+  auto SendMembership(MemberList::Messages messages) -> void;
+  auto SendUpdates(std::vector<AddressedUpdate> updates) -> void;
+  auto ChargeRemote(const std::vector<RemoteCharge>& charges) -> void;
+  auto RefreshOwnership() -> void;
+  // Counts the running requests on a target as its owner's or as leased.
+  auto MarkRunning(const TargetId& target, bool is_own_slot) -> void;
+  auto DropDeadRouters() -> void;
+  auto LendAll(Time now) -> void;
+  auto SendDemands(Time now) -> void;
+  auto WithdrawDemand(const PoolId& pool_id, Pool& pool, Time now) -> void;
+  auto SendReports(Time now) -> void;
+  auto SendGossip(Time now) -> void;
+  auto SendAccounts(Time now) -> void;
+  auto FollowFleet(const PoolId& pool_id, Pool& pool) -> void;
+  auto CheckPause(Time now) -> void;
+  auto CheckConfigVersions() -> void;
+
+  auto PoolFor(const PoolId& id) -> Pool&;
+  auto MayUse(const TargetInfo& target, Time now) const -> bool;
+
+  RouterOptions options_;
+  Random random_;
+  MemberList members_;
+  FleetView fleet_;
+  SlotOwner owner_;
+  SlotBorrower borrower_;
+  AccountExchange accounts_;
+  CostEstimator estimator_;
+  RateLimiter rate_limiter_;
+  RetryBudget retry_budget_;
+  TargetHealth health_;
+  PrefixAffinity affinity_;
+  // Each waiting request is in exactly one pool's queue, each delayed one in
+  // `delayed_`, and each running one holds exactly one slot.
+  std::unordered_map<RequestId, Request> requests_;
+  std::map<PoolId, Pool> pools_;
+  std::multimap<Time, RequestId> delayed_;
+  // Newest summary of each other router and pool, with when it was learnt.
+  struct KnownSummary {
+    PoolSummary summary;
+    Time learnt{};
+  };
+  std::map<std::pair<PoolId, RouterId>, KnownSummary> summaries_;
+  std::set<RouterId> known_routers_;
+  Commands out_;
+  CoreCounters counters_;
+  ConfigVersion version_;
+  std::uint64_t summary_sequence_ = 0;
+  std::uint64_t seen_generation_ = 0;
+  bool is_stopping_ = false;
+  Time last_tick_{};
+  Time next_report_{};
+  Time next_gossip_{};
+  Time next_accounts_{};
+  Time next_rates_{};
+  Time next_fetch_{};
+};
+
+}  // namespace papayaplank
+
+#endif  // ROUTER_ROUTER_CORE_H_
--- /dev/null
+++ b/router/router_core_peers.cpp
@@ -0,0 +1,412 @@
+// Peers: membership, lending, gossip and accounts between routers.
+#include <algorithm>
+#include <utility>
+
+#include "router/router_core.h"
+
+namespace papayaplank {
+namespace {
+
+// A router's summary older than this says nothing of its virtual time.
+constexpr Duration kSummaryLifetime = seconds(10);
+constexpr Duration kFetchPeriod = seconds(1);
+constexpr std::size_t kOwnersPerDemand = 4;
+constexpr int kMaxWanted = 64;
+constexpr std::size_t kHomes = 2;
+
+}  // namespace
+
+auto RouterCore::On(const PeerReceived& message, Time now) -> void {
+  std::visit([&](const auto& body) { OnPeer(message.from, body, now); },
+             message.message);
+}
+
+auto RouterCore::OnPeer(const std::string& from, const Ping& ping, Time now)
+    -> void {
+  SendMembership(members_.Handle(ping, from, now));
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/, const Ack& ack, Time now)
+    -> void {
+  SendMembership(members_.Handle(ack, now));
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/, const SlotDemand& demand,
+                        Time now) -> void {
+  owner_.Handle(demand, now);
+  Pump(demand.pool, now);
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/,
+                        const LeaseUpdates& updates, Time now) -> void {
+  std::set<PoolId> pools;
+  for (const auto& update : updates.updates) {
+    const auto* target = fleet_.FindTarget(update.target);
+    if (target == nullptr) continue;
+    // An earlier owner's grant counts no more.
+    if (fleet_.OwnerOfTarget(update.target) != update.owner) continue;
+    borrower_.Handle(update, now);
+    pools.insert(target->pool);
+  }
+  for (const auto& pool : pools) Pump(pool, now);
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/, const LeaseReport& report,
+                        Time now) -> void {
+  std::set<PoolId> pools;
+  for (const auto& held : report.leases) {
+    if (owner_.IsOwned(held.target)) pools.insert(owner_.PoolOf(held.target));
+  }
+  std::vector<AddressedUpdate> updates;
+  for (const auto& pool : pools) {
+    auto more = owner_.Handle(report, DemandOf(PoolFor(pool)), pool, now);
+    updates.insert(updates.end(), more.begin(), more.end());
+  }
+  SendUpdates(std::move(updates));
+  for (const auto& pool : pools) Pump(pool, now);
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/, const StateGossip& gossip,
+                        Time now) -> void {
+  for (const auto& summary : gossip.summaries) {
+    if (summary.router == members_.self().id) continue;
+    if (members_.Find(summary.router) == nullptr) continue;
+    auto& known = summaries_[{summary.pool, summary.router}];
+    if (known.summary.sequence >= summary.sequence) continue;
+    known = {summary, now};
+  }
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/,
+                        const AccountReport& report, Time /*now*/) -> void {
+  std::vector<RemoteCharge> charges;
+  SendTo(report.router, accounts_.Handle(report, charges));
+  ChargeRemote(charges);
+}
+
+auto RouterCore::OnPeer(const std::string& /*from*/, const AccountReply& reply,
+                        Time /*now*/) -> void {
+  ChargeRemote(accounts_.Handle(reply));
+}
+
+auto RouterCore::ChargeRemote(const std::vector<RemoteCharge>& charges)
+    -> void {
+  for (const auto& charge : charges) {
+    PoolFor(charge.pool)
+        .queue.Charge(charge.customer, charge.weight, charge.cost);
+  }
+}
+
+auto RouterCore::On(const InstancesListed& message, Time now) -> void {
+  fleet_.SetTargets(message.targets);
+  members_.SetSeeds(message.gossip_addresses);
+  RefreshOwnership();
+  for (auto& [id, pool] : pools_) Pump(id, now);
+}
+
+auto RouterCore::On(const TargetLeaving& message, Time /*now*/) -> void {
+  fleet_.MarkLeaving(message.target);
+  affinity_.Forget(message.target);
+  RefreshOwnership();
+}
+
+auto RouterCore::On(const CacheChanged& message, Time /*now*/) -> void {
+  for (const auto& prefix : message.stored) {
+    affinity_.RecordStored(prefix, message.target);
+  }
+  for (const auto& prefix : message.evicted) {
+    affinity_.RecordEvicted(prefix, message.target);
+  }
+}
+
+auto RouterCore::On(const ConfigInForce& message, Time /*now*/) -> void {
+  version_ = std::max(version_, message.version);
+  members_.SetConfigVersion(version_);
+}
+
+auto RouterCore::On(const StopRequested& /*message*/, Time now) -> void {
+  if (is_stopping_) return;
+  is_stopping_ = true;
+  SendMembership(members_.Leave(now));
+  RefreshOwnership();
+}
+
+auto RouterCore::SendTo(const RouterId& router, PeerMessage message) -> void {
+  const auto* member = members_.Find(router);
+  if (member == nullptr) return;
+  ++counters_.peer_messages_sent;
+  out_.push_back(SendPeer{member->gossip_address, std::move(message)});
+}
+
+auto RouterCore::SendMembership(MemberList::Messages messages) -> void {
+  for (auto& message : messages) {
+    ++counters_.peer_messages_sent;
+    auto body =
+        std::visit([](auto& each) -> PeerMessage { return std::move(each); },
+                   message.body);
+    out_.push_back(SendPeer{std::move(message.address), std::move(body)});
+  }
+}
+
+auto RouterCore::SendUpdates(std::vector<AddressedUpdate> updates) -> void {
+  std::map<RouterId, LeaseUpdates> by_borrower;
+  for (auto& each : updates) {
+    by_borrower[each.borrower].updates.push_back(std::move(each.update));
+  }
+  counters_.slots_lent += updates.size();
+  for (auto& [borrower, message] : by_borrower) {
+    SendTo(borrower, std::move(message));
+  }
+}
+
+auto RouterCore::RefreshOwnership() -> void {
+  const auto change = fleet_.Refresh(members_);
+  for (const auto& id : change.gained) {
+    const auto was_owned = owner_.IsOwned(id);
+    owner_.Own(*fleet_.FindTarget(id));
+    if (was_owned) continue;
+    owner_.AdoptUse(id, borrower_.Surrender(id));
+    MarkRunning(id, true);
+  }
+  for (const auto& id : change.lost) {
+    borrower_.Adopt(id, fleet_.OwnerOfTarget(id), owner_.InUseOf(id));
+    owner_.Disown(id);
+    MarkRunning(id, false);
+  }
+  for (const auto& id : change.removed) {
+    owner_.Disown(id);
+    health_.Forget(id);
+    affinity_.Forget(id);
+  }
+  for (const auto& id : borrower_.Targets()) {
+    const auto owner = fleet_.OwnerOfTarget(id);
+    if (!owner.is_empty()) borrower_.SetOwner(id, owner);
+  }
+}
+
+auto RouterCore::MarkRunning(const TargetId& target, bool is_own_slot) -> void {
+  for (auto& [id, request] : requests_) {
+    if (request.stage != Stage::kRunning) continue;
+    if (request.target == target) request.is_own_slot = is_own_slot;
+  }
+}
+
+auto RouterCore::DropDeadRouters() -> void {
+  if (members_.generation() == seen_generation_) return;
+  seen_generation_ = members_.generation();
+  std::set<RouterId> live;
+  for (const auto& member : members_.LiveMembers()) live.insert(member.id);
+  for (const auto& router : known_routers_) {
+    if (live.count(router) != 0) continue;
+    owner_.DropBorrower(router);
+    accounts_.Forget(router);
+    std::erase_if(summaries_, [&router](const auto& item) {
+      return item.first.second == router;
+    });
+  }
+  known_routers_ = std::move(live);
+}
+
+auto RouterCore::SendDemands(Time now) -> void {
+  for (auto& [id, pool] : pools_) {
+    if (!pool.queue.HasWork(false)) continue;
+    if (now < pool.next_demand) continue;
+    pool.next_demand = now + options_.lease.demand_period;
+    const auto owners = fleet_.OtherOwnersOf(id);
+    if (owners.empty()) continue;
+    pool.has_open_demand = true;
+    const auto asked = std::min(kOwnersPerDemand, owners.size());
+    const auto backlog = pool.queue.backlog();
+    const auto share = [asked](int count) {
+      const auto parts = static_cast<int>(asked);
+      return std::min(kMaxWanted, (count + parts - 1) / parts);
+    };
+    SlotDemand demand;
+    demand.router = members_.self().id;
+    demand.pool = id;
+    demand.wanted = {share(backlog.total()), share(backlog.interactive)};
+    demand.virtual_time = pool.queue.virtual_time();
+    demand.backlog_weight = backlog.weight;
+    demand.mean_estimate = Cost{pool.mean_estimate};
+    demand.sent_at_us = now.time_since_epoch().count();
+    for (std::size_t i = 0; i < asked; ++i) {
+      SendTo(owners[pool.next_owner++ % owners.size()], demand);
+    }
+  }
+}
+
+auto RouterCore::WithdrawDemand(const PoolId& pool_id, Pool& pool, Time now)
+    -> void {
+  if (!pool.has_open_demand) return;
+  pool.has_open_demand = false;
+  pool.next_demand = now;
+  SlotDemand demand;
+  demand.router = members_.self().id;
+  demand.pool = pool_id;
+  demand.sent_at_us = now.time_since_epoch().count();
+  for (const auto& owner : fleet_.OtherOwnersOf(pool_id)) {
+    SendTo(owner, demand);
+  }
+}
+
+auto RouterCore::SendReports(Time now) -> void {
+  if (now < next_report_) return;
+  next_report_ = now + options_.lease.renew_period;
+  const auto pressure = [this](const TargetId& id) {
+    PoolPressure result;
+    const auto* target = fleet_.FindTarget(id);
+    if (target == nullptr) return result;
+    const auto found = pools_.find(target->pool);
+    if (found == pools_.end()) return result;
+    const auto backlog = found->second.queue.backlog();
+    result.virtual_time = found->second.queue.virtual_time();
+    result.interactive = backlog.interactive;
+    result.total = backlog.total();
+    return result;
+  };
+  for (auto& each : borrower_.Report(pressure, now)) {
+    SendTo(each.owner, std::move(each.report));
+  }
+  const auto silence = options_.lease.duration;
+  for (const auto& owner : borrower_.SilentOwners(now - silence)) {
+    members_.Suspect(owner, now);
+  }
+}
+
+auto RouterCore::SendGossip(Time now) -> void {
+  if (now < next_gossip_) return;
+  next_gossip_ = now + options_.gossip_period;
+  StateGossip gossip;
+  ++summary_sequence_;
+  for (const auto& [id, pool] : pools_) {
+    PoolSummary summary;
+    summary.router = members_.self().id;
+    summary.pool = id;
+    summary.sequence = summary_sequence_;
+    summary.virtual_time = pool.queue.virtual_time();
+    summary.backlog_weight = pool.queue.backlog().weight;
+    for (const auto& target : fleet_.TargetsOf(id)) {
+      summary.free_slots += std::max(0, owner_.FreeOf(target).shared);
+    }
+    gossip.summaries.push_back(std::move(summary));
+  }
+  std::vector<const KnownSummary*> known;
+  for (const auto& [key, each] : summaries_) known.push_back(&each);
+  std::sort(known.begin(), known.end(),
+            [](const auto* a, const auto* b) { return a->learnt > b->learnt; });
+  for (const auto* each : known) {
+    if (gossip.summaries.size() >= options_.summaries_per_gossip) break;
+    gossip.summaries.push_back(each->summary);
+  }
+  if (gossip.summaries.empty()) return;
+  auto peers = members_.LiveMembers();
+  std::erase_if(peers, [this](const Member& member) {
+    return member.id == members_.self().id;
+  });
+  for (std::size_t i = 0; i < options_.gossip_peers && !peers.empty(); ++i) {
+    const auto index = random_.Index(peers.size());
+    SendTo(peers[index].id, gossip);
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+auto RouterCore::SendAccounts(Time now) -> void {
+  if (now < next_accounts_) return;
+  next_accounts_ = now + options_.account_period;
+  const auto active = members_.ActiveMembers();
+  const auto holder_of = [this, &active](const CustomerId& customer) {
+    const auto homes = HomeSet(customer, DataCenterId(), 1, active);
+    return homes.empty() ? members_.self().id : homes.front().id;
+  };
+  for (auto& each :
+       accounts_.MakeReports(holder_of, options_.accounts_per_period)) {
+    SendTo(each.holder, std::move(each.report));
+  }
+}
+
+auto RouterCore::FollowFleet(const PoolId& pool_id, Pool& pool) -> void {
+  if (options_.mode != SharingMode::kFleet) return;
+  std::optional<VirtualTime> furthest;
+  auto it = summaries_.lower_bound({pool_id, RouterId()});
+  for (; it != summaries_.end() && it->first.first == pool_id; ++it) {
+    const auto& known = it->second;
+    if (known.summary.backlog_weight <= 0) continue;
+    if (last_tick_ - known.learnt > kSummaryLifetime) continue;
+    furthest =
+        std::max(furthest.value_or(VirtualTime{}), known.summary.virtual_time);
+  }
+  if (furthest) pool.queue.FollowFleet(*furthest);
+}
+
+auto RouterCore::CheckPause(Time now) -> void {
+  const auto was_paused =
+      last_tick_ != Time() && now - last_tick_ > options_.pause_limit;
+  last_tick_ = std::max(last_tick_, now);
+  if (!was_paused) return;
+  ++counters_.pauses;
+  borrower_.DropAll();
+}
+
+auto RouterCore::CheckConfigVersions() -> void {
+  if (last_tick_ < next_fetch_) return;
+  const Member* newest = nullptr;
+  const auto members = members_.LiveMembers();
+  for (const auto& member : members) {
+    if (member.config_version <= version_) continue;
+    const auto is_newer =
+        newest == nullptr || member.config_version > newest->config_version;
+    if (is_newer) newest = &member;
+  }
+  if (newest == nullptr) return;
+  next_fetch_ = last_tick_ + kFetchPeriod;
+  out_.push_back(
+      FetchConfiguration{newest->config_version, newest->peer_address});
+}
+
+auto RouterCore::Homes(const CustomerId& customer,
+                       const DataCenterId& near) const -> std::vector<Member> {
+  return HomeSet(customer, near, kHomes, members_.ActiveMembers());
+}
+
+auto RouterCore::Members() const -> std::vector<Member> {
+  return members_.LiveMembers();
+}
+
+auto RouterCore::Pools() const -> std::vector<PoolStatus> {
+  std::vector<PoolStatus> result;
+  for (const auto& [id, pool] : pools_) {
+    PoolStatus status{
+        id, pool.queue.backlog(), pool.queue.virtual_time(), pool.running, 0,
+        0};
+    for (const auto& target : fleet_.TargetsOf(id)) {
+      if (!owner_.IsOwned(target)) continue;
+      ++status.owned_targets;
+      status.free_slots += std::max(0, owner_.FreeOf(target).shared);
+    }
+    result.push_back(std::move(status));
+  }
+  return result;
+}
+
+auto RouterCore::Targets() const -> std::vector<TargetInfo> {
+  std::vector<TargetInfo> result;
+  for (const auto& [id, target] : fleet_.targets()) result.push_back(target);
+  return result;
+}
+
+auto RouterCore::SlotsOf(const TargetId& target) const -> SlotCounts {
+  return owner_.LimitOf(target);
+}
+
+auto RouterCore::OwnerOfTarget(const TargetId& target) const -> RouterId {
+  return fleet_.OwnerOfTarget(target);
+}
+
+auto RouterCore::AccountOf(const CustomerId& customer, const PoolId& pool) const
+    -> VirtualTime {
+  const auto found = pools_.find(pool);
+  if (found == pools_.end()) return {};
+  return found->second.queue.AccountOf(customer);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds everything into the directory given, "build" by default.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B "${1:-build}" -G Ninja "${@:2}" >/dev/null
+ninja -C "${1:-build}" --quiet
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,83 @@
+"""The main job on stand-ins: four routers in two data centres serve sixteen
+customers while the configuration changes. Stops by itself."""
+
+import json
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import fleet as fleets  # noqa: E402
+
+
+def load_plan(fleet, customers):
+    """Large customers send reports, all ask for advice and use the desk."""
+    parts = []
+    for i, (name, weight) in enumerate(customers.items()):
+        common = {"customer": name, "key": fleets.key_of(name),
+                  "data_center": fleet.data_centers[i % 2]}
+        prompt = json.dumps({"model": "model-a", "stream": True,
+                             "max_tokens": 40, "messages": [
+                                 {"role": "user", "content": f"{name} @"}]})
+        whole = json.dumps({"model": "model-a", "max_tokens": 10, "messages": [
+            {"role": "user", "content": f"{name} @"}]})
+        if weight > 1:
+            parts.append(dict(common, **{
+                "class": "report", "path": "/v1/chat/completions",
+                "body": prompt, "streams": 12, "requests": 120,
+                "idempotent": True}))
+        parts.append(dict(common, **{
+            "class": "advice", "path": "/v1/chat/completions", "body": whole,
+            "streams": 2, "requests": 20, "idempotent": True}))
+        parts.append(dict(common, **{
+            "class": "capture", "path": "/desk/capture", "body": "{\"n\":@}",
+            "streams": 1, "requests": 20}))
+    return {"routers": [each.caller for each in fleet.routers],
+            "seconds": 60, "parts": parts}
+
+
+def main():
+    build = sys.argv[1]
+    fleet = fleets.Fleet(build)
+    customers = {f"shop-{i:02}": 4 if i < 3 else 1 for i in range(16)}
+    try:
+        print("starting 4 routers in 2 data centres, 6 engines, 1 service ...")
+        fleet.start()
+        fleet.submit(fleets.demo_change(customers), base=0)
+        path = os.path.join(fleet.directory, "plan.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(load_plan(fleet, customers), file)
+        results = []
+        load = threading.Thread(target=lambda: results.append(
+            fleet.ctl("load", f"--plan={path}", check=False)))
+        load.start()
+        time.sleep(2)
+        began = time.monotonic()
+        change = {"format": 1, "customers": [
+            {"name": "shop-00", "template": "workshop",
+             "parameters": {"weight": 8},
+             "key_hashes": [fleets.key_hash("shop-00")]}]}
+        fleet.submit(change, base=1)
+        print(f"weight of shop-00 changed while the load runs; in force on "
+              f"all routers after {time.monotonic() - began:.1f} s")
+        load.join()
+        print(results[0].stdout, end="")
+        print(results[0].stderr, end="", file=sys.stderr)
+        print(fleet.ctl("status").stdout)
+        _, _, runs = fleets.call(fleet.services[0], "GET", "/admin/runs")
+        counts = json.loads(runs)
+        most = max(counts.values())
+        print(f"{len(counts)} captures ran at the service, each at most "
+              f"{most} time(s)")
+        is_good = results[0].returncode == 0 and most == 1
+    finally:
+        codes = fleet.stop()
+    print("routers stopped with exit codes", codes)
+    is_good = is_good and all(code == 0 for code in codes)
+    print("the demonstration", "succeeded" if is_good else "FAILED")
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs, builds and runs the main job on stand-ins.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/build.sh build
+python3 scripts/demo.py build
--- /dev/null
+++ b/standins/engine_standin.h
@@ -0,0 +1,34 @@
+// Stand-in for a model engine: streams tokens at a set pace, resumes and
+// cancels streams, slows down when more than its slots are in use.
+#ifndef STANDINS_ENGINE_STANDIN_H_
+#define STANDINS_ENGINE_STANDIN_H_
+
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+struct EngineOptions {
+  std::string address;
+  int slots = 16;
+  Duration token_gap = milliseconds(20);
+};
+
+// Serves one engine until it is destroyed.
+class EngineStandin {
+ public:
+  static auto Open(const EngineOptions& options)
+      -> Outcome<std::unique_ptr<EngineStandin>>;
+  ~EngineStandin();
+
+ private:
+  class Server;
+  explicit EngineStandin(std::unique_ptr<Server> server);
+  std::unique_ptr<Server> server_;
+};
+
+}  // namespace papayaplank
+
+#endif  // STANDINS_ENGINE_STANDIN_H_
--- /dev/null
+++ b/standins/standin_main.cpp
@@ -0,0 +1,92 @@
+// The stand-ins as one test program; flags say which of them to run.
+#include <gflags/gflags.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <vector>
+
+#include "standins/engine_standin.h"
+#include "standins/platform_standin.h"
+#include "standins/service_standin.h"
+
+DEFINE_string(platform, "", "IP:port of table service, objects, instances.");
+DEFINE_string(instances, "", "File with the instance list.");
+DEFINE_string(engines, "", "IP:port of each engine, comma separated.");
+DEFINE_int32(engine_slots, 16, "Slots of each engine.");
+DEFINE_int32(token_gap_us, 20000, "Microseconds between two tokens.");
+DEFINE_string(services, "", "IP:port of each service, comma separated.");
+DEFINE_int32(service_work_us, 2000, "Microseconds of work of a service.");
+
+namespace papayaplank {
+namespace {
+
+constexpr int kExitCannotStart = 3;
+
+auto SplitList(const std::string& text) -> std::vector<std::string> {
+  std::vector<std::string> items;
+  std::istringstream in(text);
+  for (std::string item; std::getline(in, item, ',');) items.push_back(item);
+  return items;
+}
+
+auto ReadFile(const std::string& path) -> std::string {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+template <typename Standin>
+auto Keep(Outcome<std::unique_ptr<Standin>> opened,
+          std::vector<std::unique_ptr<Standin>>& kept) -> bool {
+  if (!IsOk(opened)) {
+    std::cerr << ErrorOf(opened).message << '\n';
+    return false;
+  }
+  kept.push_back(std::move(ValueOf(opened)));
+  return true;
+}
+
+auto Main() -> int {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::vector<std::unique_ptr<PlatformStandin>> platforms;
+  std::vector<std::unique_ptr<EngineStandin>> engines;
+  std::vector<std::unique_ptr<ServiceStandin>> services;
+  bool is_up = true;
+  if (!FLAGS_platform.empty()) {
+    is_up &=
+        Keep(PlatformStandin::Open(FLAGS_platform, ReadFile(FLAGS_instances)),
+             platforms);
+  }
+  for (const auto& address : SplitList(FLAGS_engines)) {
+    is_up &= Keep(EngineStandin::Open({address, FLAGS_engine_slots,
+                                       Duration(FLAGS_token_gap_us)}),
+                  engines);
+  }
+  for (const auto& address : SplitList(FLAGS_services)) {
+    is_up &=
+        Keep(ServiceStandin::Open(address, Duration(FLAGS_service_work_us)),
+             services);
+  }
+  if (!is_up) return kExitCannotStart;
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return 0;
+}
+
+}  // namespace
+}  // namespace papayaplank
+
+auto main(int argc, char** argv) -> int {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return papayaplank::Main();
+}
--- /dev/null
+++ b/tasks/claim_task.cpp
@@ -0,0 +1,108 @@
+// Batching of claims; outcomes and releases are tried until they are written.
+#include "tasks/claim_task.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+constexpr Duration kWait = milliseconds(100);
+constexpr Duration kPendingLifetime = seconds(600);
+constexpr std::size_t kMaxBatch = 64;
+constexpr std::size_t kMaxPending = 10000;
+
+}  // namespace
+
+ClaimTask::ClaimTask(ClaimStore store, OnResolved on_resolved)
+    : store_(std::move(store)),
+      on_resolved_(std::move(on_resolved)),
+      thread_([this] { Run(); }) {}
+
+ClaimTask::~ClaimTask() {
+  is_stopping_ = true;
+  thread_.join();
+}
+
+auto ClaimTask::Claim(const ClaimKey& claim) -> void { mailbox_.Post(claim); }
+auto ClaimTask::Store(OutcomeToStore outcome) -> void {
+  mailbox_.Post(std::move(outcome));
+}
+auto ClaimTask::Release(ClaimToRelease claim) -> void {
+  mailbox_.Post(std::move(claim));
+}
+
+auto ClaimTask::Run() -> void {
+  while (!is_stopping_) {
+    std::vector<ClaimKey> claims;
+    for (auto& message : mailbox_.TakeAll(kWait)) {
+      if (const auto* claim = std::get_if<ClaimKey>(&message)) {
+        claims.push_back(*claim);
+        if (claims.size() < kMaxBatch) continue;
+        ClaimBatch(claims);
+        claims.clear();
+        continue;
+      }
+      pending_.push_back(
+          {std::move(message), FleetClock::now() + kPendingLifetime});
+    }
+    if (!claims.empty()) ClaimBatch(claims);
+    FinishPending();
+  }
+  FinishPending();
+}
+
+auto ClaimTask::ClaimBatch(const std::vector<ClaimKey>& claims) -> void {
+  std::vector<ClaimRequest> requests;
+  for (const auto& claim : claims) {
+    requests.push_back({claim.key, claim.id.value()});
+  }
+  const auto answers = store_.Claim(requests);
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    const auto& answer = answers[i];
+    ClaimResolved resolved{claims[i].id, ClaimResult::kUnavailable, 0, ""};
+    if (answer.decision == ClaimDecision::kSend) {
+      resolved.result = ClaimResult::kGranted;
+    } else if (answer.decision == ClaimDecision::kInProgress) {
+      resolved.result = ClaimResult::kInProgress;
+    } else if (answer.decision == ClaimDecision::kRepeat) {
+      resolved.result = ClaimResult::kRepeat;
+      resolved.status = answer.row.status;
+      resolved.body = FromBase64(answer.row.body).value_or("");
+    } else {
+      // The write may have taken effect unseen; nothing will be sent on it.
+      Release({claims[i].key, claims[i].id});
+    }
+    on_resolved_(resolved);
+  }
+}
+
+auto ClaimTask::TryFinish(const Message& message) -> bool {
+  Outcome<Done> result = Done{};
+  if (const auto* outcome = std::get_if<OutcomeToStore>(&message)) {
+    result = store_.StoreOutcome({outcome->key, outcome->id.value()},
+                                 outcome->status, ToBase64(outcome->body));
+  }
+  if (const auto* release = std::get_if<ClaimToRelease>(&message)) {
+    result = store_.Release({release->key, release->id.value()});
+  }
+  if (IsOk(result)) return true;
+  // The row is not this router's: there is nothing to write.
+  return ErrorOf(result).code == ErrorCode::kConflict;
+}
+
+auto ClaimTask::FinishPending() -> void {
+  while (!pending_.empty()) {
+    const auto is_done = TryFinish(pending_.front().message);
+    const auto is_late = FleetClock::now() > pending_.front().give_up_at;
+    const auto is_over = is_late || pending_.size() > kMaxPending;
+    if (!is_done && !is_over) return;
+    if (!is_done) {
+      LOG(WARNING) << "event=claim_write_dropped pending=" << pending_.size();
+    }
+    pending_.pop_front();
+  }
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/tasks/claim_task.h
@@ -0,0 +1,71 @@
+// The task that writes claims and outcomes to the table service, in batches.
+#ifndef TASKS_CLAIM_TASK_H_
+#define TASKS_CLAIM_TASK_H_
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "platform/platform.h"
+#include "router/router.h"
+
+namespace papayaplank {
+
+// The end of a claimed request, to be stored.
+struct OutcomeToStore {
+  std::string key;
+  RequestId id;
+  int status = 0;
+  std::string body;
+};
+
+// A claim to be given back.
+struct ClaimToRelease {
+  std::string key;
+  RequestId id;
+};
+
+// Claims, stores and releases. The operation id of a claim is the id of its
+// request, which is unique over the fleet.
+class ClaimTask {
+ public:
+  using OnResolved = std::function<void(const ClaimResolved&)>;
+
+  ClaimTask(ClaimStore store, OnResolved on_resolved);
+  ~ClaimTask();
+  ClaimTask(const ClaimTask&) = delete;
+  auto operator=(const ClaimTask&) -> ClaimTask& = delete;
+
+  auto Claim(const ClaimKey& claim) -> void;
+  auto Store(OutcomeToStore outcome) -> void;
+  auto Release(ClaimToRelease claim) -> void;
+
+ private:
+  using Message = std::variant<ClaimKey, OutcomeToStore, ClaimToRelease>;
+
+  auto Run() -> void;
+  auto ClaimBatch(const std::vector<ClaimKey>& claims) -> void;
+  // Tries once; false to try again later.
+  auto TryFinish(const Message& message) -> bool;
+  auto FinishPending() -> void;
+
+  ClaimStore store_;
+  OnResolved on_resolved_;
+  Mailbox<Message> mailbox_;
+  // A write that waits for the table service to come back.
+  struct Pending {
+    Message message;
+    Time give_up_at{};
+  };
+  std::deque<Pending> pending_;
+  std::atomic<bool> is_stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TASKS_CLAIM_TASK_H_
--- /dev/null
+++ b/tasks/configuration_task.cpp
@@ -0,0 +1,180 @@
+// Reading, submitting and installing configuration versions.
+#include "tasks/configuration_task.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kChangesPerRead = 200;
+constexpr Duration kShortestPoll = seconds(1);
+// Routers that poll the head row in one second, over the whole fleet.
+constexpr std::size_t kPollsPerSecond = 20;
+
+}  // namespace
+
+ConfigurationTask::ConfigurationTask(ConfigurationStore store,
+                                     ConfigurationTaskHooks hooks)
+    : store_(std::move(store)),
+      hooks_(std::move(hooks)),
+      current_(std::make_shared<const Configuration>()),
+      confirmed_at_(FleetClock::now().time_since_epoch().count()),
+      thread_([this] { Run(); }) {}
+
+ConfigurationTask::~ConfigurationTask() {
+  is_stopping_ = true;
+  thread_.join();
+}
+
+auto ConfigurationTask::Current() const
+    -> std::shared_ptr<const Configuration> {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+auto ConfigurationTask::Fetch(ConfigVersion version,
+                              const std::string& peer_address) -> void {
+  mailbox_.Post(FetchMessage{version, peer_address});
+}
+
+auto ConfigurationTask::Submit(Submission submission) -> SubmitResult {
+  auto result = std::make_shared<std::promise<SubmitResult>>();
+  auto future = result->get_future();
+  mailbox_.Post(SubmitMessage{std::move(submission), result});
+  return future.get();
+}
+
+auto ConfigurationTask::History(ConfigVersion version, std::size_t limit)
+    -> Outcome<std::vector<StoredChange>> {
+  auto result =
+      std::make_shared<std::promise<Outcome<std::vector<StoredChange>>>>();
+  auto future = result->get_future();
+  mailbox_.Post(HistoryMessage{version, limit, result});
+  return future.get();
+}
+
+auto ConfigurationTask::unconfirmed_for() const -> Duration {
+  return FleetClock::now() - Time(Duration(confirmed_at_.load()));
+}
+
+auto ConfigurationTask::Confirm() -> void {
+  confirmed_at_ = FleetClock::now().time_since_epoch().count();
+}
+
+auto ConfigurationTask::Run() -> void {
+  auto next_poll = FleetClock::now();
+  while (!is_stopping_) {
+    for (const auto& message : mailbox_.TakeAll(milliseconds(100))) {
+      std::visit([this](const auto& each) { On(each); }, message);
+    }
+    if (FleetClock::now() < next_poll) continue;
+    const auto is_up = CatchUpFromStore();
+    if (is_up != is_store_up_) {
+      LOG(WARNING) << "event=table_service state=" << (is_up ? "up" : "down");
+    }
+    is_store_up_ = is_up;
+    const auto share =
+        std::max<std::size_t>(1, hooks_.router_count() / kPollsPerSecond);
+    next_poll = FleetClock::now() + kShortestPoll * static_cast<int>(share);
+  }
+}
+
+auto ConfigurationTask::On(const FetchMessage& message) -> void {
+  if (Current()->version() >= message.version) return;
+  if (CatchUpFromStore() && Current()->version() >= message.version) return;
+  if (CatchUpFromPeer(message.peer_address)) return;
+  LOG(WARNING) << "event=configuration_fetch_failed version=" << message.version
+               << " peer=" << message.peer_address;
+}
+
+auto ConfigurationTask::On(const SubmitMessage& message) -> void {
+  message.result->set_value(DoSubmit(message.submission));
+}
+
+auto ConfigurationTask::On(const HistoryMessage& message) -> void {
+  message.result->set_value(store_.ReadChanges(message.version, message.limit));
+}
+
+auto ConfigurationTask::DoSubmit(const Submission& submission) -> SubmitResult {
+  if (!CatchUpFromStore()) {
+    return Error{ErrorCode::kUnavailable,
+                 "the table service does not answer; nothing was changed; "
+                 "submit again later"};
+  }
+  const auto current = Current();
+  if (submission.base != current->version()) {
+    // A conflict, or the repetition of an accepted change: the store knows.
+    auto repeated = store_.Submit(submission);
+    if (!IsOk(repeated)) return ErrorOf(repeated);
+    return ValueOf(repeated);
+  }
+  const ConfigVersion next(current->version().value() + 1);
+  auto applied = current->Apply(submission.text, next);
+  if (auto* errors = std::get_if<std::vector<DocumentError>>(&applied)) {
+    return std::move(*errors);
+  }
+  auto stored = store_.Submit(submission);
+  if (!IsOk(stored)) return ErrorOf(stored);
+  Install(std::move(std::get<Configuration>(applied)));
+  const auto snapshot = store_.WriteSnapshotIfDue(*Current());
+  if (!IsOk(snapshot)) {
+    LOG(WARNING) << "event=snapshot_failed error=\""
+                 << ErrorOf(snapshot).message << '"';
+  }
+  return ValueOf(stored);
+}
+
+auto ConfigurationTask::LoadSnapshot() -> void {
+  auto snapshot = store_.ReadSnapshot();
+  if (!IsOk(snapshot)) return;
+  has_snapshot_ = true;
+  if (ValueOf(snapshot)) Install(std::move(*ValueOf(snapshot)));
+}
+
+auto ConfigurationTask::CatchUpFromStore() -> bool {
+  if (!has_snapshot_ && Current()->version().is_empty()) LoadSnapshot();
+  for (;;) {
+    const auto current = Current();
+    auto changes = store_.ReadChanges(current->version(), kChangesPerRead);
+    if (!IsOk(changes)) return false;
+    if (ValueOf(changes).empty()) break;
+    Configuration next = *current;
+    for (const auto& change : ValueOf(changes)) {
+      auto applied = next.Apply(change.text, change.version);
+      if (!std::holds_alternative<Configuration>(applied)) {
+        LOG(ERROR) << "event=configuration_change_unreadable version="
+                   << change.version;
+        return false;
+      }
+      next = std::move(std::get<Configuration>(applied));
+    }
+    Install(std::move(next));
+  }
+  Confirm();
+  return true;
+}
+
+auto ConfigurationTask::CatchUpFromPeer(const std::string& address) -> bool {
+  auto text = hooks_.fetch_from_peer(address);
+  if (!IsOk(text)) return false;
+  auto snapshot = Configuration::FromSnapshot(ValueOf(text));
+  if (!std::holds_alternative<Configuration>(snapshot)) return false;
+  Install(std::move(std::get<Configuration>(snapshot)));
+  return true;
+}
+
+auto ConfigurationTask::Install(Configuration next) -> void {
+  const auto version = next.version();
+  {
+    const std::lock_guard lock(mutex_);
+    if (version <= current_->version()) return;
+    current_ = std::make_shared<const Configuration>(std::move(next));
+  }
+  LOG(INFO) << "event=configuration_in_force version=" << version;
+  hooks_.on_in_force(version);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/tasks/core_task.cpp
@@ -0,0 +1,233 @@
+// The core's thread and the execution of its commands.
+#include "tasks/core_task.h"
+
+#include <glog/logging.h>
+
+#include <cmath>
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+constexpr Duration kTickPeriod = milliseconds(25);
+
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+auto FailMessage(FailReason reason) -> std::string {
+  switch (reason) {
+    case FailReason::kRateLimited:
+      return "the customer's request rate is above its limit";
+    case FailReason::kQueueFull:
+      return "too many requests of the customer are waiting";
+    case FailReason::kShed:
+      return "the router is overloaded";
+    case FailReason::kDeadline:
+      return "the deadline of the request class cannot be met";
+    case FailReason::kNoTarget:
+      return "no target serves this model or service";
+    case FailReason::kTargetFailed:
+      return "the target failed and no further attempt is allowed";
+    case FailReason::kTableUnavailable:
+      return "the idempotency key could not be claimed";
+    case FailReason::kOutcomeUnknown:
+      return "the idempotency key is in use; its outcome is not known yet";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+auto AnswerWithFailure(Exchange& exchange, const FailRequest& failure) -> void {
+  AnswerHead head;
+  head.status = FailStatus(failure.reason);
+  head.headers = {{"Content-Type", "application/json"},
+                  {"X-Papayaplank-Ran", std::string(RanName(failure.ran))}};
+  if (failure.retry_after > Duration::zero()) {
+    const auto wait = static_cast<int>(std::ceil(Seconds(failure.retry_after)));
+    head.headers.push_back({"Retry-After", std::to_string(std::max(1, wait))});
+  }
+  const auto body =
+      ErrorBody(exchange.id(), std::string(FailReasonName(failure.reason)),
+                FailMessage(failure.reason), std::string(RanName(failure.ran)));
+  if (!exchange.Answer(std::move(head), body)) exchange.Break();
+}
+
+CoreTask::CoreTask(Member self, RouterOptions options, std::uint64_t seed,
+                   CoreTaskHooks hooks, MetricRegistry& metrics)
+    : core_(std::move(self), options, seed),
+      hooks_(std::move(hooks)),
+      metrics_(metrics) {}
+
+CoreTask::~CoreTask() { Stop(); }
+
+auto CoreTask::Stop() -> void {
+  is_stopping_ = true;
+  if (thread_.joinable()) thread_.join();
+  is_stopped_ = true;
+  const std::lock_guard lock(stopped_mutex_);
+  for (auto& message : mailbox_.TakeAll(Duration::zero())) {
+    if (const auto* query = std::get_if<CoreQuery>(&message)) (*query)(core_);
+  }
+}
+
+auto CoreTask::Start() -> void {
+  thread_ = std::thread([this] { Run(); });
+}
+
+auto CoreTask::Post(CoreTaskMessage message) -> void {
+  const auto* query = std::get_if<CoreQuery>(&message);
+  if (is_stopped_ && query != nullptr) {
+    const std::lock_guard lock(stopped_mutex_);
+    (*query)(core_);
+    return;
+  }
+  mailbox_.Post(std::move(message));
+}
+
+auto CoreTask::Run() -> void {
+  auto next_tick = FleetClock::now();
+  while (!is_stopping_) {
+    const auto now = FleetClock::now();
+    const auto wait = std::max(Duration::zero(), next_tick - now);
+    for (auto& message : mailbox_.TakeAll(wait)) {
+      std::visit([this](auto& each) { On(each); }, message);
+    }
+    if (FleetClock::now() < next_tick) continue;
+    next_tick = FleetClock::now() + kTickPeriod;
+    Execute(core_.Tick(FleetClock::now()));
+    LogMemberChanges();
+  }
+}
+
+auto CoreTask::On(const CoreInput& input) -> void {
+  Execute(core_.Handle(input, FleetClock::now()));
+  const auto drop_if_over = [this](const RequestId& id) {
+    if (!core_.HasRequest(id)) open_.erase(id);
+  };
+  if (const auto* ended = std::get_if<AttemptEnded>(&input)) {
+    metrics_.Count(
+        "papayaplank_attempts_total",
+        {{"result", std::string(AttemptResultName(ended->report.result))}});
+    const auto open = open_.find(ended->id);
+    if (open != open_.end()) {
+      metrics_.Observe(Measure::kServiceCost, open->second.arrival.customer->id,
+                       open->second.arrival.request_class->id,
+                       ended->report.cost.units);
+    }
+    drop_if_over(ended->id);
+  }
+  if (const auto* cancelled = std::get_if<RequestCancelled>(&input)) {
+    drop_if_over(cancelled->id);
+  }
+}
+
+auto CoreTask::On(CallerArrival& arrival) -> void {
+  const auto id = arrival.arrival.id;
+  open_[id] = {std::move(arrival.caller), arrival.arrival, FleetClock::now()};
+  Execute(core_.Handle(arrival.arrival, FleetClock::now()));
+}
+
+auto CoreTask::On(const CoreQuery& query) -> void { query(core_); }
+
+auto CoreTask::Execute(RouterCore::Commands commands) -> void {
+  for (const auto& command : commands) {
+    std::visit([this](const auto& each) { Do(each); }, command);
+  }
+}
+
+auto CoreTask::Do(const StartAttempt& command) -> void {
+  const auto& open = open_.at(command.id);
+  if (command.attempt == 1) {
+    metrics_.Observe(Measure::kQueueWait, open.arrival.customer->id,
+                     open.arrival.request_class->id,
+                     Seconds(FleetClock::now() - open.arrived_at));
+  }
+  TargetRequest request;
+  request.id = command.id;
+  request.customer = open.arrival.customer->id;
+  request.request_class = open.arrival.request_class->id;
+  request.arrived_at = open.arrived_at;
+  request.attempt = command.attempt;
+  request.target = command.target;
+  request.method = open.caller.method;
+  request.path = open.caller.path;
+  request.headers = open.caller.headers;
+  request.body = open.caller.body;
+  request.resume_after_tokens = command.resume_after_tokens;
+  request.is_single_use_connection = command.is_single_use_connection;
+  request.exchange = open.caller.exchange;
+  hooks_.start_attempt(std::move(request));
+}
+
+auto CoreTask::Do(const CancelAttempt& command) -> void {
+  hooks_.cancel_attempt(command.id, command.attempt);
+}
+
+auto CoreTask::Do(const FailRequest& command) -> void {
+  const auto found = open_.find(command.id);
+  if (found == open_.end()) return;
+  metrics_.Count("papayaplank_failures_total",
+                 {{"reason", std::string(FailReasonName(command.reason))},
+                  {"ran", std::string(RanName(command.ran))}});
+  AnswerWithFailure(*found->second.caller.exchange, command);
+  open_.erase(found);
+}
+
+auto CoreTask::Do(const RepeatOutcome& command) -> void {
+  const auto found = open_.find(command.id);
+  if (found == open_.end()) return;
+  AnswerHead head;
+  head.status = command.status;
+  const auto line_end = command.body.find('\n');
+  const auto type = command.body.substr(0, line_end);
+  head.headers = {{"Content-Type", type},
+                  {"X-Papayaplank-Ran", "yes"},
+                  {"X-Papayaplank-Repeated", "true"}};
+  const auto body = line_end == std::string::npos
+                        ? std::string()
+                        : command.body.substr(line_end + 1);
+  found->second.caller.exchange->Answer(std::move(head), body);
+  open_.erase(found);
+}
+
+auto CoreTask::Do(const ClaimKey& command) -> void { hooks_.claim(command); }
+
+auto CoreTask::Do(const StoreOutcome& command) -> void {
+  const auto found = open_.find(command.id);
+  if (found == open_.end()) return;
+  hooks_.store_outcome(command, found->second.caller.exchange->Recorded());
+}
+
+auto CoreTask::Do(const ReleaseClaim& command) -> void {
+  hooks_.release_claim(command);
+}
+
+auto CoreTask::Do(const SendPeer& command) -> void {
+  hooks_.send_peer(command.address, EncodePeerMessage(command.message));
+}
+
+auto CoreTask::Do(const FetchConfiguration& command) -> void {
+  hooks_.fetch_configuration(command);
+}
+
+auto CoreTask::LogMemberChanges() -> void {
+  std::map<RouterId, MemberState> current;
+  for (const auto& member : core_.Members()) {
+    current[member.id] = member.state;
+    const auto known = logged_members_.find(member.id);
+    const auto is_same =
+        known != logged_members_.end() && known->second == member.state;
+    if (is_same) continue;
+    LOG(INFO) << "event=member_state router=" << member.id
+              << " state=" << MemberStateName(member.state);
+  }
+  for (const auto& [id, state] : logged_members_) {
+    if (current.count(id) != 0) continue;
+    LOG(INFO) << "event=member_state router=" << id << " state=dead";
+  }
+  logged_members_ = std::move(current);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/tasks/instance_task.h
@@ -0,0 +1,35 @@
+// The task that reads the lagging instance list.
+#ifndef TASKS_INSTANCE_TASK_H_
+#define TASKS_INSTANCE_TASK_H_
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "platform/platform.h"
+
+namespace papayaplank {
+
+// Reads the list every second and passes changes on.
+class InstanceTask {
+ public:
+  using OnList = std::function<void(InstanceList)>;
+
+  InstanceTask(InstanceListClient client, OnList on_list);
+  ~InstanceTask();
+  InstanceTask(const InstanceTask&) = delete;
+  auto operator=(const InstanceTask&) -> InstanceTask& = delete;
+
+ private:
+  auto Run() -> void;
+
+  InstanceListClient client_;
+  OnList on_list_;
+  bool is_up_ = true;
+  std::atomic<bool> is_stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TASKS_INSTANCE_TASK_H_
--- /dev/null
+++ b/tasks/operator_service.h
@@ -0,0 +1,66 @@
+// The operators' and peers' port: JSON-RPC, metrics, liveness, readiness.
+#ifndef TASKS_OPERATOR_SERVICE_H_
+#define TASKS_OPERATOR_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "metrics/metrics.h"
+#include "tasks/configuration_task.h"
+#include "tasks/core_task.h"
+#include "transport/transport.h"
+
+namespace papayaplank {
+
+struct OperatorServiceOptions {
+  std::string address;
+  // Key of operators, and key of the fleet's own routers.
+  std::string operator_key;
+  std::string fleet_key;
+};
+
+// What the service reads and changes.
+struct OperatorServiceParts {
+  CoreTask& core;
+  ConfigurationTask& configuration;
+  MetricRegistry& metrics;
+  // Brings gauges up to date before they are shown.
+  std::function<void()> refresh_metrics;
+  std::function<bool()> is_ready;
+};
+
+// Serves the port until it is destroyed.
+class OperatorService {
+ public:
+  static auto Open(const OperatorServiceOptions& options,
+                   OperatorServiceParts parts)
+      -> Outcome<std::unique_ptr<OperatorService>>;
+
+ private:
+  OperatorService(OperatorServiceOptions options, OperatorServiceParts parts);
+  auto AddMethods() -> void;
+  auto Handle(const HttpCall& call) -> HttpAnswer;
+  auto Submit(const std::string& argument) -> RpcAnswer;
+  auto Check(const std::string& argument) -> RpcAnswer;
+  auto Show(const std::string& argument) -> RpcAnswer;
+  auto History(const std::string& argument) -> RpcAnswer;
+  auto Status() -> RpcAnswer;
+  auto Targets() -> RpcAnswer;
+  auto Explain(const std::string& argument) -> RpcAnswer;
+
+  OperatorServiceOptions options_;
+  OperatorServiceParts parts_;
+  RpcServer operator_rpc_;
+  RpcServer peer_rpc_;
+  std::unique_ptr<HttpService> http_;
+};
+
+// Calls a method of a router's operator port.
+auto CallOperatorPort(const std::string& address, const std::string& key,
+                      const std::string& method, const std::string& argument,
+                      Duration timeout) -> RpcAnswer;
+
+}  // namespace papayaplank
+
+#endif  // TASKS_OPERATOR_SERVICE_H_
--- /dev/null
+++ b/tasks/router_process.h
@@ -0,0 +1,58 @@
+// A whole router: all tasks, wired to one another.
+#ifndef TASKS_ROUTER_PROCESS_H_
+#define TASKS_ROUTER_PROCESS_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "router/router.h"
+
+namespace papayaplank {
+
+// Settings of a router process.
+struct RouterSettings {
+  std::string name;
+  DataCenterId data_center;
+  RegionId region;
+  std::string caller_address;
+  std::string operator_address;
+  std::string gossip_address;
+  // Gossip addresses to ask before the instance list has been read.
+  std::vector<std::string> seeds;
+  std::string table_address;
+  std::string object_address;
+  std::string instance_list_address;
+  std::string operator_key;
+  std::string fleet_key;
+  Duration drain_time = seconds(5);
+  Duration stop_limit = seconds(600);
+  Duration progress_timeout = seconds(10);
+  // How long callers may keep the answer of /v1/addresses.
+  seconds address_lifetime = seconds(10);
+  RouterOptions router;
+};
+
+// Runs a router until it is told to stop.
+class RouterProcess {
+ public:
+  static auto Open(const RouterSettings& settings)
+      -> Outcome<std::unique_ptr<RouterProcess>>;
+  ~RouterProcess();
+  RouterProcess(const RouterProcess&) = delete;
+  auto operator=(const RouterProcess&) -> RouterProcess& = delete;
+
+  // Stops gracefully: announces it, serves callers for the drain time, then
+  // waits until the requests in progress have ended.
+  auto Stop() -> void;
+
+ private:
+  class Parts;
+  explicit RouterProcess(std::unique_ptr<Parts> parts);
+
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TASKS_ROUTER_PROCESS_H_
--- /dev/null
+++ b/tasks/tasks.h
@@ -0,0 +1,8 @@
+// Public header of the tasks library: the threads of a router process and how
+// they are wired.
+#ifndef TASKS_TASKS_H_
+#define TASKS_TASKS_H_
+
+#include "tasks/router_process.h"
+
+#endif  // TASKS_TASKS_H_
--- /dev/null
+++ b/transport/blocking_http_client.h
@@ -0,0 +1,33 @@
+// HTTP requests that wait for their whole answer, by libcurl.
+#ifndef TRANSPORT_BLOCKING_HTTP_CLIENT_H_
+#define TRANSPORT_BLOCKING_HTTP_CLIENT_H_
+
+#include <memory>
+
+#include "platform/platform.h"
+
+namespace papayaplank {
+
+// One connection cache, used by one task.
+class BlockingHttpClient {
+ public:
+  BlockingHttpClient();
+  ~BlockingHttpClient();
+  BlockingHttpClient(const BlockingHttpClient&) = delete;
+  auto operator=(const BlockingHttpClient&) -> BlockingHttpClient& = delete;
+
+  // Makes one request. Errors: `kUnavailable` if no connection was made,
+  // `kUnknownEffect` if the answer was lost or cut.
+  auto Fetch(const HttpRequest& request) -> Outcome<HttpResponse>;
+
+ private:
+  struct Handle;
+  std::unique_ptr<Handle> handle_;
+};
+
+// A hook over a client of its own, for the platform clients of one task.
+auto MakeHttpFetch() -> HttpFetch;
+
+}  // namespace papayaplank
+
+#endif  // TRANSPORT_BLOCKING_HTTP_CLIENT_H_
--- /dev/null
+++ b/transport/caller_server.cpp
@@ -0,0 +1,446 @@
+// libmicrohttpd callbacks of the callers' server.
+#include "transport/caller_server.h"
+
+#include <microhttpd.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <cctype>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "transport/socket_address.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kTooLarge = 413;
+constexpr int kBadRequest = 400;
+constexpr int kClientClosed = 499;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kResponseBlockBytes = 16384;
+constexpr std::size_t kConnectionMemoryBytes = 24576;
+constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
+constexpr std::size_t kRequestIdBytes = 12;
+constexpr Duration kWatchPeriod = milliseconds(500);
+
+auto ToLower(std::string text) -> std::string {
+  for (auto& c : text) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return text;
+}
+
+// Headers of the caller that targets do not get.
+auto IsPrivate(const std::string& lower_name) -> bool {
+  static const std::vector<std::string> kPrivate = {"authorization",
+                                                    "connection",
+                                                    "keep-alive",
+                                                    "transfer-encoding",
+                                                    "te",
+                                                    "trailer",
+                                                    "upgrade",
+                                                    "proxy-connection",
+                                                    "content-length",
+                                                    "host",
+                                                    "expect",
+                                                    "x-request-id",
+                                                    "x-papayaplank-ran",
+                                                    "x-papayaplank-class",
+                                                    "accept-encoding",
+                                                    "x-resume-after-tokens"};
+  return std::find(kPrivate.begin(), kPrivate.end(), lower_name) !=
+         kPrivate.end();
+}
+
+// One request on a connection.
+struct Call {
+  HttpCall http;
+  CallerRequest request;
+  std::string body;
+  RequestId id;
+  int refusal = 0;
+  bool is_posted = false;
+  int socket = -1;
+};
+
+auto AddHeader(void* user, MHD_ValueKind /*kind*/, const char* name,
+               const char* value) -> MHD_Result {
+  auto* call = static_cast<Call*>(user);
+  const auto lower = ToLower(name);
+  const std::string text = value == nullptr ? "" : value;
+  call->http.headers[lower] = text;
+  if (!IsPrivate(lower)) call->request.headers.push_back({name, text});
+  return MHD_YES;
+}
+
+auto AddArgument(void* user, MHD_ValueKind /*kind*/, const char* name,
+                 const char* value) -> MHD_Result {
+  auto* call = static_cast<Call*>(user);
+  call->http.query[name] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+auto BearerKey(const HttpCall& call) -> std::string {
+  const auto found = call.headers.find("authorization");
+  if (found == call.headers.end()) return "";
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto& value = found->second;
+  if (strncasecmp(value.c_str(), kScheme.data(), kScheme.size()) != 0) {
+    return "";
+  }
+  return value.substr(kScheme.size());
+}
+
+}  // namespace
+
+auto ErrorBody(const RequestId& id, const std::string& type,
+               const std::string& message, const std::string& ran)
+    -> std::string {
+  const nlohmann::json json = {{"error",
+                                {{"type", type},
+                                 {"message", message},
+                                 {"ran", ran},
+                                 {"request_id", id.value()}}}};
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
+}
+
+// The daemon, its calls, and the task that notices callers gone.
+class CallerServer::Server {
+ public:
+  Server(CallerServerOptions options, CallerServerHooks hooks)
+      : options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+  ~Server() {
+    is_stopping_ = true;
+    if (watch_.joinable()) watch_.join();
+    if (daemon_ == nullptr) return;
+    BreakAll();
+    MHD_stop_daemon(daemon_);
+  }
+
+  auto Start() -> Outcome<Done> {
+    auto address = ParseSocketAddress(options_.address);
+    if (!IsOk(address)) return ErrorOf(address);
+    const auto socket_address = ValueOf(address);
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr,
+        nullptr, &Server::OnAccess, this, MHD_OPTION_SOCK_ADDR, &socket_address,
+        MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_seconds,
+        MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
+        MHD_OPTION_NOTIFY_COMPLETED, &Server::OnCompleted, this,
+        MHD_OPTION_URI_LOG_CALLBACK, &Server::OnUri, this,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+      return Error{ErrorCode::kUnavailable,
+                   "cannot listen on " + options_.address +
+                       "; check that the address is local and free"};
+    }
+    watch_ = std::thread([this] { Watch(); });
+    return Done{};
+  }
+
+  auto BeginClosing() -> void { is_closing_ = true; }
+  auto StopListening() -> void { MHD_quiesce_daemon(daemon_); }
+
+  auto OpenConnections() const -> unsigned {
+    const auto* info =
+        MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+  }
+
+ private:
+  // A request that has been posted, for the task that watches its socket.
+  struct Open {
+    std::shared_ptr<Exchange> exchange;
+    int socket = -1;
+    bool is_cancelled = false;
+  };
+
+  // Keeps the path with its query as the caller sent it.
+  static auto OnUri(void* /*user*/, const char* uri,
+                    MHD_Connection* /*connection*/) -> void* {
+    auto* call = new Call();
+    call->request.path = uri;
+    return call;
+  }
+
+  static auto OnAccess(void* user, MHD_Connection* connection, const char* url,
+                       const char* method, const char* /*version*/,
+                       const char* upload, std::size_t* upload_size,
+                       void** state) -> MHD_Result {
+    auto* server = static_cast<Server*>(user);
+    auto* call = static_cast<Call*>(*state);
+    if (call == nullptr) return MHD_NO;
+    if (call->http.method.empty()) {
+      return server->BeginCall(*call, connection, url, method);
+    }
+    if (*upload_size != 0) {
+      server->TakeUpload(*call, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+    if (!call->is_posted) return server->EndUpload(*call, connection);
+    return server->Continue(*call, connection);
+  }
+
+  auto BeginCall(Call& call, MHD_Connection* connection, const char* url,
+                 const char* method) -> MHD_Result {
+    call.http.method = method;
+    call.http.path = url;
+    call.id = RequestId(RandomHex(kRequestIdBytes));
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, AddHeader, &call);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, AddArgument,
+                              &call);
+    const auto key = BearerKey(call.http);
+    if (!key.empty()) call.request.customer = hooks_.authenticate(key);
+    const auto local =
+        hooks_.answer_locally(call.http, call.request.customer.get());
+    if (local.status != 0) {
+      return QueueWhole(connection, call, local.status, local.content_type,
+                        local.body);
+    }
+    // An unknown key is refused before its body is read.
+    if (!call.request.customer) {
+      return QueueWhole(connection, call, kUnauthorized, "application/json",
+                        ErrorBody(call.id, "unauthorized",
+                                  "unknown API key; send Authorization: "
+                                  "Bearer KEY",
+                                  "no"));
+    }
+    return MHD_YES;
+  }
+
+  auto TakeUpload(Call& call, const char* upload, std::size_t size) -> void {
+    if (call.body.size() + size > options_.max_body_bytes) {
+      call.refusal = kTooLarge;
+      call.body.clear();
+    }
+    if (call.refusal == 0) call.body.append(upload, size);
+  }
+
+  auto EndUpload(Call& call, MHD_Connection* connection) -> MHD_Result {
+    const auto key = call.http.headers.find("idempotency-key");
+    if (key != call.http.headers.end()) {
+      call.request.idempotency_key = key->second;
+    }
+    if (call.refusal == kTooLarge) {
+      return QueueWhole(
+          connection, call, kTooLarge, "application/json",
+          ErrorBody(call.id, "too_large",
+                    "the body is longer than " +
+                        std::to_string(options_.max_body_bytes) + " bytes",
+                    "no"));
+    }
+    if (call.request.idempotency_key.size() > kMaxIdempotencyKeyBytes) {
+      return QueueWhole(
+          connection, call, kBadRequest, "application/json",
+          ErrorBody(call.id, "bad_request",
+                    "Idempotency-Key is longer than 200 bytes", "no"));
+    }
+    return Post(call, connection);
+  }
+
+  auto Post(Call& call, MHD_Connection* connection) -> MHD_Result {
+    if (is_stopping_) {
+      return QueueWhole(
+          connection, call, kUnavailable, "application/json",
+          ErrorBody(call.id, "stopping", "the router is stopping", "no"));
+    }
+    auto& request = call.request;
+    request.method = call.http.method;
+    const auto found = call.http.headers.find("x-papayaplank-class");
+    if (found != call.http.headers.end()) request.class_header = found->second;
+    request.body = std::make_shared<const std::string>(std::move(call.body));
+    request.exchange =
+        std::make_shared<Exchange>(call.id, !request.idempotency_key.empty());
+    request.exchange->SetOnReadable(
+        [connection] { MHD_resume_connection(connection); });
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    {
+      const std::lock_guard lock(mutex_);
+      open_[call.id] = {request.exchange, info->connect_fd, false};
+    }
+    call.is_posted = true;
+    hooks_.on_request(request);
+    return Continue(call, connection);
+  }
+
+  auto Continue(Call& call, MHD_Connection* connection) -> MHD_Result {
+    const auto& exchange = call.request.exchange;
+    const auto is_suspended = exchange->SuspendUntilHead(
+        [connection] { MHD_suspend_connection(connection); });
+    if (is_suspended) return MHD_YES;
+    const auto head = exchange->Head();
+    if (!head) {
+      return QueueWhole(connection, call, kClientClosed, "text/plain", "");
+    }
+    return QueueStream(connection, call, *head);
+  }
+
+  auto AddCommonHeaders(MHD_Response* response, const Call& call) -> void {
+    MHD_add_response_header(response, "X-Request-Id", call.id.value().c_str());
+    if (is_closing_) {
+      MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+  }
+
+  auto QueueWhole(MHD_Connection* connection, const Call& call, int status,
+                  const std::string& content_type, const std::string& body)
+      -> MHD_Result {
+    auto* response = MHD_create_response_from_buffer(
+        body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", content_type.c_str());
+    if (status >= kBadRequest) {
+      MHD_add_response_header(response, "X-Papayaplank-Ran", "no");
+    }
+    AddCommonHeaders(response, call);
+    const auto result =
+        MHD_queue_response(connection, static_cast<unsigned>(status), response);
+    MHD_destroy_response(response);
+    return result;
+  }
+
+  // What the content reader needs; it lives as long as the response.
+  struct Reader {
+    std::shared_ptr<Exchange> exchange;
+    MHD_Connection* connection;
+  };
+
+  static auto OnRead(void* user, std::uint64_t /*position*/, char* buffer,
+                     std::size_t size) -> ssize_t {
+    auto* reader = static_cast<Reader*>(user);
+    const auto result = reader->exchange->Read(
+        buffer, size, [reader] { MHD_suspend_connection(reader->connection); });
+    switch (result.state) {
+      case ReadState::kData:
+        return static_cast<ssize_t>(result.bytes);
+      case ReadState::kEmpty:
+        return 0;
+      case ReadState::kEnd:
+        return MHD_CONTENT_READER_END_OF_STREAM;
+      case ReadState::kBroken:
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
+
+  static auto OnReaderFreed(void* user) -> void {
+    delete static_cast<Reader*>(user);
+  }
+
+  auto QueueStream(MHD_Connection* connection, const Call& call,
+                   const AnswerHead& head) -> MHD_Result {
+    auto* reader = new Reader{call.request.exchange, connection};
+    auto* response = MHD_create_response_from_callback(
+        head.length.value_or(MHD_SIZE_UNKNOWN), kResponseBlockBytes,
+        &Server::OnRead, reader, &Server::OnReaderFreed);
+    for (const auto& header : head.headers) {
+      MHD_add_response_header(response, header.name.c_str(),
+                              header.value.c_str());
+    }
+    AddCommonHeaders(response, call);
+    const auto result = MHD_queue_response(
+        connection, static_cast<unsigned>(head.status), response);
+    MHD_destroy_response(response);
+    return result;
+  }
+
+  static auto OnCompleted(void* user, MHD_Connection* /*connection*/,
+                          void** state, MHD_RequestTerminationCode code)
+      -> void {
+    auto* server = static_cast<Server*>(user);
+    auto* call = static_cast<Call*>(*state);
+    *state = nullptr;
+    if (call == nullptr) return;
+    if (call->is_posted) server->EndCall(*call, code);
+    delete call;
+  }
+
+  auto EndCall(const Call& call, MHD_RequestTerminationCode code) -> void {
+    const auto& exchange = call.request.exchange;
+    exchange->SetOnReadable(nullptr);
+    bool is_cancelled = false;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto found = open_.find(call.id);
+      is_cancelled = found->second.is_cancelled;
+      open_.erase(found);
+    }
+    const auto is_whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    if (is_whole || is_cancelled) return;
+    exchange->Break();
+    hooks_.on_cancel(call.id);
+  }
+
+  // A suspended connection is not polled, so its socket is peeked at to
+  // notice a caller that went away.
+  auto Watch() -> void {
+    while (!is_stopping_) {
+      std::this_thread::sleep_for(kWatchPeriod);
+      std::vector<RequestId> gone;
+      {
+        const std::lock_guard lock(mutex_);
+        for (auto& [id, open] : open_) {
+          if (open.is_cancelled || !IsClosed(open.socket)) continue;
+          open.is_cancelled = true;
+          open.exchange->Break();
+          gone.push_back(id);
+        }
+      }
+      for (const auto& id : gone) hooks_.on_cancel(id);
+    }
+  }
+
+  static auto IsClosed(int socket) -> bool {
+    char byte = 0;
+    const auto result = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (result > 0) return false;
+    if (result == 0) return true;
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  }
+
+  auto BreakAll() -> void {
+    const std::lock_guard lock(mutex_);
+    for (auto& [id, open] : open_) open.exchange->Break();
+  }
+
+  const CallerServerOptions options_;
+  const CallerServerHooks hooks_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::atomic<bool> is_stopping_ = false;
+  std::atomic<bool> is_closing_ = false;
+  std::mutex mutex_;
+  // Guarded by `mutex_`. A socket stays open while its entry is here.
+  std::map<RequestId, Open> open_;
+  std::thread watch_;
+};
+
+auto CallerServer::Open(const CallerServerOptions& options,
+                        CallerServerHooks hooks)
+    -> Outcome<std::unique_ptr<CallerServer>> {
+  auto server = std::make_unique<Server>(options, std::move(hooks));
+  auto started = server->Start();
+  if (!IsOk(started)) return ErrorOf(started);
+  return std::unique_ptr<CallerServer>(new CallerServer(std::move(server)));
+}
+
+CallerServer::CallerServer(std::unique_ptr<Server> server)
+    : server_(std::move(server)) {}
+CallerServer::~CallerServer() = default;
+
+auto CallerServer::BeginClosing() -> void { server_->BeginClosing(); }
+auto CallerServer::StopListening() -> void { server_->StopListening(); }
+auto CallerServer::open_connections() const -> unsigned {
+  return server_->OpenConnections();
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/transport/exchange.cpp
@@ -0,0 +1,148 @@
+// The bounded buffer of one answer.
+#include "transport/exchange.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kBufferBytes = 65536;
+constexpr std::size_t kMaxRecordedBytes = 65536;
+
+}  // namespace
+
+Exchange::Exchange(RequestId id, bool is_recorded)
+    : id_(std::move(id)), is_recorded_(is_recorded) {}
+
+auto Exchange::WakeReader() -> void {
+  if (!is_reader_suspended_) return;
+  is_reader_suspended_ = false;
+  if (on_readable_) on_readable_();
+}
+
+auto Exchange::SetHead(AnswerHead head) -> void {
+  const std::lock_guard lock(mutex_);
+  if (head_ || state_ != State::kOpen) return;
+  if (is_recorded_) {
+    recorded_.status = head.status;
+    for (const auto& header : head.headers) {
+      if (header.name == "Content-Type") recorded_.content_type = header.value;
+    }
+  }
+  head_ = std::move(head);
+  WakeReader();
+}
+
+auto Exchange::AppendLocked(std::string_view bytes) -> void {
+  buffer_.append(bytes);
+  if (!is_recorded_) return;
+  const auto room = kMaxRecordedBytes - recorded_.body.size();
+  recorded_.body.append(bytes.substr(0, room));
+  recorded_.is_cut |= bytes.size() > room;
+}
+
+auto Exchange::Append(std::string_view bytes) -> void {
+  const std::lock_guard lock(mutex_);
+  if (state_ != State::kOpen) return;
+  AppendLocked(bytes);
+  WakeReader();
+}
+
+auto Exchange::End() -> void {
+  const std::lock_guard lock(mutex_);
+  if (state_ == State::kOpen) state_ = State::kEnded;
+  WakeReader();
+}
+
+auto Exchange::Break() -> void {
+  const std::lock_guard lock(mutex_);
+  if (state_ == State::kOpen) state_ = State::kBroken;
+  WakeReader();
+}
+
+auto Exchange::Answer(AnswerHead head, std::string_view body) -> bool {
+  const std::lock_guard lock(mutex_);
+  if (head_ || state_ != State::kOpen) return false;
+  head.length = body.size();
+  head_ = std::move(head);
+  buffer_.append(body);
+  state_ = State::kEnded;
+  WakeReader();
+  return true;
+}
+
+auto Exchange::IsFull() -> bool {
+  const std::lock_guard lock(mutex_);
+  if (state_ != State::kOpen) return false;
+  is_writer_waiting_ = buffer_.size() - read_offset_ >= kBufferBytes;
+  return is_writer_waiting_;
+}
+
+auto Exchange::HasHead() const -> bool {
+  const std::lock_guard lock(mutex_);
+  return head_.has_value();
+}
+
+auto Exchange::Recorded() const -> RecordedAnswer {
+  const std::lock_guard lock(mutex_);
+  return recorded_;
+}
+
+auto Exchange::Head() const -> std::optional<AnswerHead> {
+  const std::lock_guard lock(mutex_);
+  return head_;
+}
+
+auto Exchange::Read(char* buffer, std::size_t size, const Hook& suspend)
+    -> ReadResult {
+  const std::lock_guard lock(mutex_);
+  const auto waiting = buffer_.size() - read_offset_;
+  // A broken answer is cut at once, so that the caller sees it as broken.
+  if (state_ == State::kBroken) return {ReadState::kBroken, 0};
+  if (waiting == 0) {
+    if (state_ == State::kEnded) return {ReadState::kEnd, 0};
+    is_reader_suspended_ = true;
+    suspend();
+    return {ReadState::kEmpty, 0};
+  }
+  const auto count = std::min(size, waiting);
+  std::memcpy(buffer, buffer_.data() + read_offset_, count);
+  read_offset_ += count;
+  if (read_offset_ == buffer_.size()) {
+    buffer_.clear();
+    read_offset_ = 0;
+  }
+  const auto left = buffer_.size() - read_offset_;
+  if (is_writer_waiting_ && left <= kBufferBytes / 2) {
+    is_writer_waiting_ = false;
+    if (on_writable_) on_writable_();
+  }
+  return {ReadState::kData, count};
+}
+
+auto Exchange::SuspendUntilHead(const Hook& suspend) -> bool {
+  const std::lock_guard lock(mutex_);
+  if (head_ || state_ == State::kBroken) return false;
+  is_reader_suspended_ = true;
+  suspend();
+  return true;
+}
+
+auto Exchange::SetOnReadable(Hook hook) -> void {
+  const std::lock_guard lock(mutex_);
+  on_readable_ = std::move(hook);
+}
+
+auto Exchange::SetOnWritable(Hook hook) -> void {
+  const std::lock_guard lock(mutex_);
+  on_writable_ = std::move(hook);
+}
+
+auto Exchange::IsOver() const -> bool {
+  const std::lock_guard lock(mutex_);
+  return state_ != State::kOpen;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/transport/gossip_socket.h
@@ -0,0 +1,74 @@
+// The UDP socket between routers and the task that owns it.
+#ifndef TRANSPORT_GOSSIP_SOCKET_H_
+#define TRANSPORT_GOSSIP_SOCKET_H_
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "transport/datagram_guard.h"
+
+namespace papayaplank {
+
+// Counts of datagrams and of their bytes with UDP and IP headers.
+struct GossipCounters {
+  std::uint64_t sent = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received = 0;
+  std::uint64_t received_bytes = 0;
+  std::uint64_t rejected = 0;
+};
+
+// Sends and receives authenticated datagrams.
+class GossipSocket {
+ public:
+  // Called on the socket's task with an opened datagram.
+  using OnDatagram =
+      std::function<void(const std::string& from, std::string body)>;
+
+  // Binds `address` ("IP:port") and starts the task.
+  static auto Open(const std::string& address, DatagramGuard guard,
+                   OnDatagram on_datagram)
+      -> Outcome<std::unique_ptr<GossipSocket>>;
+  ~GossipSocket();
+  GossipSocket(const GossipSocket&) = delete;
+  auto operator=(const GossipSocket&) -> GossipSocket& = delete;
+
+  // Sends a body; a datagram that cannot be sent is lost, as on the network.
+  auto Send(const std::string& address, std::string body) -> void;
+
+  auto counters() const -> GossipCounters;
+
+ private:
+  struct Outgoing {
+    std::string address;
+    std::string body;
+  };
+
+  GossipSocket(int socket, int wake, DatagramGuard guard,
+               OnDatagram on_datagram);
+  auto Run() -> void;
+  auto SendQueued() -> void;
+  auto ReceiveAll() -> void;
+
+  int socket_;
+  int wake_;
+  // Used by the task only.
+  DatagramGuard guard_;
+  OnDatagram on_datagram_;
+  mutable std::mutex mutex_;
+  // Guarded by `mutex_`, as are the counters.
+  std::deque<Outgoing> outgoing_;
+  GossipCounters counters_;
+  std::atomic<bool> is_stopping_ = false;
+  std::thread task_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TRANSPORT_GOSSIP_SOCKET_H_
--- /dev/null
+++ b/transport/rpc.h
@@ -0,0 +1,54 @@
+// JSON-RPC 2.0 by libjsonrpccpp, for rare calls between routers and from
+// operators. This header and its source are C++14, as far as that library
+// compiles; its types and exceptions stay inside the source.
+#ifndef TRANSPORT_RPC_H_
+#define TRANSPORT_RPC_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace papayaplank {
+
+// Result of a call: JSON text, or an error with a code of JSON-RPC.
+struct RpcAnswer {
+  bool is_ok = false;
+  std::string result;
+  int error_code = 0;
+  std::string error;
+};
+
+// A method: it takes one JSON text and returns an answer.
+using RpcMethod = std::function<RpcAnswer(const std::string& argument)>;
+
+// Sends a request body to the server and returns its answer body; false if
+// the server did not answer.
+using RpcSend =
+    std::function<bool(const std::string& request, std::string* answer)>;
+
+// Serves methods by name.
+class RpcServer {
+ public:
+  RpcServer();
+  ~RpcServer();
+  RpcServer(const RpcServer&) = delete;
+  auto operator=(const RpcServer&) -> RpcServer& = delete;
+
+  auto Add(const std::string& name, RpcMethod method) -> void;
+
+  // Answers one request body; any bytes are allowed.
+  auto Handle(const std::string& request) -> std::string;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation_;
+};
+
+// Calls one method of a server.
+auto CallRpc(const RpcSend& send, const std::string& method,
+             const std::string& argument) -> RpcAnswer;
+
+}  // namespace papayaplank
+
+#endif  // TRANSPORT_RPC_H_
--- /dev/null
+++ b/transport/stream_parser.cpp
@@ -0,0 +1,72 @@
+// Framing of server-sent events.
+#include "transport/stream_parser.h"
+
+#include <nlohmann/json.hpp>
+
+namespace papayaplank {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kDone = "[DONE]";
+// A prompt token costs a tenth of a generated one.
+constexpr double kPromptTokenCost = 0.1;
+
+auto CostOfUsage(const Json& json) -> std::optional<double> {
+  if (!json.is_object() || !json.contains("usage")) return std::nullopt;
+  const auto& usage = json["usage"];
+  if (!usage.is_object()) return std::nullopt;
+  const auto count = [&usage](const char* name) -> double {
+    if (!usage.contains(name) || !usage[name].is_number()) return 0;
+    return usage[name].get<double>();
+  };
+  return count("completion_tokens") + kPromptTokenCost * count("prompt_tokens");
+}
+
+}  // namespace
+
+auto StreamParser::Feed(std::string_view bytes) -> StreamPiece {
+  StreamPiece piece;
+  // An event end may straddle the old rest and the new bytes.
+  auto search_from = rest_.empty() ? 0 : rest_.size() - 1;
+  rest_.append(bytes);
+  std::size_t start = 0;
+  for (;;) {
+    const auto end = rest_.find(kEventEnd, search_from);
+    if (end == std::string::npos) break;
+    const auto next = end + kEventEnd.size();
+    TakeEvent(std::string_view(rest_).substr(start, next - start), piece);
+    start = next;
+    search_from = next;
+  }
+  rest_.erase(0, start);
+  return piece;
+}
+
+auto StreamParser::TakeEvent(std::string_view event, StreamPiece& piece)
+    -> void {
+  piece.events.append(event);
+  if (event.substr(0, kDataPrefix.size()) != kDataPrefix) return;
+  auto data = event.substr(kDataPrefix.size());
+  data.remove_suffix(kEventEnd.size());
+  if (data == kDone) {
+    is_done_ = true;
+    return;
+  }
+  if (data.find("\"usage\"") != std::string_view::npos) {
+    const auto cost = CostOfUsage(Json::parse(data, nullptr, false));
+    if (cost) {
+      stated_cost_ = cost;
+      return;
+    }
+  }
+  ++piece.tokens;
+}
+
+auto CostOfAnswer(std::string_view body) -> std::optional<double> {
+  return CostOfUsage(Json::parse(body, nullptr, false));
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/transport/stream_parser.h
@@ -0,0 +1,48 @@
+// Cuts a stream of server-sent events into whole events, so that a stream
+// that breaks can go on at the next token without loss or repetition.
+#ifndef TRANSPORT_STREAM_PARSER_H_
+#define TRANSPORT_STREAM_PARSER_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace papayaplank {
+
+// What a piece of the stream contained.
+struct StreamPiece {
+  // Whole events, byte for byte as they came.
+  std::string events;
+  int tokens = 0;
+};
+
+// Parses one stream.
+class StreamParser {
+ public:
+  // Longest event; a longer one breaks the stream.
+  static constexpr std::size_t kMaxEventBytes = 1 << 20;
+
+  // Adds bytes and returns the events that they complete.
+  auto Feed(std::string_view bytes) -> StreamPiece;
+
+  // Whether the closing event "data: [DONE]" has come.
+  auto is_done() const -> bool { return is_done_; }
+  auto is_too_long() const -> bool { return rest_.size() > kMaxEventBytes; }
+  // Cost that the stream stated in a `usage` member.
+  auto stated_cost() const -> std::optional<double> { return stated_cost_; }
+
+ private:
+  auto TakeEvent(std::string_view event, StreamPiece& piece) -> void;
+
+  // The beginning of an event that is not complete.
+  std::string rest_;
+  bool is_done_ = false;
+  std::optional<double> stated_cost_;
+};
+
+// Cost of a whole JSON answer by its `usage` member, if it has one.
+auto CostOfAnswer(std::string_view body) -> std::optional<double>;
+
+}  // namespace papayaplank
+
+#endif  // TRANSPORT_STREAM_PARSER_H_
--- /dev/null
+++ b/transport/target_client.h
@@ -0,0 +1,89 @@
+// Requests to targets over libcurl: one task, no thread per stream.
+#ifndef TRANSPORT_TARGET_CLIENT_H_
+#define TRANSPORT_TARGET_CLIENT_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "capacity/capacity.h"
+#include "dispatch/dispatch.h"
+#include "placement/placement.h"
+#include "transport/exchange.h"
+
+namespace papayaplank {
+
+// A request to send to a target. The body is shared between attempts.
+struct TargetRequest {
+  RequestId id;
+  CustomerId customer;
+  ClassId request_class;
+  // When the caller's request was complete.
+  Time arrived_at{};
+  int attempt = 0;
+  TargetInfo target;
+  std::string method;
+  std::string path;
+  std::vector<HttpHeader> headers;
+  std::shared_ptr<const std::string> body;
+  int resume_after_tokens = 0;
+  bool is_single_use_connection = false;
+  std::shared_ptr<Exchange> exchange;
+};
+
+struct TargetClientOptions {
+  // Longest time without a byte from a target that is not held back.
+  Duration progress_timeout = seconds(10);
+  Duration connect_timeout = milliseconds(500);
+  // Longest idle time and age of a kept connection.
+  seconds idle_connection = seconds(15);
+  seconds connection_age = seconds(300);
+  LatencyObjective objective;
+};
+
+// Observations for the decisions and the metrics.
+struct TargetProgress {
+  RequestId id;
+  int attempt = 0;
+  int new_tokens = 0;
+  LatencySample latency;
+};
+
+struct TargetClientHooks {
+  // Called on the client's task.
+  std::function<void(const TargetProgress&)> on_progress;
+  std::function<void(const RequestId&, int attempt, const AttemptReport&)>
+      on_end;
+  // The first byte of an answer arrived, after this time since the arrival.
+  std::function<void(const TargetRequest&, Duration)> on_first_byte;
+  // A chunk arrived, after this time since the one before.
+  std::function<void(const TargetRequest&, Duration)> on_chunk_gap;
+  // The target said that it is leaving.
+  std::function<void(const TargetId&)> on_leaving;
+};
+
+// Sends requests and relays their answers into exchanges.
+class TargetClient {
+ public:
+  TargetClient(TargetClientOptions options, TargetClientHooks hooks);
+  ~TargetClient();
+  TargetClient(const TargetClient&) = delete;
+  auto operator=(const TargetClient&) -> TargetClient& = delete;
+
+  auto Start(TargetRequest request) -> void;
+  auto Cancel(const RequestId& id, int attempt) -> void;
+
+ private:
+  class Loop;
+
+  std::unique_ptr<Loop> loop_;
+  std::thread task_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TRANSPORT_TARGET_CLIENT_H_
--- /dev/null
+++ b/transport/target_transfer.cpp
@@ -0,0 +1,313 @@
+// libcurl callbacks of one attempt.
+#include "transport/target_transfer.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace papayaplank {
+namespace {
+
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr std::size_t kMaxJsonBytes = 1 << 20;
+constexpr long kReceiveBufferBytes = 16384;  // NOLINT: libcurl's type
+
+auto IsName(std::string_view name, std::string_view wanted) -> bool {
+  return name.size() == wanted.size() &&
+         strncasecmp(name.data(), wanted.data(), name.size()) == 0;
+}
+
+// Headers of one connection only; they are not relayed.
+auto IsHopByHop(std::string_view name) -> bool {
+  for (const auto* each :
+       {"connection", "keep-alive", "transfer-encoding", "te", "trailer",
+        "upgrade", "proxy-connection", "content-length", "x-request-id",
+        "x-papayaplank-ran", "date", "server"}) {
+    if (IsName(name, each)) return true;
+  }
+  return false;
+}
+
+auto Trim(std::string_view text) -> std::string_view {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() &&
+         (text.back() == '\r' || text.back() == '\n' || text.back() == ' ')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+template <typename Target>
+auto Milliseconds(Target duration) -> long {  // NOLINT: libcurl's type
+  return static_cast<long>(                   // NOLINT: libcurl's type
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace
+
+TargetTransfer::TargetTransfer(TargetRequest request,
+                               const TargetClientOptions& options,
+                               const TargetClientHooks& hooks, Time now)
+    : request_(std::move(request)),
+      options_(options),
+      hooks_(hooks),
+      easy_(curl_easy_init()),
+      is_continuation_(request_.exchange->HasHead()),
+      started_at_(now),
+      last_arrival_(now) {
+  progress_.id = request_.id;
+  progress_.attempt = request_.attempt;
+  SetUp();
+}
+
+TargetTransfer::~TargetTransfer() {
+  curl_easy_cleanup(easy_);
+  curl_slist_free_all(headers_);
+}
+
+auto TargetTransfer::SetUp() -> void {
+  url_ = "http://" + request_.target.address + request_.path;
+  curl_easy_setopt(easy_, CURLOPT_URL, url_.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy_, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   Milliseconds(options_.connect_timeout));
+  curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(  // NOLINT: libcurl's type
+                       options_.idle_connection.count()));
+  curl_easy_setopt(easy_, CURLOPT_MAXLIFETIME_CONN,
+                   static_cast<long>(  // NOLINT: libcurl's type
+                       options_.connection_age.count()));
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  if (request_.is_single_use_connection) {
+    // libcurl repeats a request by itself when a kept connection was closed
+    // by the other side; on a new connection it does not.
+    curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+  }
+  curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  if (request_.method == "HEAD") curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+  if (!request_.body->empty() || request_.method == "POST") {
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body->size()));
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body->data());
+  }
+  SetHeaders();
+}
+
+auto TargetTransfer::SetHeaders() -> void {
+  const auto add = [this](const std::string& line) {
+    headers_ = curl_slist_append(headers_, line.c_str());
+  };
+  add("Expect:");
+  add("X-Request-Id: " + request_.id.value());
+  if (request_.resume_after_tokens > 0) {
+    add("X-Resume-After-Tokens: " +
+        std::to_string(request_.resume_after_tokens));
+  }
+  for (const auto& header : request_.headers) {
+    add(header.name + ": " + header.value);
+  }
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+}
+
+auto TargetTransfer::OnHeader(char* data, std::size_t size, std::size_t count,
+                              void* user) -> std::size_t {
+  static_cast<TargetTransfer*>(user)->TakeHeader({data, size * count});
+  return size * count;
+}
+
+auto TargetTransfer::OnBody(char* data, std::size_t size, std::size_t count,
+                            void* user) -> std::size_t {
+  return static_cast<TargetTransfer*>(user)->TakeBody({data, size * count});
+}
+
+auto TargetTransfer::TakeHeader(std::string_view line) -> void {
+  last_arrival_ = FleetClock::now();
+  if (line.substr(0, 5) == "HTTP/") {
+    head_ = AnswerHead{};
+    const auto space = line.find(' ');
+    if (space != std::string_view::npos) {
+      const auto* begin = line.data() + space + 1;
+      std::from_chars(begin, line.data() + line.size(), head_.status);
+    }
+    return;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return;
+  const auto name = line.substr(0, colon);
+  const auto value = Trim(line.substr(colon + 1));
+  if (IsName(name, "content-length")) {
+    std::uint64_t length = 0;
+    const auto parsed =
+        std::from_chars(value.data(), value.data() + value.size(), length);
+    if (parsed.ec == std::errc()) head_.length = length;
+  }
+  if (IsName(name, "transfer-encoding")) is_chunked_ = true;
+  if (IsName(name, "x-request-id")) is_crossed_ = value != request_.id.value();
+  if (IsName(name, "x-papayaplank-ran")) says_not_run_ = value == "no";
+  if (IsName(name, "x-target-leaving") && hooks_.on_leaving) {
+    hooks_.on_leaving(request_.target.id);
+  }
+  if (IsName(name, "content-type")) {
+    is_event_stream_ = value.substr(0, 17) == "text/event-stream";
+    head_.headers.push_back({"Content-Type", std::string(value)});
+    return;
+  }
+  if (IsHopByHop(name)) return;
+  head_.headers.push_back({std::string(name), std::string(value)});
+}
+
+auto TargetTransfer::IsRefused() const -> bool {
+  const auto is_refusal =
+      head_.status == kTooManyRequests || head_.status == kServiceUnavailable;
+  return is_refusal && says_not_run_;
+}
+
+auto TargetTransfer::IsUnfitContinuation() const -> bool {
+  if (!is_continuation_) return false;
+  return head_.status != kFirstFinalStatus || !is_event_stream_;
+}
+
+auto TargetTransfer::TakeBody(std::string_view bytes) -> std::size_t {
+  // Returning another count than was offered ends the transfer.
+  if (is_crossed_ || IsUnfitContinuation()) return 0;
+  if (IsRefused()) return bytes.size();
+  if (request_.exchange->IsFull()) {
+    is_paused_ = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  ObserveArrival();
+  SendHead();
+  if (!is_event_stream_ || request_.target.is_service) {
+    if (json_body_.size() + bytes.size() <= kMaxJsonBytes) {
+      json_body_.append(bytes);
+    }
+    request_.exchange->Append(bytes);
+    return bytes.size();
+  }
+  const auto piece = parser_.Feed(bytes);
+  if (parser_.is_too_long()) return 0;
+  tokens_ += piece.tokens;
+  progress_.new_tokens += piece.tokens;
+  if (!piece.events.empty()) request_.exchange->Append(piece.events);
+  return bytes.size();
+}
+
+auto TargetTransfer::ObserveArrival() -> void {
+  const auto now = FleetClock::now();
+  const auto gap = now - (has_first_byte_ ? last_arrival_ : started_at_);
+  const auto limit = has_first_byte_ ? options_.objective.token_gap
+                                     : options_.objective.first_token;
+  if (!request_.target.is_service) {
+    ++progress_.latency.observations;
+    if (gap > limit) ++progress_.latency.misses;
+  }
+  if (has_first_byte_) {
+    hooks_.on_chunk_gap(request_, gap);
+  } else {
+    hooks_.on_first_byte(request_, now - request_.arrived_at);
+  }
+  has_first_byte_ = true;
+  last_arrival_ = now;
+}
+
+auto TargetTransfer::SendHead() -> void {
+  if (has_sent_head_) return;
+  has_sent_head_ = true;
+  auto head = head_;
+  // A stream may go on at another target, so its length is not promised.
+  if (is_event_stream_) head.length.reset();
+  request_.exchange->SetHead(std::move(head));
+}
+
+auto TargetTransfer::IsWholeWithoutFraming() const -> bool {
+  return request_.method == "HEAD" || head_.status == kNoContent ||
+         head_.status == kNotModified;
+}
+
+auto TargetTransfer::Finish(CURLcode code) -> AttemptReport {
+  if (is_crossed_) return Report(AttemptResult::kCrossed);
+  if (code == CURLE_COULDNT_CONNECT) return Report(AttemptResult::kNotReached);
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    curl_off_t connected = 0;
+    curl_easy_getinfo(easy_, CURLINFO_CONNECT_TIME_T, &connected);
+    const auto never_connected = connected == 0;
+    return Report(never_connected ? AttemptResult::kNotReached
+                                  : AttemptResult::kSilent);
+  }
+  if (code != CURLE_OK || head_.status < kFirstFinalStatus) {
+    return Report(AttemptResult::kBroken);
+  }
+  if (IsRefused()) return Report(AttemptResult::kRefused);
+  if (IsUnfitContinuation()) return Report(AttemptResult::kBroken);
+  const auto is_stream = is_event_stream_ && !request_.target.is_service;
+  const auto is_framed = is_chunked_ || head_.length.has_value();
+  // A body that is framed by the end of its connection may have been cut.
+  const auto is_whole =
+      is_stream ? parser_.is_done() : is_framed || IsWholeWithoutFraming();
+  if (!is_whole) return Report(AttemptResult::kBroken);
+  if (!has_sent_head_ && !is_chunked_) head_.length = 0;
+  SendHead();
+  request_.exchange->End();
+  return Report(AttemptResult::kComplete);
+}
+
+auto TargetTransfer::Stop(AttemptResult result) -> AttemptReport {
+  return Report(result);
+}
+
+auto TargetTransfer::Report(AttemptResult result) const -> AttemptReport {
+  AttemptReport report;
+  report.result = result;
+  report.status = head_.status;
+  report.tokens = tokens_;
+  report.has_caller_seen_head = request_.exchange->HasHead();
+  report.is_resumable = is_event_stream_ && !request_.target.is_service;
+  if (request_.target.is_service) {
+    report.cost = Cost{result == AttemptResult::kNotReached ||
+                               result == AttemptResult::kRefused
+                           ? 0.0
+                           : 1.0};
+    return report;
+  }
+  const auto stated =
+      is_event_stream_ ? parser_.stated_cost() : CostOfAnswer(json_body_);
+  report.cost = Cost{stated.value_or(static_cast<double>(tokens_))};
+  return report;
+}
+
+auto TargetTransfer::Resume(Time now) -> void {
+  if (!is_paused_) return;
+  is_paused_ = false;
+  last_arrival_ = now;
+  curl_easy_pause(easy_, CURLPAUSE_CONT);
+}
+
+auto TargetTransfer::IsSilent(Time now) const -> bool {
+  return !is_paused_ && now - last_arrival_ > options_.progress_timeout;
+}
+
+auto TargetTransfer::TakeProgress() -> TargetProgress {
+  auto progress = progress_;
+  progress_.new_tokens = 0;
+  progress_.latency = {};
+  return progress;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/transport/transport.h
@@ -0,0 +1,15 @@
+// Public header of the transport library: the tasks that own sockets.
+#ifndef TRANSPORT_TRANSPORT_H_
+#define TRANSPORT_TRANSPORT_H_
+
+#include "transport/blocking_http_client.h"
+#include "transport/caller_server.h"
+#include "transport/datagram_guard.h"
+#include "transport/exchange.h"
+#include "transport/gossip_socket.h"
+#include "transport/http_service.h"
+#include "transport/rpc.h"
+#include "transport/stream_parser.h"
+#include "transport/target_client.h"
+
+#endif  // TRANSPORT_TRANSPORT_H_
