--- a/bench/fleet_driver.cpp
+++ b/bench/fleet_driver.cpp
@@ -244,6 +244,7 @@
   const auto open = open_.find(command.id);
   if (open == open_.end()) return;
   auto& result = callers_[static_cast<std::size_t>(open->second.caller)].result;
+  if (command.ran == Ran::kNo && RunsOf(command.id) > 0) ++false_not_run_;
   ++(command.ran == Ran::kNo ? result.failed_not_run : result.failed_unknown);
   FinishRequest(command.id);
 }
--- a/bench/fleet_driver.h
+++ b/bench/fleet_driver.h
@@ -95,8 +95,11 @@
   auto Result(int caller) const -> const CallerResult&;
   // Largest number of requests at once on any target over its slots.
   auto WorstOverfill() const -> double;
-  // How often each request ran, by its number in the run.
+  // How often each request ran.
+  auto runs() const -> const std::map<RequestId, int>& { return runs_; }
   auto RunsOf(const RequestId& id) const -> int;
+  // Requests that failed as not run although a target had begun them.
+  auto FalseNotRun() const -> int { return false_not_run_; }
   auto Core(int router) -> RouterCore&;
   auto now() const -> Time { return now_; }
   auto active_on(int target) const -> int;
@@ -190,6 +193,7 @@
   std::uint64_t messages_ = 0;
   std::uint64_t bytes_ = 0;
   double worst_overfill_ = 0;
+  int false_not_run_ = 0;
 };
 
 }  // namespace papayaplank
--- a/dispatch/target_health.cpp
+++ b/dispatch/target_health.cpp
@@ -9,6 +9,7 @@
 constexpr int kFailuresToEject = 3;
 constexpr int kMaxDoublings = 5;
 constexpr int kFirstServerError = 500;
+constexpr Duration kRest = milliseconds(250);
 constexpr Duration kFirstEjection = milliseconds(500);
 
 auto IsFailure(AttemptResult result, int status) -> bool {
@@ -33,6 +34,7 @@
   const auto found = records_.find(target);
   if (found == records_.end()) return true;
   const auto& record = found->second;
+  if (now < record.resting_until) return false;
   if (record.failures < kFailuresToEject) return true;
   return now >= record.ejected_until && !record.is_probing;
 }
@@ -55,6 +57,9 @@
                              int status, Time now) -> void {
   auto& record = records_[target];
   record.is_probing = false;
+  const auto needs_rest =
+      result == AttemptResult::kRefused || result == AttemptResult::kNotReached;
+  if (needs_rest) record.resting_until = now + kRest;
   if (!IsFailure(result, status)) {
     const auto is_proof = result == AttemptResult::kComplete;
     if (is_proof) records_.erase(target);
--- a/dispatch/target_health.h
+++ b/dispatch/target_health.h
@@ -9,7 +9,8 @@
 namespace papayaplank {
 
 // Ejects a target after repeated failures and probes it with one request
-// after a delay that doubles with each failed probe.
+// after a delay that doubles with each failed probe. A target that refused a
+// request or could not be reached is left alone for a moment.
 class TargetHealth {
  public:
   // Whether a request may be sent there now.
@@ -32,6 +33,8 @@
   struct Record {
     int failures = 0;
     int ejections = 0;
+    // Until then nothing is sent.
+    Time resting_until{};
     // Until then nothing is sent; afterwards one probe at a time.
     Time ejected_until{};
     bool is_probing = false;
--- a/router/router_core_peers.cpp
+++ b/router/router_core_peers.cpp
@@ -10,7 +10,7 @@
 // A router's summary older than this says nothing of its virtual time.
 constexpr Duration kSummaryLifetime = seconds(10);
 constexpr Duration kFetchPeriod = seconds(1);
-constexpr std::size_t kOwnersPerDemand = 4;
+constexpr std::size_t kOwnersPerDemand = 3;
 constexpr int kMaxWanted = 64;
 constexpr std::size_t kHomes = 2;
 
--- /dev/null
+++ b/tests/router/test_fleet.cpp
@@ -0,0 +1,347 @@
+// The fleet's promises under load and faults, on the fleet driver: virtual
+// time, fixed seeds, exact figures.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "bench/fleet_driver.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr double kWantedUtilisation = 0.98;
+constexpr double kTokensPerSecond = 1000.0 / 13;
+constexpr double kControlBytesPerSecond = 5000;
+
+auto UnevenCallers(int count = 16) -> std::vector<CallerPlan> {
+  std::vector<CallerPlan> callers;
+  for (int i = 0; i < count; ++i) {
+    CallerPlan caller;
+    caller.name = "c" + std::to_string(i);
+    caller.weight = i < 3 ? 4 : 1;
+    caller.routers = {i % 2 == 0 ? (i / 2) % 2 : i % 8};
+    callers.push_back(caller);
+  }
+  return callers;
+}
+
+// The bound of docs/DESIGN.md: twice the service that a customer's fair share
+// of slots can be ahead by, the lending threshold, and what the virtual time
+// grows by while news travels.
+auto GapBound(const FleetPlan& plan, const std::vector<CallerPlan>& callers)
+    -> double {
+  const LeaseOptions lease;
+  double weight = 0;
+  double largest = 0;
+  for (const auto& caller : callers) {
+    weight += caller.weight;
+    largest = std::max(largest, caller.largest_cost);
+  }
+  const auto slots_per_weight = plan.targets * plan.slots / weight;
+  const auto news = std::chrono::duration<double>(
+      lease.demand_period + lease.renew_period + 2 * plan.network_delay);
+  return 2 * slots_per_weight * largest + lease.threshold.value +
+         slots_per_weight * kTokensPerSecond * news.count();
+}
+
+struct Measured {
+  double gap;
+  double utilisation;
+  double overfill;
+  double bytes;
+};
+
+auto Measure(FleetDriver& driver, Duration warm_up = seconds(60),
+             Duration time = seconds(180)) -> Measured {
+  driver.Run(warm_up);
+  driver.ResetMeasures();
+  driver.Run(time);
+  return {driver.Gap(), driver.Utilisation(), driver.WorstOverfill(),
+          driver.BytesPerRouterSecond()};
+}
+
+auto ExpectPromises(const FleetPlan& plan,
+                    const std::vector<CallerPlan>& callers) -> void {
+  FleetDriver driver(plan, callers);
+  const auto measured = Measure(driver);
+  EXPECT_LE(measured.gap / GapBound(plan, callers), 1);
+  EXPECT_GE(measured.utilisation, kWantedUtilisation);
+  EXPECT_LE(measured.overfill, 1);
+}
+
+TEST(FleetTest, UnevenSpread) { ExpectPromises({}, UnevenCallers()); }
+
+TEST(FleetTest, AllLoadOnOneRouter) {
+  auto callers = UnevenCallers();
+  for (auto& caller : callers) caller.routers = {0};
+  ExpectPromises({}, callers);
+}
+
+TEST(FleetTest, OneCustomerFloodsFromAllRouters) {
+  auto callers = UnevenCallers();
+  callers[5].depth = 2000;
+  callers[5].routers = {0, 1, 2, 3, 4, 5, 6, 7};
+  ExpectPromises({}, callers);
+}
+
+TEST(FleetTest, HintsFiveTimesTooHigh) {
+  auto callers = UnevenCallers();
+  for (auto& caller : callers) caller.cost_hint = 1500;
+  ExpectPromises({}, callers);
+}
+
+TEST(FleetTest, HintsFiveTimesTooLow) {
+  auto callers = UnevenCallers();
+  for (auto& caller : callers) caller.cost_hint = 60;
+  ExpectPromises({}, callers);
+}
+
+TEST(FleetTest, BriefDeployments) {
+  for (const auto targets : {9, 18}) {
+    FleetPlan plan;
+    plan.targets = targets;
+    ExpectPromises(plan, UnevenCallers());
+  }
+}
+
+TEST(FleetTest, LossyNetwork) {
+  FleetPlan plan;
+  plan.loss = 0.02;
+  const auto callers = UnevenCallers();
+  FleetDriver driver(plan, callers);
+  const auto measured = Measure(driver);
+  EXPECT_LE(measured.gap / GapBound(plan, callers), 1);
+  EXPECT_GE(measured.utilisation, kWantedUtilisation);
+}
+
+TEST(FleetTest, ControlTrafficFitsTheBudget) {
+  const FleetPlan plan;
+  FleetDriver driver(plan, UnevenCallers());
+  EXPECT_LE(Measure(driver).bytes, kControlBytesPerSecond);
+}
+
+TEST(FleetTest, BaselinesMissThePromises) {
+  for (const auto mode : {SharingMode::kFifo, SharingMode::kLocal}) {
+    FleetPlan plan;
+    plan.mode = mode;
+    FleetDriver driver(plan, UnevenCallers());
+    const auto measured = Measure(driver);
+    EXPECT_GT(measured.gap / GapBound(plan, UnevenCallers()), 1);
+    EXPECT_LT(measured.utilisation, kWantedUtilisation);
+  }
+}
+
+TEST(FleetTest, InteractiveRequestsPassAFlood) {
+  CallerPlan desk;
+  desk.name = "desk";
+  desk.is_interactive = true;
+  desk.period = milliseconds(200);
+  desk.median_cost = 30;
+  desk.largest_cost = 100;
+  desk.cost_hint = 30;
+  desk.routers = {0, 1, 2, 3, 4, 5, 6, 7};
+  const auto p99 = [](std::vector<double> waits) {
+    std::sort(waits.begin(), waits.end());
+    return waits[waits.size() * 99 / 100];
+  };
+  FleetDriver alone({}, {desk});
+  Measure(alone);
+  auto callers = UnevenCallers();
+  callers.push_back(desk);
+  FleetDriver beside({}, callers);
+  Measure(beside);
+  EXPECT_LE(p99(beside.Result(16).waits), 2 * p99(alone.Result(0).waits));
+}
+
+TEST(FleetTest, NobodyStarvesBesideAFlood) {
+  auto callers = UnevenCallers(2);
+  callers[0].depth = 5000;
+  callers[0].routers = {0, 1, 2, 3, 4, 5, 6, 7};
+  CallerPlan single;
+  single.name = "single";
+  single.period = seconds(1);
+  single.median_cost = 50;
+  single.largest_cost = 100;
+  single.routers = {3};
+  callers.push_back(single);
+  FleetDriver driver({}, callers);
+  driver.Run(seconds(60));
+  driver.ResetMeasures();
+  driver.Run(seconds(60));
+  const auto& waits = driver.Result(2).waits;
+  EXPECT_GE(waits.size(), 58U);
+  EXPECT_LE(*std::max_element(waits.begin(), waits.end()), 2);
+}
+
+TEST(FleetTest, WorkGoesOnWithinTwoSecondsOfARoutersDeath) {
+  FleetDriver driver({}, UnevenCallers());
+  driver.Run(seconds(60));
+  driver.Kill(4);
+  driver.Run(seconds(2));
+  driver.ResetMeasures();
+  driver.Run(seconds(20));
+  EXPECT_GE(driver.Utilisation(), kWantedUtilisation);
+}
+
+TEST(FleetTest, RestartedRouterStartsAtTheFleetsVirtualTime) {
+  const auto callers = UnevenCallers();
+  FleetDriver driver({}, callers);
+  driver.Run(seconds(120));
+  driver.Kill(1);
+  driver.Run(seconds(5));
+  driver.Restart(1);
+  driver.Run(seconds(10));
+  driver.ResetMeasures();
+  driver.Run(seconds(120));
+  EXPECT_LE(driver.Gap() / GapBound({}, callers), 1);
+  EXPECT_GE(driver.Utilisation(), kWantedUtilisation);
+}
+
+TEST(FleetTest, HealedPartitionStarvesNobody) {
+  const auto callers = UnevenCallers();
+  FleetDriver driver({}, callers);
+  driver.Run(seconds(60));
+  driver.Cut({0, 1, 2, 3}, {4, 5, 6, 7});
+  driver.Run(seconds(60));
+  driver.Heal();
+  driver.Run(seconds(10));
+  std::vector<double> served;
+  for (int i = 0; i < 16; ++i) served.push_back(driver.Result(i).served);
+  driver.Run(seconds(60));
+  for (int i = 0; i < 16; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    EXPECT_GT(driver.Result(i).served, served[index]) << i;
+  }
+  driver.ResetMeasures();
+  driver.Run(seconds(60));
+  EXPECT_GE(driver.Utilisation(), kWantedUtilisation);
+}
+
+TEST(FleetTest, PausedRouterCostsOthersNothing) {
+  FleetDriver driver({}, UnevenCallers());
+  driver.Run(seconds(60));
+  driver.Pause(2, seconds(5));
+  driver.Run(seconds(10));
+  driver.ResetMeasures();
+  driver.Run(seconds(60));
+  EXPECT_GE(driver.Utilisation(), kWantedUtilisation);
+  // Its streams went on at the targets while another router owned them, so a
+  // target may be overfull by those until the longest of them has ended.
+  EXPECT_LE(driver.WorstOverfill(), 2);
+  driver.ResetMeasures();
+  driver.Run(seconds(60));
+  EXPECT_LE(driver.WorstOverfill(), 1);
+}
+
+TEST(FleetTest, LeavingTargetGetsNoNewWork) {
+  FleetDriver driver({}, UnevenCallers());
+  driver.Run(seconds(60));
+  driver.SetLeaving(3);
+  driver.Run(seconds(5));
+  const auto before = driver.active_on(3);
+  int highest = before;
+  for (int i = 0; i < 30; ++i) {
+    driver.Run(seconds(1));
+    EXPECT_LE(driver.active_on(3), highest);
+    highest = std::min(highest, driver.active_on(3));
+  }
+}
+
+TEST(FleetTest, DeadTargetIsEjectedAndItsStreamsResume) {
+  auto callers = UnevenCallers();
+  FleetDriver driver({}, callers);
+  driver.Run(seconds(60));
+  driver.KillTarget(2);
+  driver.Run(seconds(30));
+  std::uint64_t failed = 0;
+  for (int i = 0; i < 16; ++i) {
+    failed += driver.Result(i).failed_not_run + driver.Result(i).failed_unknown;
+  }
+  EXPECT_EQ(failed, 0U);
+}
+
+// Faults at every step, pauses and deaths: no request that is not idempotent
+// runs twice, and none that was said not to have run has run.
+TEST(FleetTest, NonIdempotentRequestsRunAtMostOnce) {
+  std::vector<CallerPlan> callers;
+  for (int i = 0; i < 8; ++i) {
+    CallerPlan caller;
+    caller.name = "c" + std::to_string(i);
+    caller.routers = {i};
+    caller.depth = 20;
+    caller.is_idempotent = false;
+    caller.has_idempotency_keys = i % 2 == 0;
+    caller.median_cost = 20;
+    caller.largest_cost = 60;
+    caller.cost_hint = 20;
+    callers.push_back(caller);
+  }
+  FleetDriver driver({}, callers);
+  Random random(11);
+  driver.SetAttemptFault([&random](const StartAttempt&, AttemptReport& report) {
+    if (report.result != AttemptResult::kComplete) return;
+    const auto draw = random.Uniform();
+    if (draw < 0.05) report.result = AttemptResult::kBroken;
+    if (draw < 0.03) report.result = AttemptResult::kSilent;
+    if (draw < 0.01) report.result = AttemptResult::kCrossed;
+  });
+  std::uint64_t completed = 0;
+  for (int round = 0; round < 16; ++round) {
+    driver.Run(seconds(10));
+    driver.Pause(round % 8, seconds(2));
+    driver.Run(seconds(5));
+    driver.Kill((round + 3) % 8);
+    driver.Run(seconds(3));
+    driver.Restart((round + 3) % 8);
+  }
+  int ran = 0;
+  for (int i = 0; i < 8; ++i) completed += driver.Result(i).completed;
+  for (const auto& [id, runs] : driver.runs()) {
+    ASSERT_LE(runs, 1) << id;
+    ran += runs;
+  }
+  EXPECT_GE(ran, 10000);
+  EXPECT_GT(completed, 0U);
+  EXPECT_EQ(driver.FalseNotRun(), 0);
+}
+
+// A fleet-wide brown-out: every attempt breaks. Retries may add at most the
+// budget's share and reserve to the load.
+TEST(FleetTest, BrownOutDoesNotMultiplyTheLoad) {
+  auto callers = UnevenCallers(8);
+  for (auto& caller : callers) {
+    caller.median_cost = 20;
+    caller.largest_cost = 60;
+  }
+  FleetDriver driver({}, callers);
+  driver.Run(seconds(20));
+  driver.SetAttemptFault([](const StartAttempt&, AttemptReport& report) {
+    report.result = AttemptResult::kBroken;
+    report.has_caller_seen_head = false;
+  });
+  driver.Run(seconds(60));
+  std::uint64_t started = 0;
+  std::uint64_t retries = 0;
+  for (int i = 0; i < 8; ++i) {
+    started += driver.Core(i).counters().started;
+    retries += driver.Core(i).counters().retries;
+  }
+  constexpr double kShare = 0.1;
+  constexpr double kReserve = 10.0 * 8 * 8;
+  EXPECT_GT(retries, 0U);
+  EXPECT_LE(static_cast<double>(retries),
+            kShare * static_cast<double>(started) + kReserve);
+}
+
+TEST(FleetTest, SameSeedGivesTheSameRun) {
+  double gaps[2];
+  for (auto& gap : gaps) {
+    FleetDriver driver({}, UnevenCallers());
+    driver.Run(seconds(30));
+    gap = driver.Gap();
+  }
+  EXPECT_EQ(gaps[0], gaps[1]);
+}
+
+}  // namespace
+}  // namespace papayaplank
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -15,7 +15,8 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-constexpr std::size_t kMaxJsonBytes = 1 << 20;
+constexpr std::size_t kMaxWholeBytes = 1 << 20;
+constexpr std::size_t kMaxHeldBytes = 1 << 16;
 constexpr long kReceiveBufferBytes = 16384;  // NOLINT: libcurl's type
 
 auto IsName(std::string_view name, std::string_view wanted) -> bool {
@@ -179,6 +180,11 @@
   return is_refusal && says_not_run_;
 }
 
+auto TargetTransfer::IsHeld() const -> bool {
+  return !is_event_stream_ && head_.length.has_value() && *head_.length > 0 &&
+         *head_.length <= kMaxHeldBytes;
+}
+
 auto TargetTransfer::IsUnfitContinuation() const -> bool {
   if (!is_continuation_) return false;
   return head_.status != kFirstFinalStatus || !is_event_stream_;
@@ -193,10 +199,14 @@
     return CURL_WRITEFUNC_PAUSE;
   }
   ObserveArrival();
+  if (IsHeld()) {
+    whole_body_.append(bytes);
+    return bytes.size();
+  }
   SendHead();
   if (!is_event_stream_ || request_.target.is_service) {
-    if (json_body_.size() + bytes.size() <= kMaxJsonBytes) {
-      json_body_.append(bytes);
+    if (whole_body_.size() + bytes.size() <= kMaxWholeBytes) {
+      whole_body_.append(bytes);
     }
     request_.exchange->Append(bytes);
     return bytes.size();
@@ -262,8 +272,10 @@
   const auto is_whole =
       is_stream ? parser_.is_done() : is_framed || IsWholeWithoutFraming();
   if (!is_whole) return Report(AttemptResult::kBroken);
-  if (!has_sent_head_ && !is_chunked_) head_.length = 0;
+  const auto is_held = IsHeld();
+  if (!has_sent_head_ && !is_chunked_ && !is_held) head_.length = 0;
   SendHead();
+  if (is_held) request_.exchange->Append(whole_body_);
   request_.exchange->End();
   return Report(AttemptResult::kComplete);
 }
@@ -287,7 +299,7 @@
     return report;
   }
   const auto stated =
-      is_event_stream_ ? parser_.stated_cost() : CostOfAnswer(json_body_);
+      is_event_stream_ ? parser_.stated_cost() : CostOfAnswer(whole_body_);
   report.cost = Cost{stated.value_or(static_cast<double>(tokens_))};
   return report;
 }
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -48,6 +48,9 @@
   auto ObserveArrival() -> void;
   auto SendHead() -> void;
   auto IsRefused() const -> bool;
+  // Whether the answer is kept here until it is whole, so that another
+  // attempt can replace one that is cut.
+  auto IsHeld() const -> bool;
   // Whether this answer cannot go on where the caller's part ends.
   auto IsUnfitContinuation() const -> bool;
   auto IsWholeWithoutFraming() const -> bool;
@@ -70,8 +73,8 @@
   bool is_paused_ = false;
   bool has_sent_head_ = false;
   StreamParser parser_;
-  // The body of a JSON answer, for its stated cost; bounded.
-  std::string json_body_;
+  // The body of a whole answer, for its stated cost; bounded.
+  std::string whole_body_;
   int tokens_ = 0;
   Time started_at_;
   Time last_arrival_;
