--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,90 @@
+// Prints the slopes of docs/CAPACITY.md: control traffic and processor time of
+// a router's decisions against the number of routers, and the configuration
+// against the number of customers.
+#include <malloc.h>
+
+#include <cstdio>
+#include <ctime>
+#include <string>
+
+#include "bench/fleet_driver.h"
+
+namespace papayaplank {
+namespace {
+
+auto CpuSeconds() -> double {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+auto MeasureRouters(int routers) -> void {
+  FleetPlan plan;
+  plan.routers = routers;
+  plan.targets = routers * 3 / 2;
+  plan.slots = 16;
+  plan.token_time = milliseconds(77);
+  std::vector<CallerPlan> callers;
+  for (int i = 0; i < routers * 2; ++i) {
+    CallerPlan caller;
+    caller.name = "customer-" + std::to_string(i);
+    caller.routers = {i % routers};
+    caller.median_cost = 200;
+    caller.depth = 32;
+    callers.push_back(caller);
+  }
+  FleetDriver driver(plan, callers);
+  driver.Run(seconds(10));
+  driver.ResetMeasures();
+  const auto before = CpuSeconds();
+  constexpr int kSeconds = 20;
+  driver.Run(seconds(kSeconds));
+  // The driver's own work is included, so this is an upper bound.
+  const auto share = (CpuSeconds() - before) / kSeconds / routers;
+  std::printf("%8d %10.1f %10.0f %12.2f %9.3f\n", routers,
+              driver.MessagesPerRouterSecond(), driver.BytesPerRouterSecond(),
+              share * 100, driver.Utilisation());
+  std::fflush(stdout);
+}
+
+auto MeasureCustomers(int customers) -> void {
+  std::string text = R"({"format":1,"templates":[{"name":"shop","parameters":[
+{"name":"weight","type":"number","minimum":1,"maximum":9,"default":1}],
+"weight":{"parameter":"weight"},"classes":[{"name":"report"},
+{"name":"advice"},{"name":"capture","pool":"desk"}]}],"customers":[)";
+  for (int i = 0; i < customers; ++i) {
+    const auto name = "customer-" + std::to_string(i);
+    text += (i == 0 ? "" : ",") + std::string("{\"name\":\"") + name +
+            "\",\"template\":\"shop\",\"parameters\":{\"weight\":2}," +
+            "\"key_hashes\":[\"" + Sha256Hex(name) + "\"]}";
+  }
+  text += "]}";
+  const auto heap = mallinfo2().uordblks;
+  const auto began = CpuSeconds();
+  const auto whole =
+      std::get<Configuration>(Configuration().Apply(text, ConfigVersion(1)));
+  const auto loaded = CpuSeconds();
+  const auto one = R"({"format":1,"customers":[{"name":"customer-0",
+"template":"shop","parameters":{"weight":3},"key_hashes":[]}]})";
+  constexpr int kChanges = 20;
+  for (int i = 0; i < kChanges; ++i) whole.Apply(one, ConfigVersion(2));
+  const auto changed = CpuSeconds();
+  std::printf("%8d %12.1f %14.1f %12.1f\n", customers,
+              static_cast<double>(mallinfo2().uordblks - heap) / 1e6,
+              (loaded - began) * 1e3, (changed - loaded) / kChanges * 1e3);
+}
+
+}  // namespace
+}  // namespace papayaplank
+
+auto main() -> int {
+  std::printf("%8s %10s %10s %12s %9s\n", "routers", "msgs/s", "bytes/s",
+              "% of a core", "busy");
+  for (const auto routers : {4, 8, 16, 32, 64}) {
+    papayaplank::MeasureRouters(routers);
+  }
+  std::printf("\n%8s %12s %14s %12s\n", "customers", "heap MB", "whole ms",
+              "change ms");
+  for (const auto customers : {16, 1000, 5000, 23000}) {
+    papayaplank::MeasureCustomers(customers);
+  }
+  return 0;
+}
--- a/capacity/slot_borrower.cpp
+++ b/capacity/slot_borrower.cpp
@@ -35,7 +35,7 @@
   auto& lease = leases_[update.target];
   const auto is_same_owner = lease.owner == owner;
   if (is_same_owner && update.sequence <= lease.sequence) return;
-  const auto is_stale = is_same_owner && update.echo_us < lease.returned_at_us;
+  const auto is_stale = is_same_owner && update.echo_us <= lease.returned_at_us;
   lease.allowed =
       is_stale ? Least(lease.allowed, update.allowed) : update.allowed;
   lease.owner = owner;
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Checks every specification exhaustively, and that each mutation of it fails.
+# Prints the states explored. Arguments: none.
+set -euo pipefail
+source_directory="$(cd "$(dirname "$0")" && pwd)"
+work="$(mktemp -d)"
+trap 'rm -rf "$work"' EXIT
+
+# Runs one specification with macros; prints its verdict and states.
+run_spin() {
+  local name="$1" mode="$2"
+  shift 2
+  cd "$work"
+  spin -a "$@" "$source_directory/$name.pml" >spin.txt 2>&1
+  cc -O2 -DMEMLIM=4000 -DCOLLAPSE -DNFAIR=3 -w -o pan pan.c
+  case "$mode" in
+    safety) ./pan -E -m1000000 >pan.txt 2>&1 || true ;;
+    liveness) ./pan -a -f -m1000000 >pan.txt 2>&1 || true ;;
+  esac
+  if grep -q "errors: 0" pan.txt && ! grep -q "max search depth" pan.txt; then
+    echo "holds ($(awk '/states, stored/ {print $1; exit}' pan.txt) states)"
+  else
+    echo "fails"
+  fi
+}
+
+passed=0
+failed=0
+expect() {
+  local wanted="$1" name="$2" mode="$3"
+  shift 3
+  local verdict
+  verdict="$(run_spin "$name" "$mode" "$@")"
+  echo "$name $mode $*: $verdict"
+  if [[ "$verdict" == "$wanted"* ]]; then passed=$((passed + 1))
+  else failed=$((failed + 1)); echo "  expected: $wanted"; fi
+}
+
+expect holds slots safety
+for mutation in NO_MARGIN NO_SEQUENCE NO_UNSEEN NO_STALE; do
+  expect fails slots safety "-D$mutation"
+done
+expect holds claim safety
+for mutation in NO_CONDITION SEND_BEFORE_CLAIM REASSIGN; do
+  expect fails claim safety "-D$mutation"
+done
+expect holds configuration safety -DSAFETY_ONLY
+expect holds configuration liveness
+for mutation in NO_CONDITION NO_READ_BACK BACKWARDS; do
+  expect fails configuration safety "-D$mutation" -DSAFETY_ONLY
+done
+expect holds orders safety
+for mutation in NO_FENCE_CHECK NO_WAIT; do
+  expect fails orders safety "-D$mutation"
+done
+echo "$passed passed, $failed failed"
+[[ "$failed" -eq 0 ]]
--- /dev/null
+++ b/spec/slots.pml
@@ -0,0 +1,184 @@
+/* Slot leases between one owner and one borrower (capacity library).
+
+   Time is a counter that the world advances. The owner counts slots as lent
+   until its own expiry; the borrower starts requests only before its own,
+   earlier expiry, counted from when it sent what the owner answers. Messages
+   are lost, delayed and repeated, and either side may pause anywhere.
+   Safety: the slots that the owner uses and those that the borrower may start
+   requests on never exceed the capacity.
+
+   Mutations (each must fail): NO_MARGIN, NO_SEQUENCE, NO_UNSEEN, NO_STALE. */
+
+#define CAPACITY 2
+#define DURATION 2
+#ifdef NO_MARGIN
+#define MARGIN 0
+#else
+#define MARGIN 1
+#endif
+/* The clocks may differ by this much over a lease. */
+#define DRIFT 1
+#define MAX_TIME 3
+#define MAX_GRANTS 3
+#define MAX_REPORTS 4
+#define DEMAND 255
+
+byte now = 0;
+
+/* Owner: SlotOwner::Lease. */
+byte counted = 0;
+byte allowed = 0;
+byte own_use = 0;
+byte lease_until = 0;
+byte sequence = 0;
+byte unseen = 0;           /* grants that reports cannot show yet */
+byte unseen_sequence = 0;
+byte echo_ticket = 0;      /* the borrower's message answered last */
+byte echo_at = 0;
+bool has_demand = false;
+
+/* Borrower: SlotBorrower::Lease. */
+byte held = 0;
+byte busy = 0;
+byte seen = 0;
+byte usable_until = 0;
+byte ticket = 0;           /* numbers the messages; in the code their time */
+byte returned_ticket = 0;
+
+byte grants = 0;
+byte reports = 0;
+
+chan updates = [2] of { byte, byte, byte, byte }; /* sequence, allowed, ticket, at */
+chan reported = [1] of { byte, byte, byte, byte }; /* seen, held, ticket, at */
+
+inline check() {
+  if
+  :: now < usable_until && held > busy -> assert(own_use + held <= CAPACITY)
+  :: now < usable_until && held <= busy -> assert(own_use + busy <= CAPACITY)
+  :: else -> skip
+  fi
+}
+
+active proctype Owner() {
+  byte r_seen, r_held, r_ticket, r_at;
+  do
+  /* Lend: SlotOwner::Grant, only on a demand. */
+  :: atomic { has_demand && grants < MAX_GRANTS &&
+              own_use + counted < CAPACITY && nfull(updates) ->
+       grants++;
+       counted++; allowed++; sequence++;
+       unseen++; unseen_sequence = sequence;
+       lease_until = now + DURATION + MARGIN;
+       updates ! sequence, allowed, echo_ticket, echo_at }
+  /* Own use: SlotOwner::TryUse and Release. */
+  :: atomic { own_use + counted < CAPACITY -> own_use++; check() }
+  :: atomic { own_use > 0 -> own_use-- }
+  /* Demand and report: SlotOwner::Handle, Settle and CountHeld. */
+  :: atomic { reported ? r_seen, r_held, r_ticket, r_at ->
+       if
+       :: r_ticket < echo_ticket -> skip          /* late */
+       :: r_ticket >= echo_ticket && r_seen == DEMAND ->
+            echo_ticket = r_ticket; echo_at = r_at; has_demand = true
+       :: r_ticket >= echo_ticket && r_seen != DEMAND ->
+            echo_ticket = r_ticket; echo_at = r_at;
+            if
+            :: r_seen >= unseen_sequence -> unseen = 0
+            :: else -> skip
+            fi;
+#ifdef NO_UNSEEN
+            unseen = 0;
+#endif
+            if
+            :: r_held + unseen < counted -> counted = r_held + unseen
+            :: else -> skip
+            fi;
+            if
+            :: allowed > counted -> allowed = counted
+            :: else -> skip
+            fi;
+            /* Recall: SlotOwner::Recall, then the renewal. */
+            if
+            :: allowed > 0 -> allowed--
+            :: true -> skip
+            fi;
+            if
+            :: counted > 0 && nfull(updates) ->
+                 sequence++;
+                 lease_until = now + DURATION + MARGIN;
+                 updates ! sequence, allowed, echo_ticket, echo_at
+            :: counted == 0 || full(updates) -> skip
+            fi
+       fi;
+       r_seen = 0; r_held = 0; r_ticket = 0; r_at = 0 }
+  /* Expiry: SlotOwner::Expire. */
+  :: atomic { counted > 0 && now >= lease_until ->
+       counted = 0; allowed = 0; unseen = 0 }
+  od
+}
+
+active proctype Borrower() {
+  byte u_sequence, u_allowed, u_ticket, u_at;
+  do
+  /* Update: SlotBorrower::Handle. */
+  :: atomic { updates ? u_sequence, u_allowed, u_ticket, u_at ->
+       if
+#ifndef NO_SEQUENCE
+       :: u_sequence <= seen -> skip
+       :: u_sequence > seen ->
+#else
+       :: true ->
+#endif
+            seen = u_sequence;
+            if
+#ifndef NO_STALE
+            :: u_ticket <= returned_ticket && u_allowed > held -> skip
+            :: !(u_ticket <= returned_ticket && u_allowed > held) ->
+#else
+            :: true ->
+#endif
+                 held = u_allowed
+            fi;
+            if
+            :: u_at + DURATION - MARGIN > usable_until ->
+                 usable_until = u_at + DURATION - MARGIN
+            :: else -> skip
+            fi
+       fi;
+       u_sequence = 0; u_allowed = 0; u_ticket = 0; u_at = 0; check() }
+  /* Start and end of a request: TryUse and Release. */
+  :: atomic { busy < held && now < usable_until -> busy++; check() }
+  :: atomic { busy > 0 -> busy-- }
+  /* Demand: RouterCore::SendDemands. */
+  :: atomic { reports < MAX_REPORTS && nfull(reported) ->
+       reports++; ticket++;
+       reported ! DEMAND, 0, ticket, now }
+  /* Report, with free slots given back: SlotBorrower::Report. */
+  :: atomic { reports < MAX_REPORTS && nfull(reported) && held + busy > 0 ->
+       reports++; ticket++;
+       if
+       :: held > busy -> held = busy; returned_ticket = ticket
+       :: true -> skip
+       fi;
+       if
+       :: held > busy -> reported ! seen, held, ticket, now
+       :: else -> reported ! seen, busy, ticket, now
+       fi }
+  od
+}
+
+/* The network loses, delays and repeats; the clocks go on. */
+active proctype World() {
+  byte a, b, c, d;
+  byte drift = 0;
+  do
+  :: atomic { updates ? a, b, c, d -> a = 0; b = 0; c = 0; d = 0 }
+  :: atomic { reported ? a, b, c, d -> a = 0; b = 0; c = 0; d = 0 }
+  :: atomic { nempty(updates) && nfull(updates) ->
+       updates ? <a, b, c, d>; updates ! a, b, c, d;
+       a = 0; b = 0; c = 0; d = 0 }
+  :: atomic { now < MAX_TIME -> now++ }
+  /* The owner's clock runs ahead. */
+  :: atomic { drift < DRIFT && lease_until > 0 ->
+       drift++; lease_until-- }
+  od
+}
