Capacity: count what any update in flight may allow a borrower

Cause: a property over owner and borrower with loss, delay and repetition found slots promised twice: a report in flight with an update let the owner count less than the borrower went on to hold (2 + 3 of 4 slots).

--- a/capacity/slot_borrower.cpp
+++ b/capacity/slot_borrower.cpp
@@ -35,9 +35,7 @@
   auto& lease = leases_[update.target];
   const auto is_same_owner = lease.owner == owner;
   if (is_same_owner && update.sequence <= lease.sequence) return;
-  const auto is_stale = is_same_owner && update.echo_us <= lease.returned_at_us;
-  lease.allowed =
-      is_stale ? Least(lease.allowed, update.allowed) : update.allowed;
+  lease.allowed = update.allowed;
   lease.owner = owner;
   lease.sequence = update.sequence;
   const auto granted_after = Time(Duration(update.echo_us));
@@ -87,9 +85,7 @@
     const auto kept = KeptSlots(lease.allowed, lease.busy, waiting);
     // A released slot that is in use again is nothing to tell at once.
     if (only_returns && kept.shared >= lease.counted_by_owner) continue;
-    const auto left = Least(lease.allowed, kept);
-    if (!(left == lease.allowed)) lease.returned_at_us = ToMicroseconds(now);
-    lease.allowed = left;
+    lease.allowed = Least(lease.allowed, kept);
     lease.counted_by_owner = kept.shared;
     auto& report = reports[lease.owner];
     report.router = self_;
--- a/capacity/slot_borrower.h
+++ b/capacity/slot_borrower.h
@@ -73,9 +73,6 @@
     // The last moment, on this router's clock, at which a request may start.
     Time usable_until{};
     Time answered_at{};
-    // When slots were last given back. An update that answers something no
-    // newer cannot raise the count again.
-    std::int64_t returned_at_us = 0;
     // The owner has confirmed that nothing is held. Kept until the lease
     // would have expired, so that a late grant is recognised.
     bool is_settled = false;
--- a/capacity/slot_owner.cpp
+++ b/capacity/slot_owner.cpp
@@ -101,6 +101,7 @@
     lease.echo_us = demand.sent_at_us;
     lease.expires = now + options_.duration + options_.margin;
     lease.sequence = next_sequence_++;
+    lease.unseen.push_back({lease.sequence, lease.allowed});
     resends_.push_back(UpdateFor(id, demand.router, lease));
   }
 }
@@ -151,6 +152,7 @@
   lease.echo_us = echo_us;
   lease.expires = now + options_.duration + options_.margin;
   lease.sequence = next_sequence_++;
+  lease.unseen.push_back({lease.sequence, lease.allowed});
   auto update = UpdateFor(target.info.id, borrower, lease);
   update.update.is_over = lease.counted.total() == 0;
   if (update.update.is_over) target.leases.erase(borrower);
@@ -158,14 +160,11 @@
 }
 
 auto SlotOwner::CountHeld(const HeldLease& held, Lease& lease) -> void {
-  std::erase_if(lease.unseen, [&held](const UnseenGrant& grant) {
-    return grant.sequence <= held.seen_sequence;
+  std::erase_if(lease.unseen, [&held](const UnseenUpdate& update) {
+    return update.sequence <= held.seen_sequence;
   });
   auto shown = Most(held.held, held.busy);
-  for (const auto& grant : lease.unseen) {
-    shown.shared += grant.counts.shared;
-    shown.headroom += grant.counts.headroom;
-  }
+  for (const auto& update : lease.unseen) shown = Most(shown, update.allowed);
   lease.counted = Least(lease.counted, shown);
   lease.allowed = Least(lease.allowed, lease.counted);
 }
@@ -242,7 +241,7 @@
   lease.echo_us = demand.request.sent_at_us;
   lease.expires = now + options_.duration + options_.margin;
   lease.sequence = next_sequence_++;
-  lease.unseen.push_back({lease.sequence, counts});
+  lease.unseen.push_back({lease.sequence, lease.allowed});
   demand.request.wanted.shared -= counts.shared;
   demand.request.wanted.headroom -= counts.headroom;
   // The borrower will charge a request to this slot; until it reports, its
--- a/capacity/slot_owner.h
+++ b/capacity/slot_owner.h
@@ -76,14 +76,14 @@
   auto PoolOf(const TargetId& target) const -> PoolId;
 
  private:
-  // A grant that the borrower's reports do not reflect yet.
-  struct UnseenGrant {
+  // An update that the borrower's reports do not reflect yet.
+  struct UnseenUpdate {
     std::uint64_t sequence = 0;
-    SlotCounts counts;
+    SlotCounts allowed;
   };
   struct Lease {
     std::uint64_t sequence = 0;
-    std::vector<UnseenGrant> unseen;
+    std::vector<UnseenUpdate> unseen;
     // What the borrower may hold, as this router last counted it.
     SlotCounts counted;
     // What the borrower is allowed; below `counted` while slots are recalled.
@@ -122,7 +122,8 @@
   auto Settle(OwnedTarget& target, const RouterId& borrower,
               const HeldLease& held, const LocalDemand& local,
               std::int64_t echo_us, Time now) -> std::optional<AddressedUpdate>;
-  // Counts what the report shows and the grants that it cannot show yet.
+  // Counts the most that the borrower may hold: what the report shows, or
+  // what any update allows that it cannot show yet.
   static auto CountHeld(const HeldLease& held, Lease& lease) -> void;
   // Lowers what the borrower may hold: it is ahead, or the target is overfull.
   auto Recall(const OwnedTarget& target, const RouterId& borrower,
--- a/router/fleet_view.cpp
+++ b/router/fleet_view.cpp
@@ -63,9 +63,9 @@
 
 auto FleetView::TargetsOf(const PoolId& pool) const
     -> const std::vector<TargetId>& {
-  static const std::vector<TargetId> none;
+  static const std::vector<TargetId> kNone;
   const auto found = by_pool_.find(pool);
-  return found == by_pool_.end() ? none : found->second;
+  return found == by_pool_.end() ? kNone : found->second;
 }
 
 auto FleetView::OwnerOfTarget(const TargetId& id) const -> RouterId {
--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstring>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -245,7 +244,7 @@
       const auto left = fault.cut_after_bytes - stream.sent_bytes;
       count = std::min(count, static_cast<std::size_t>(left));
     }
-    std::memcpy(buffer, event.data() + stream.offset, count);
+    std::copy_n(event.data() + stream.offset, count, buffer);
     stream.offset += count;
     stream.sent_bytes += static_cast<std::int64_t>(count);
     if (stream.offset == event.size()) {
--- a/tasks/core_task.cpp
+++ b/tasks/core_task.cpp
@@ -130,7 +130,7 @@
 
 auto CoreTask::On(const CoreQuery& query) -> void { query(core_); }
 
-auto CoreTask::Execute(RouterCore::Commands commands) -> void {
+auto CoreTask::Execute(const RouterCore::Commands& commands) -> void {
   for (const auto& command : commands) {
     std::visit([this](const auto& each) { Do(each); }, command);
   }
--- a/tasks/core_task.h
+++ b/tasks/core_task.h
@@ -79,7 +79,7 @@
   auto On(const CoreInput& input) -> void;
   auto On(CallerArrival& arrival) -> void;
   auto On(const CoreQuery& query) -> void;
-  auto Execute(RouterCore::Commands commands) -> void;
+  auto Execute(const RouterCore::Commands& commands) -> void;
   auto Do(const StartAttempt& command) -> void;
   auto Do(const CancelAttempt& command) -> void;
   auto Do(const FailRequest& command) -> void;
--- a/transport/stream_parser.cpp
+++ b/transport/stream_parser.cpp
@@ -37,7 +37,8 @@
     const auto end = rest_.find(kEventEnd, search_from);
     if (end == std::string::npos) break;
     const auto next = end + kEventEnd.size();
-    TakeEvent(std::string_view(rest_).substr(start, next - start), piece);
+    const std::string_view all = rest_;
+    TakeEvent(all.substr(start, next - start), piece);
     start = next;
     search_from = next;
   }
--- a/transport/target_client.cpp
+++ b/transport/target_client.cpp
@@ -112,6 +112,7 @@
     return 0;
   }
 
+  // NOLINTNEXTLINE: libcurl's type.
   static auto OnTimer(CURLM* /*multi*/, long wait, void* user) -> int {
     auto* loop = static_cast<Loop*>(user);
     loop->timer_at_ =
