--- a/router/router_core.h
+++ b/router/router_core.h
@@ -141,7 +141,6 @@
   struct Pool {
     explicit Pool(VirtualTime catch_up_limit) : queue(catch_up_limit) {}
     PoolQueue queue;
-    // Waiting ids in order of arrival, for the `kFifo` baseline.
     Time next_demand{};
     bool has_open_demand = false;
     // Owners asked in turn.
