Capacity: renew a lease in one place

Cause: the re-read of the change found the renewal of a lease (expiry, sequence, unseen update) written out three times, Least in two files, and the same callers in the benchmark and the tests.

Change: SlotOwner::Renew serves all three, so no update can miss the unseen list; the echo is passed on instead of kept; Least and Most stand beside SlotCounts; UnevenCallers and DeskCaller stand beside the driver.

--- a/bench/fairness_bench.cpp
+++ b/bench/fairness_bench.cpp
@@ -16,36 +16,23 @@
   std::vector<CallerPlan> callers;
 };
 
-auto UnevenCallers(int count, int routers) -> std::vector<CallerPlan> {
-  std::vector<CallerPlan> callers;
-  for (int i = 0; i < count; ++i) {
-    CallerPlan caller;
-    caller.name = "c" + std::to_string(i);
-    caller.weight = i < 3 ? 4 : 1;
-    // Half of the customers on two routers, the others spread.
-    caller.routers = {i % 2 == 0 ? (i / 2) % 2 : i % routers};
-    callers.push_back(caller);
-  }
-  return callers;
-}
-
 auto Scenarios() -> std::vector<Scenario> {
   std::vector<Scenario> scenarios;
-  scenarios.push_back({"uneven spread", {}, UnevenCallers(16, 8)});
-  auto one = UnevenCallers(16, 8);
+  scenarios.push_back({"uneven spread", {}, UnevenCallers()});
+  auto one = UnevenCallers();
   for (auto& caller : one) caller.routers = {0};
   scenarios.push_back({"all on one router", {}, one});
-  auto flood = UnevenCallers(16, 8);
+  auto flood = UnevenCallers();
   flood[5].depth = 2000;
   flood[5].routers = {0, 1, 2, 3, 4, 5, 6, 7};
   scenarios.push_back({"one floods from all routers", {}, flood});
-  auto low = UnevenCallers(16, 8);
+  auto low = UnevenCallers();
   for (auto& caller : low) caller.cost_hint = 60;
   scenarios.push_back({"hints 5x too low", {}, low});
-  auto high = UnevenCallers(16, 8);
+  auto high = UnevenCallers();
   for (auto& caller : high) caller.cost_hint = 1500;
   scenarios.push_back({"hints 5x too high", {}, high});
-  auto wide = UnevenCallers(16, 8);
+  auto wide = UnevenCallers();
   for (auto& caller : wide) {
     caller.spread = 2;
     caller.largest_cost = 10000;
@@ -53,22 +40,13 @@
   scenarios.push_back({"costs 10 to 10,000", {}, wide});
   FleetPlan spoina;
   spoina.targets = 9;
-  scenarios.push_back(
-      {"Zlota Spoina, 9 runners", spoina, UnevenCallers(16, 8)});
+  scenarios.push_back({"Zlota Spoina, 9 runners", spoina, UnevenCallers()});
   FleetPlan cascade;
   cascade.targets = 18;
   scenarios.push_back(
-      {"Cascade Foamworks, 18 runners", cascade, UnevenCallers(16, 8)});
-  auto desk = UnevenCallers(16, 8);
-  CallerPlan action;
-  action.name = "desk";
-  action.is_interactive = true;
-  action.period = milliseconds(200);
-  action.median_cost = 30;
-  action.largest_cost = 100;
-  action.cost_hint = 30;
-  action.routers = {0, 1, 2, 3, 4, 5, 6, 7};
-  desk.push_back(action);
+      {"Cascade Foamworks, 18 runners", cascade, UnevenCallers()});
+  auto desk = UnevenCallers();
+  desk.push_back(DeskCaller());
   scenarios.push_back({"interactive beside a flood", {}, desk});
   return scenarios;
 }
--- a/bench/fleet_driver.cpp
+++ b/bench/fleet_driver.cpp
@@ -24,6 +24,30 @@
 
 }  // namespace
 
+auto UnevenCallers(int count) -> std::vector<CallerPlan> {
+  std::vector<CallerPlan> callers;
+  for (int i = 0; i < count; ++i) {
+    CallerPlan caller;
+    caller.name = "c" + std::to_string(i);
+    caller.weight = i < 3 ? 4 : 1;
+    caller.routers = {i % 2 == 0 ? (i / 2) % 2 : i % 8};
+    callers.push_back(caller);
+  }
+  return callers;
+}
+
+auto DeskCaller() -> CallerPlan {
+  CallerPlan desk;
+  desk.name = "desk";
+  desk.is_interactive = true;
+  desk.period = milliseconds(200);
+  desk.median_cost = 30;
+  desk.largest_cost = 100;
+  desk.cost_hint = 30;
+  desk.routers = {0, 1, 2, 3, 4, 5, 6, 7};
+  return desk;
+}
+
 FleetDriver::FleetDriver(const FleetPlan& plan, std::vector<CallerPlan> callers)
     : plan_(plan), random_(plan.seed) {
   for (int i = 0; i < plan.targets; ++i) {
--- a/bench/fleet_driver.h
+++ b/bench/fleet_driver.h
@@ -51,6 +51,14 @@
   bool has_idempotency_keys = false;
 };
 
+// Customers that are always backlogged, three of them of weight 4, half of
+// them on two of eight routers.
+auto UnevenCallers(int count = 16) -> std::vector<CallerPlan>;
+
+// A customer with five short interactive requests a second, at all of eight
+// routers in turn.
+auto DeskCaller() -> CallerPlan;
+
 // What one customer got.
 struct CallerResult {
   double served = 0;
--- a/capacity/slot_borrower.cpp
+++ b/capacity/slot_borrower.cpp
@@ -6,10 +6,6 @@
 namespace papayaplank {
 namespace {
 
-auto Least(SlotCounts a, SlotCounts b) -> SlotCounts {
-  return {std::min(a.shared, b.shared), std::min(a.headroom, b.headroom)};
-}
-
 auto ToMicroseconds(Time time) -> std::int64_t {
   return time.time_since_epoch().count();
 }
--- a/capacity/slot_messages.h
+++ b/capacity/slot_messages.h
@@ -2,6 +2,7 @@
 #ifndef CAPACITY_SLOT_MESSAGES_H_
 #define CAPACITY_SLOT_MESSAGES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -21,6 +22,14 @@
       -> bool = default;
 };
 
+// The smaller and the larger count of each kind.
+inline auto Least(SlotCounts a, SlotCounts b) -> SlotCounts {
+  return {std::min(a.shared, b.shared), std::min(a.headroom, b.headroom)};
+}
+inline auto Most(SlotCounts a, SlotCounts b) -> SlotCounts {
+  return {std::max(a.shared, b.shared), std::max(a.headroom, b.headroom)};
+}
+
 // Times and thresholds of slot lending. The borrower stops using a lease
 // `margin` before its duration ends, counted from before the owner granted
 // it; the owner takes the slots back `margin` after.
--- a/capacity/slot_owner.cpp
+++ b/capacity/slot_owner.cpp
@@ -3,19 +3,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace papayaplank {
-namespace {
-
-auto Least(SlotCounts a, SlotCounts b) -> SlotCounts {
-  return {std::min(a.shared, b.shared), std::min(a.headroom, b.headroom)};
-}
-
-auto Most(SlotCounts a, SlotCounts b) -> SlotCounts {
-  return {std::max(a.shared, b.shared), std::max(a.headroom, b.headroom)};
-}
-
-}  // namespace
 
 SlotOwner::SlotOwner(RouterId self, LeaseOptions options,
                      LatencyObjective objective)
@@ -98,11 +88,8 @@
     const auto found = target.leases.find(demand.router);
     if (found == target.leases.end() || found->second.is_confirmed) continue;
     auto& lease = found->second;
-    lease.echo_us = demand.sent_at_us;
-    lease.expires = now + options_.duration + options_.margin;
-    lease.sequence = next_sequence_++;
-    lease.unseen.push_back({lease.sequence, lease.allowed});
-    resends_.push_back(UpdateFor(id, demand.router, lease));
+    resends_.push_back(
+        {demand.router, Renew(id, lease, demand.sent_at_us, now)});
   }
 }
 
@@ -149,14 +136,10 @@
   const auto is_renewed = now - lease.renewed_at < options_.renew_period / 2;
   if (!is_news && is_renewed) return std::nullopt;
   lease.renewed_at = now;
-  lease.echo_us = echo_us;
-  lease.expires = now + options_.duration + options_.margin;
-  lease.sequence = next_sequence_++;
-  lease.unseen.push_back({lease.sequence, lease.allowed});
-  auto update = UpdateFor(target.info.id, borrower, lease);
-  update.update.is_over = lease.counted.total() == 0;
-  if (update.update.is_over) target.leases.erase(borrower);
-  return update;
+  auto update = Renew(target.info.id, lease, echo_us, now);
+  update.is_over = lease.counted.total() == 0;
+  if (update.is_over) target.leases.erase(borrower);
+  return AddressedUpdate{borrower, std::move(update)};
 }
 
 auto SlotOwner::CountHeld(const HeldLease& held, Lease& lease) -> void {
@@ -238,10 +221,7 @@
   lease.allowed.shared += counts.shared;
   lease.allowed.headroom += counts.headroom;
   lease.is_confirmed = false;
-  lease.echo_us = demand.request.sent_at_us;
-  lease.expires = now + options_.duration + options_.margin;
-  lease.sequence = next_sequence_++;
-  lease.unseen.push_back({lease.sequence, lease.allowed});
+  auto update = Renew(target.info.id, lease, demand.request.sent_at_us, now);
   demand.request.wanted.shared -= counts.shared;
   demand.request.wanted.headroom -= counts.headroom;
   // The borrower will charge a request to this slot; until it reports, its
@@ -249,13 +229,15 @@
   const auto weight = Weight{std::max(0.01, demand.request.backlog_weight)};
   demand.request.virtual_time =
       demand.request.virtual_time + demand.request.mean_estimate / weight;
-  return UpdateFor(target.info.id, borrower, lease);
+  return {borrower, std::move(update)};
 }
 
-auto SlotOwner::UpdateFor(const TargetId& target, const RouterId& borrower,
-                          const Lease& lease) const -> AddressedUpdate {
-  return {borrower,
-          {target, lease.sequence, lease.allowed, lease.echo_us, false}};
+auto SlotOwner::Renew(const TargetId& target, Lease& lease,
+                      std::int64_t echo_us, Time now) -> LeaseUpdate {
+  lease.expires = now + options_.duration + options_.margin;
+  lease.sequence = next_sequence_++;
+  lease.unseen.push_back({lease.sequence, lease.allowed});
+  return {target, lease.sequence, lease.allowed, echo_us, false};
 }
 
 auto SlotOwner::Expire(Time now) -> void {
--- a/capacity/slot_owner.h
+++ b/capacity/slot_owner.h
@@ -89,7 +89,6 @@
     // What the borrower is allowed; below `counted` while slots are recalled.
     SlotCounts allowed;
     Time expires{};
-    std::int64_t echo_us = 0;
     // Send time of the newest report, so that a late one changes nothing.
     std::int64_t reported_us = 0;
     Time renewed_at{};
@@ -117,8 +116,10 @@
   auto Grant(OwnedTarget& target, Demand& demand, SlotCounts counts, Time now)
       -> AddressedUpdate;
   auto ResendUnconfirmed(const SlotDemand& demand, Time now) -> void;
-  auto UpdateFor(const TargetId& target, const RouterId& borrower,
-                 const Lease& lease) const -> AddressedUpdate;
+  // Extends a lease and makes the update that says so; it answers a message
+  // that the borrower sent at `echo_us`.
+  auto Renew(const TargetId& target, Lease& lease, std::int64_t echo_us,
+             Time now) -> LeaseUpdate;
   auto Settle(OwnedTarget& target, const RouterId& borrower,
               const HeldLease& held, const LocalDemand& local,
               std::int64_t echo_us, Time now) -> std::optional<AddressedUpdate>;
--- a/tests/router/test_fleet.cpp
+++ b/tests/router/test_fleet.cpp
@@ -13,18 +13,6 @@
 constexpr double kTokensPerSecond = 1000.0 / 13;
 constexpr double kControlBytesPerSecond = 5000;
 
-auto UnevenCallers(int count = 16) -> std::vector<CallerPlan> {
-  std::vector<CallerPlan> callers;
-  for (int i = 0; i < count; ++i) {
-    CallerPlan caller;
-    caller.name = "c" + std::to_string(i);
-    caller.weight = i < 3 ? 4 : 1;
-    caller.routers = {i % 2 == 0 ? (i / 2) % 2 : i % 8};
-    callers.push_back(caller);
-  }
-  return callers;
-}
-
 // The bound of docs/DESIGN.md: twice the service that a customer's fair share
 // of slots can be ahead by, the lending threshold, and what the virtual time
 // grows by while news travels.
@@ -132,14 +120,7 @@
 }
 
 TEST(FleetTest, InteractiveRequestsPassAFlood) {
-  CallerPlan desk;
-  desk.name = "desk";
-  desk.is_interactive = true;
-  desk.period = milliseconds(200);
-  desk.median_cost = 30;
-  desk.largest_cost = 100;
-  desk.cost_hint = 30;
-  desk.routers = {0, 1, 2, 3, 4, 5, 6, 7};
+  const auto desk = DeskCaller();
   const auto p99 = [](std::vector<double> waits) {
     std::sort(waits.begin(), waits.end());
     return waits[waits.size() * 99 / 100];
