--- /dev/null
+++ b/admission/engine_load.cpp
@@ -0,0 +1,149 @@
+// Forecast of the time to the first token, learnt while running.
+#include "admission/engine_load.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+// A peer that has not told its share for this long holds nothing there any
+// more, as far as is known; source: five report periods.
+constexpr Duration kPeerShareLife = milliseconds(1500);
+// Weight of a new sample in the moving averages.
+constexpr double kLearnWeight = 0.1;
+// A prompt queue that shows the prefill rate; shorter ones show the base time.
+constexpr double kMinTokensForRate = 3000;
+constexpr double kMinPrefillRate = 1;
+constexpr double kMaxPrefillRate = 500;
+// Share of the memory to plan for; the rest absorbs errors of the estimate, as
+// a target that runs out reads a request anew.
+constexpr double kPlannedMemoryShare = 0.92;
+
+auto ToMs(Duration duration) -> double {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+auto FromMs(double ms) -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+auto Average(double& average, double sample, double weight) -> void {
+  average += weight * (sample - average);
+}
+
+}  // namespace
+
+auto EngineLoad::Reset() -> void {
+  own_ = {};
+  running_.clear();
+  peers_.clear();
+  waiting_.clear();
+}
+
+auto EngineLoad::Start(RequestNumber number, double prompt_tokens,
+                       double memory_tokens, Time now) -> void {
+  const auto forecast = Forecast(prompt_tokens, memory_tokens, now);
+  Running running;
+  running.prompt_tokens = prompt_tokens;
+  running.memory_tokens = memory_tokens;
+  running.started_at = now;
+  running.tokens_before = Total(now).queued_tokens;
+  running.expected = forecast.first_token();
+  running_[number] = running;
+  waiting_.push_back(number);
+  own_.queued_tokens += prompt_tokens;
+  own_.memory_tokens += memory_tokens;
+  ++own_.requests;
+}
+
+auto EngineLoad::RecordFirstToken(RequestNumber number, Time now) -> void {
+  const auto found = running_.find(number);
+  if (found == running_.end() || found->second.has_first_token) return;
+  auto& running = found->second;
+  running.has_first_token = true;
+  own_.queued_tokens =
+      std::max(0.0, own_.queued_tokens - running.prompt_tokens);
+  LearnFirstToken(running, now - running.started_at);
+}
+
+auto EngineLoad::LearnFirstToken(const Running& running, Duration elapsed)
+    -> void {
+  const auto tokens = running.tokens_before + running.prompt_tokens;
+  const auto elapsed_ms = ToMs(elapsed);
+  if (tokens < kMinTokensForRate) {
+    Average(base_ms_, elapsed_ms, kLearnWeight);
+    return;
+  }
+  const auto rate = tokens / std::max(1.0, elapsed_ms - base_ms_ / 2);
+  Average(prefill_rate_, std::clamp(rate, kMinPrefillRate, kMaxPrefillRate),
+          kLearnWeight);
+}
+
+auto EngineLoad::End(RequestNumber number, Time now) -> void {
+  const auto found = running_.find(number);
+  if (found == running_.end()) return;
+  const auto& running = found->second;
+  if (!running.has_first_token) {
+    own_.queued_tokens =
+        std::max(0.0, own_.queued_tokens - running.prompt_tokens);
+  } else {
+    Average(hold_ms_, ToMs(now - running.started_at), kLearnWeight);
+  }
+  own_.memory_tokens =
+      std::max(0.0, own_.memory_tokens - running.memory_tokens);
+  --own_.requests;
+  running_.erase(found);
+}
+
+auto EngineLoad::SetPeer(const RouterId& peer, const LoadShare& share, Time now)
+    -> void {
+  if (share.requests == 0 && share.queued_tokens == 0) {
+    peers_.erase(peer);
+    return;
+  }
+  peers_[peer] = PeerShare{share, now};
+}
+
+auto EngineLoad::Total(Time now) const -> LoadShare {
+  auto total = own_;
+  for (const auto& [peer, told] : peers_) {
+    if (now - told.told_at > kPeerShareLife) continue;
+    total.queued_tokens += told.share.queued_tokens;
+    total.memory_tokens += told.share.memory_tokens;
+    total.requests += told.share.requests;
+  }
+  return total;
+}
+
+auto EngineLoad::Overdue(Time now) const -> Duration {
+  while (!waiting_.empty()) {
+    const auto found = running_.find(waiting_.front());
+    if (found != running_.end() && !found->second.has_first_token) break;
+    waiting_.pop_front();
+  }
+  if (waiting_.empty()) return Duration{};
+  const auto& oldest = running_.at(waiting_.front());
+  return std::max(Duration{}, now - oldest.started_at - oldest.expected);
+}
+
+auto EngineLoad::Forecast(double prompt_tokens, double memory_tokens,
+                          Time now) const -> LoadForecast {
+  const auto total = Total(now);
+  LoadForecast forecast;
+  const auto slots = std::max(1, size_.slots);
+  forecast.batch_share = static_cast<double>(total.requests) / slots;
+  auto wait_ms = base_ms_ + total.queued_tokens / prefill_rate_;
+  if (total.requests >= slots) {
+    wait_ms += (total.requests - slots + 1) * hold_ms_ / slots;
+  }
+  forecast.queue_wait = std::max(FromMs(wait_ms), Overdue(now));
+  forecast.own_prefill = FromMs(prompt_tokens / prefill_rate_);
+  if (size_.memory_tokens > 0) {
+    forecast.has_memory = total.memory_tokens + memory_tokens <=
+                          size_.memory_tokens * kPlannedMemoryShare;
+  }
+  return forecast;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/admission/fair_share.h
@@ -0,0 +1,70 @@
+// Even shares of the fleet's throughput. Load pattern: one customer floods, or
+// all together ask for more than the targets produce.
+#ifndef ADMISSION_FAIR_SHARE_H_
+#define ADMISSION_FAIR_SHARE_H_
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+// Tokens a second of one customer: asked for, and served.
+struct CustomerRate {
+  double asked = 0;
+  double served = 0;
+};
+
+// Rates of all customers over the fleet, from this router's own requests and
+// what its peers tell. A prompt token counts once, a generated one twice.
+class FairShare {
+ public:
+  using Rates = std::unordered_map<CustomerId, CustomerRate>;
+
+  auto SetCapacity(double tokens_per_second) -> void;
+
+  auto RecordAsked(const CustomerId& customer, double tokens, Time now) -> void;
+  auto RecordServed(const CustomerId& customer, double tokens, Time now)
+      -> void;
+
+  auto OwnRates(Time now) const -> Rates;
+  auto SetPeer(const RouterId& peer, Rates rates, Time now) -> void;
+
+  // Service of the customer divided by the even share: above 1 it has had more
+  // than its max-min share lately; 0 when nobody has to yield.
+  auto ShareUsed(const CustomerId& customer, Time now) const -> double;
+
+ private:
+  struct Decayed {
+    double tokens = 0;
+    Time at{};
+  };
+  struct Account {
+    Decayed asked;
+    Decayed served;
+  };
+  struct PeerRates {
+    Rates rates;
+    Time told_at{};
+  };
+
+  static auto Add(Decayed& sum, double tokens, Time now) -> void;
+  static auto Rate(const Decayed& sum, Time now) -> double;
+  auto FleetRates(Time now) const -> Rates;
+  // The level up to which customers get what they ask for.
+  auto Level(const Rates& rates) const -> double;
+
+  double capacity_ = 0;
+  std::unordered_map<CustomerId, Account> accounts_;
+  std::map<RouterId, PeerRates> peers_;
+  // Fleet rates as of `computed_at_`; recomputed at most every `kRefresh`.
+  mutable Rates fleet_;
+  mutable double level_ = 0;
+  mutable Time computed_at_{};
+};
+
+}  // namespace papayaplank
+
+#endif  // ADMISSION_FAIR_SHARE_H_
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,12 @@
+// Public header of the gateway library: all decisions of one router on the
+// path from a caller to a target, without sockets, threads or clocks.
+#ifndef GATEWAY_GATEWAY_H_
+#define GATEWAY_GATEWAY_H_
+
+#include "gateway/gateway_core.h"
+#include "gateway/peer_report.h"
+#include "gateway/peer_table.h"
+#include "gateway/placement_policy.h"
+#include "gateway/request.h"
+
+#endif  // GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/gateway/gateway_core.h
@@ -0,0 +1,140 @@
+// All decisions of one router about requests, targets and peers. It holds no
+// socket and reads no clock; the shells call it and do what it returns.
+#ifndef GATEWAY_GATEWAY_CORE_H_
+#define GATEWAY_GATEWAY_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "gateway/peer_report.h"
+#include "gateway/peer_table.h"
+#include "gateway/placement_policy.h"
+#include "gateway/request.h"
+
+namespace papayaplank {
+
+// Who this router is and which bounds it keeps.
+struct GatewayOptions {
+  RouterId router;
+  std::int64_t started_unix_ms = 0;
+  std::string peer_address;
+  std::string caller_address;
+  DataCenterId data_center;
+  // A revoked key works no longer than this after its revocation.
+  Duration revocation_bound = seconds(5);
+  RetryBound retries;
+  // Time from the order to stop until the process is killed.
+  Duration stop_grace = seconds(8);
+  std::uint64_t seed = 0;
+};
+
+// What a caller says of its request.
+struct RequestFacts {
+  std::string_view host;
+  std::string_view path;
+  // Empty if there is none.
+  std::string key;
+  PromptFacts prompt;
+  // How long the caller waits; zero if it does not say.
+  Duration caller_wait{};
+};
+
+// Counts since the start, for metrics.
+struct GatewayCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t sends = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed_sends = 0;
+};
+
+// The decisions of one router.
+class GatewayCore {
+ public:
+  using Accepted = std::variant<GatewayRequest, Refusal>;
+
+  explicit GatewayCore(GatewayOptions options);
+
+  // News.
+  // Takes a version unless a newer one is in force; whether it was taken.
+  auto SetTable(std::shared_ptr<const RoutingTable> table) -> bool;
+  // A successful read of the newest configuration was sent at `sent_at`.
+  auto ConfirmConfiguration(Time sent_at) -> void;
+  auto SetTargets(const std::vector<TargetRow>& rows, Time now)
+      -> DirectoryChange;
+  auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
+  auto TakeReport(const PeerReport& report, Time now) -> void;
+  // The process stood still: leases and confirmations are void.
+  auto RecordPause(Time now) -> void;
+  auto BeginStop(Time now) -> void;
+
+  // Requests.
+  auto Accept(const RequestFacts& facts, Time now) -> Accepted;
+  // Chooses a target and counts the request there, or refuses it.
+  auto Place(GatewayRequest& request, Time now) -> PlacementResult;
+  auto RecordFirstToken(const Placement& placement, Time now) -> void;
+  auto RecordEnd(const GatewayRequest& request, const Placement& placement,
+                 SendOutcome outcome, Time now) -> void;
+  // Whether the request may be sent once more after such an end. `events`
+  // tells whether the caller has seen a part of the answer.
+  auto MayRepeat(const GatewayRequest& request, SendOutcome outcome,
+                 bool has_events, Time now) -> bool;
+
+  // Peers and callers that look for a router.
+  auto MakeReport(Time now) -> PeerReport;
+  auto ReportAddresses(Time now) -> std::vector<std::string>;
+  auto CallerAddresses(const DataCenterId& near, Time now) const
+      -> std::vector<std::string>;
+
+  // State.
+  auto is_ready(Time now) const -> bool;
+  auto is_leaving() const -> bool { return is_leaving_; }
+  auto table() const -> const std::shared_ptr<const RoutingTable>& {
+    return table_;
+  }
+  auto directory() const -> const TargetDirectory& { return directory_; }
+  auto key_age(Time now) const -> Duration { return keys_.Age(now); }
+  auto counters() const -> const GatewayCounters& { return counters_; }
+  // Connections that this router may hold to one target of the service.
+  auto ConnectionShare(const PoolId& pool, Time now) const -> std::size_t;
+
+ private:
+  auto FindOptions(const GatewayRequest& request, Time now)
+      -> std::vector<TargetOption>;
+  auto HomeOf(const std::vector<TargetRow>& targets,
+              const std::vector<PromptPart>& parts) const -> TargetId;
+  auto ChoosePool(const Route& route) -> PoolId;
+  auto LoadOf(const TargetRow& target) -> EngineLoad&;
+  auto ForgetTarget(const TargetId& target, Time now) -> void;
+
+  GatewayOptions options_;
+  Random random_;
+  std::shared_ptr<const RoutingTable> table_;
+  KeyValidity keys_;
+  TargetDirectory directory_;
+  PeerTable peers_;
+  PrefixHomes prefixes_;
+  FairShare shares_;
+  RetryWindow retries_;
+  TargetOutcomes outcomes_;
+  std::unordered_map<TargetId, EngineLoad> loads_;
+  // Targets by their short names in reports.
+  std::unordered_map<std::uint32_t, TargetId> by_hash_;
+  std::uint64_t next_number_ = 1;
+  std::uint64_t report_sequence_ = 0;
+  bool is_leaving_ = false;
+  Time leaving_since_{};
+  GatewayCounters counters_;
+};
+
+}  // namespace papayaplank
+
+#endif  // GATEWAY_GATEWAY_CORE_H_
--- /dev/null
+++ b/gateway/peer_table.cpp
@@ -0,0 +1,91 @@
+// Liveness of peers by their reports.
+#include "gateway/peer_table.h"
+
+namespace papayaplank {
+namespace {
+
+// A router that is silent for longer is not named to callers; source: ten
+// report periods.
+constexpr Duration kLiveFor = milliseconds(1200);
+// A silent address is reported to for this long, so that a healed partition
+// is noticed.
+constexpr Duration kForgetAfter = seconds(60);
+
+}  // namespace
+
+auto PeerTable::AddSeeds(const std::vector<PeerSeed>& seeds, Time now) -> void {
+  for (const auto& seed : seeds) {
+    if (seed.peer_address == self_address_) continue;
+    auto& peer = peers_[seed.peer_address];
+    peer.added_at = now;
+  }
+}
+
+auto PeerTable::Take(const PeerReport& report, Time now) -> bool {
+  if (report.peer_address == self_address_) return false;
+  auto& peer = peers_[report.peer_address];
+  const auto& known = peer.report;
+  if (peer.is_heard) {
+    const auto is_older =
+        report.started_unix_ms < known.started_unix_ms ||
+        (report.started_unix_ms == known.started_unix_ms &&
+         report.sequence <= known.sequence);
+    if (is_older) return false;
+  }
+  peer.report = report;
+  peer.report.loads.clear();
+  peer.report.rates.clear();
+  peer.heard_at = now;
+  peer.added_at = now;
+  peer.is_heard = true;
+  return true;
+}
+
+auto PeerTable::Addresses(Time now) -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (now - it->second.added_at > kForgetAfter) {
+      it = peers_.erase(it);
+      continue;
+    }
+    addresses.push_back(it->first);
+    ++it;
+  }
+  return addresses;
+}
+
+auto PeerTable::IsLive(const Peer& peer, Time now) const -> bool {
+  return peer.is_heard && now - peer.heard_at <= kLiveFor;
+}
+
+auto PeerTable::ServingNear(const DataCenterId& data_center, Time now) const
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    const auto& report = peer.report;
+    if (!IsLive(peer, now) || report.is_leaving || !report.is_ready) continue;
+    if (report.data_center != data_center) continue;
+    addresses.push_back(report.caller_address);
+  }
+  return addresses;
+}
+
+auto PeerTable::Serving(Time now) const -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    const auto& report = peer.report;
+    if (!IsLive(peer, now) || report.is_leaving || !report.is_ready) continue;
+    addresses.push_back(report.caller_address);
+  }
+  return addresses;
+}
+
+auto PeerTable::LiveCount(Time now) const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now)) ++count;
+  }
+  return count;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/gateway/peer_table.h
@@ -0,0 +1,56 @@
+// The other routers, from rows in the store and from their reports.
+#ifndef GATEWAY_PEER_TABLE_H_
+#define GATEWAY_PEER_TABLE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gateway/peer_report.h"
+
+namespace papayaplank {
+
+// Where a router is found before it has been heard.
+struct PeerSeed {
+  std::string peer_address;
+};
+
+// Routers by the address of their peer socket.
+class PeerTable {
+ public:
+  // `self_address` is left out.
+  explicit PeerTable(std::string self_address)
+      : self_address_(std::move(self_address)) {}
+
+  // Adds addresses to report to; an address that is not heard for
+  // `kForgetAfter` is dropped unless it is named again.
+  auto AddSeeds(const std::vector<PeerSeed>& seeds, Time now) -> void;
+  // Whether the report is newer than what is known.
+  auto Take(const PeerReport& report, Time now) -> bool;
+
+  // Everybody to report to.
+  auto Addresses(Time now) -> std::vector<std::string>;
+  // Callers' addresses of the routers that were heard lately and serve.
+  auto ServingNear(const DataCenterId& data_center, Time now) const
+      -> std::vector<std::string>;
+  auto Serving(Time now) const -> std::vector<std::string>;
+  // Routers heard lately.
+  auto LiveCount(Time now) const -> std::size_t;
+
+ private:
+  struct Peer {
+    PeerReport report;
+    Time added_at{};
+    Time heard_at{};
+    bool is_heard = false;
+  };
+
+  auto IsLive(const Peer& peer, Time now) const -> bool;
+
+  std::string self_address_;
+  std::map<std::string, Peer> peers_;
+};
+
+}  // namespace papayaplank
+
+#endif  // GATEWAY_PEER_TABLE_H_
--- /dev/null
+++ b/gateway/placement_policy.h
@@ -0,0 +1,42 @@
+// Choice of the target and the decision whether a request is served at all.
+#ifndef GATEWAY_PLACEMENT_POLICY_H_
+#define GATEWAY_PLACEMENT_POLICY_H_
+
+#include <vector>
+
+#include "gateway/request.h"
+
+namespace papayaplank {
+
+// A target with what the request would meet there.
+struct TargetOption {
+  const TargetRow* target = nullptr;
+  LoadForecast forecast;
+  double tokens_to_read = 0;
+  bool is_near = false;
+  bool is_home = false;
+  bool is_resting = false;
+  double failure_rate = 0;
+};
+
+// What decides how long a request may wait.
+struct AdmissionTerms {
+  Duration objective{};
+  // Time that is left until the deadline.
+  Duration time_left{};
+  // 1 and above: the customer has had its even share.
+  double share_used = 0;
+  bool is_engine = false;
+};
+
+// The option with the least expected time; null if there is none.
+auto ChooseOption(const std::vector<TargetOption>& options,
+                  const AdmissionTerms& terms) -> const TargetOption*;
+
+// Whether the request is served at the option, and why not.
+auto CheckAdmission(const TargetOption& option, const AdmissionTerms& terms)
+    -> std::variant<Done, Refusal>;
+
+}  // namespace papayaplank
+
+#endif  // GATEWAY_PLACEMENT_POLICY_H_
--- /dev/null
+++ b/relay/event_log.cpp
@@ -0,0 +1,98 @@
+// Formatting, budgets and non-blocking writes.
+#include "relay/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace papayaplank {
+namespace {
+
+// Lines a second of one event, and the burst; bounds the processor time of
+// logging on small instances.
+constexpr double kFailureLinesPerSecond = 20;
+constexpr double kRoutineLinesPerSecond = 1;
+constexpr double kBurstSeconds = 2;
+
+auto RateOf(LogClass log_class) -> double {
+  return log_class == LogClass::kFailure ? kFailureLinesPerSecond
+                                         : kRoutineLinesPerSecond;
+}
+
+auto UnixMilliseconds() -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+EventLog::EventLog(int descriptor, std::string router)
+    : descriptor_(descriptor), router_(std::move(router)) {
+  const auto flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+}
+
+auto EventLog::TakeBudget(LogClass log_class, std::string_view event, Time now)
+    -> bool {
+  if (log_class == LogClass::kState) return true;
+  const auto rate = RateOf(log_class);
+  const auto burst = rate * kBurstSeconds;
+  const auto [entry, is_new] =
+      buckets_.try_emplace(std::string(event), Bucket{burst, now});
+  auto& bucket = entry->second;
+  const auto elapsed =
+      std::chrono::duration<double>(now - bucket.filled_at).count();
+  bucket.lines = std::min(burst, bucket.lines + elapsed * rate);
+  bucket.filled_at = now;
+  if (bucket.lines < 1) return false;
+  bucket.lines -= 1;
+  return true;
+}
+
+auto EventLog::Write(LogClass log_class, std::string_view event,
+                     LogFields fields) -> void {
+  if (!TakeBudget(log_class, event, FleetClock::now())) {
+    ++dropped_;
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["time_ms"] = UnixMilliseconds();
+  line["router"] = router_;
+  line["event"] = event;
+  for (const auto& [name, value] : fields) {
+    std::visit([&line, name = name](const auto& v) { line[name] = v; }, value);
+  }
+  if (dropped_ != reported_dropped_) {
+    line["lines_dropped"] = dropped_;
+    reported_dropped_ = dropped_;
+  }
+  // Bytes of a caller that are no UTF-8 are replaced.
+  WriteLine(line.dump(-1, ' ', false,
+                      nlohmann::json::error_handler_t::replace) +
+            "\n");
+}
+
+auto EventLog::WriteLine(const std::string& line) -> void {
+  if (!pending_.empty()) {
+    const auto written = write(descriptor_, pending_.data(), pending_.size());
+    if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
+    if (!pending_.empty()) {
+      ++dropped_;
+      return;
+    }
+  }
+  const auto written = write(descriptor_, line.data(), line.size());
+  if (written < 0) {
+    ++dropped_;
+    return;
+  }
+  if (static_cast<std::size_t>(written) < line.size()) {
+    pending_ = line.substr(static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/http_connection.cpp
@@ -0,0 +1,253 @@
+// Reading of requests and writing of answers.
+#include "relay/http_connection.h"
+
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+
+#include "relay/socket_options.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+// Bytes of later requests that are kept while an answer is under way.
+constexpr std::size_t kMaxPipelined = 65536;
+
+// Connections share one buffer, as one task reads them all.
+auto ReadBuffer() -> std::array<char, kReadBytes>& {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+auto ExpectsContinue(const HttpFields& fields) -> bool {
+  for (const auto& [name, value] : fields) {
+    if (boost::iequals(name, "Expect")) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(tcp::socket socket, CallerLimits limits,
+                               RequestHook on_request)
+    : socket_(std::move(socket)),
+      limits_(limits),
+      on_request_(std::move(on_request)) {}
+
+auto HttpConnection::Start() -> void {
+  SetSocketOptions(socket_);
+  last_activity_ = FleetClock::now();
+  WaitReadable();
+}
+
+auto HttpConnection::Close() -> void {
+  if (!socket_.is_open()) return;
+  error_code ignored;  // The socket is given up whatever its state.
+  socket_.close(ignored);
+  is_answering_ = false;
+  on_drained_ = nullptr;
+  const auto on_left = std::exchange(on_caller_left_, nullptr);
+  if (on_left) on_left();
+}
+
+auto HttpConnection::WaitReadable() -> void {
+  if (is_reading_ || !socket_.is_open()) return;
+  if (is_answering_ && in_.size() >= kMaxPipelined) return;
+  is_reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->is_reading_ = false;
+                       if (!error) self->OnReadable();
+                     });
+}
+
+auto HttpConnection::OnReadable() -> void {
+  if (!socket_.is_open()) return;
+  auto& buffer = ReadBuffer();
+  error_code error;
+  const auto count = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) return WaitReadable();
+  if (error) return Close();
+  last_activity_ = FleetClock::now();
+  in_.append(buffer.data(), count);
+  HandleInput();
+  WaitReadable();
+}
+
+auto HttpConnection::HandleInput() -> void {
+  if (is_answering_ || is_closing_ || in_.empty()) return;
+  if (!reader_) {
+    body_.clear();
+    has_continued_ = false;
+    reader_.emplace(limits_.header_bytes, limits_.body_bytes,
+                    [this](std::string_view bytes) { body_.append(bytes); });
+  }
+  using Progress = RequestReader::Progress;
+  constexpr int kBadRequest = 400;
+  constexpr int kBodyTooLarge = 413;
+  constexpr int kHeadersTooLarge = 431;
+  switch (reader_->Read(in_)) {
+    case Progress::kInvalid:
+      return Reject(kBadRequest);
+    case Progress::kTooLarge:
+      return Reject(reader_->is_header_done() ? kBodyTooLarge
+                                              : kHeadersTooLarge);
+    case Progress::kDone:
+      return Dispatch();
+    case Progress::kHeader:
+    case Progress::kNeedMore:
+      break;
+  }
+  if (!reader_->is_header_done()) {
+    if (in_.size() > limits_.header_bytes) Reject(kHeadersTooLarge);
+    return;
+  }
+  if (has_continued_ || !ExpectsContinue(reader_->fields())) return;
+  has_continued_ = true;
+  Write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+auto HttpConnection::Reject(int status) -> void {
+  is_answering_ = true;
+  is_closing_ = true;
+  Answer(status, "", "");
+}
+
+auto HttpConnection::Dispatch() -> void {
+  HttpServerRequest request;
+  request.method = reader_->method();
+  request.target = reader_->target();
+  request.fields = std::move(reader_->fields());
+  request.body = std::move(body_);
+  body_ = std::string();
+  if (!reader_->keep_alive()) is_closing_ = true;
+  is_head_request_ = request.method == "HEAD";
+  reader_.reset();
+  is_answering_ = true;
+  on_request_(shared_from_this(), std::move(request));
+}
+
+auto HttpConnection::AnswerHead(int status, std::string_view headers) const
+    -> std::string {
+  const auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(reason.data(), reason.size()).append("\r\n").append(headers);
+  if (is_closing_) head.append("Connection: close\r\n");
+  return head;
+}
+
+auto HttpConnection::Answer(int status, std::string_view headers,
+                            std::string_view body) -> void {
+  if (!is_answering_) return;
+  auto message = AnswerHead(status, headers);
+  message.append("Content-Length: ").append(std::to_string(body.size()));
+  message.append("\r\n\r\n");
+  if (!is_head_request_) message.append(body);
+  Write(message);
+  EndAnswer();
+}
+
+auto HttpConnection::BeginAnswer(int status, std::string_view headers) -> void {
+  if (!is_answering_) return;
+  is_chunked_ = true;
+  Write(AnswerHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+auto HttpConnection::Append(std::string_view bytes) -> void {
+  if (!is_answering_ || bytes.empty() || is_head_request_) return;
+  std::array<char, 20> size{};
+  const auto length =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk;
+  chunk.reserve(bytes.size() + size.size());
+  chunk.append(size.data(), static_cast<std::size_t>(length));
+  chunk.append(bytes).append("\r\n");
+  Write(chunk);
+}
+
+auto HttpConnection::FinishAnswer() -> void {
+  if (!is_answering_) return;
+  if (is_chunked_ && !is_head_request_) Write("0\r\n\r\n");
+  is_chunked_ = false;
+  EndAnswer();
+}
+
+auto HttpConnection::EndAnswer() -> void {
+  is_answering_ = false;
+  on_caller_left_ = nullptr;
+  on_drained_ = nullptr;
+  last_activity_ = FleetClock::now();
+  if (is_closing_) {
+    if (out_.empty()) {
+      error_code ignored;  // The caller may have closed first.
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      // Unread bytes would turn the close into a reset that loses the answer.
+      auto& buffer = ReadBuffer();
+      while (socket_.is_open() &&
+             socket_.read_some(asio::buffer(buffer), ignored) > 0) {
+      }
+      Close();
+    }
+    return;
+  }
+  // The next request may be here already; it is handled from a fresh stack.
+  if (in_.empty()) return;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->HandleInput();
+    self->WaitReadable();
+  });
+}
+
+auto HttpConnection::Write(std::string_view bytes) -> void {
+  if (!socket_.is_open()) return;
+  std::size_t sent = 0;
+  if (out_.empty()) {
+    error_code error;
+    sent = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != asio::error::would_block) return Close();
+  }
+  if (sent == bytes.size()) return;
+  out_.append(bytes.substr(sent));
+  WaitWritable();
+}
+
+auto HttpConnection::WaitWritable() -> void {
+  if (is_writing_ || !socket_.is_open()) return;
+  is_writing_ = true;
+  socket_.async_wait(tcp::socket::wait_write,
+                     [self = shared_from_this()](error_code error) {
+                       self->is_writing_ = false;
+                       if (!error) self->OnWritable();
+                     });
+}
+
+auto HttpConnection::OnWritable() -> void {
+  if (!socket_.is_open()) return;
+  error_code error;
+  const auto sent =
+      socket_.write_some(asio::buffer(out_.data(), out_.size()), error);
+  if (error && error != asio::error::would_block) return Close();
+  out_.erase(0, sent);
+  if (!out_.empty()) return WaitWritable();
+  out_.shrink_to_fit();
+  if (is_closing_ && !is_answering_) return EndAnswer();
+  // The hook may end the answer and with it itself.
+  const auto on_drained = on_drained_;
+  if (on_drained) on_drained();
+}
+
+auto HttpConnection::CheckTimeouts(Time now) -> void {
+  const auto quiet = now - last_activity_;
+  if (is_answering_) return;
+  constexpr int kRequestTimeout = 408;
+  const auto is_reading_request = reader_.has_value() || !in_.empty();
+  if (is_reading_request && quiet > limits_.header_timeout) {
+    return Reject(kRequestTimeout);
+  }
+  if (quiet > limits_.idle_timeout) Close();
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/http_server.cpp
@@ -0,0 +1,84 @@
+// Accepting and sweeping of connections.
+#include "relay/http_server.h"
+
+#include <vector>
+
+#include "relay/socket_options.h"
+
+namespace papayaplank {
+
+HttpServer::HttpServer(asio::io_context& io, LimitsHook limits,
+                       HttpConnection::RequestHook on_request)
+    : io_(io),
+      acceptor_(io),
+      limits_(std::move(limits)),
+      on_request_(std::move(on_request)) {}
+
+auto HttpServer::Listen(const std::string& address) -> Outcome<Done> {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint) {
+    return Error{ErrorCode::kInvalidArgument,
+                 "'" + address + "' is no IP:port"};
+  }
+  error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(*endpoint, error);
+  constexpr int kBacklog = 1024;
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (!error) acceptor_.non_blocking(true, error);
+  if (error) {
+    return Error{ErrorCode::kUnavailable,
+                 "cannot listen on " + address + ": " + error.message()};
+  }
+  WaitForCaller();
+  return Done{};
+}
+
+auto HttpServer::WaitForCaller() -> void {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
+    if (error) return;
+    AcceptAll();
+    WaitForCaller();
+  });
+}
+
+auto HttpServer::AcceptAll() -> void {
+  // Bounded, so that open exchanges get their turn.
+  constexpr int kMaxAccepts = 16;
+  for (int i = 0; i < kMaxAccepts; ++i) {
+    tcp::socket socket(io_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error) return;
+    if (connections_.size() >= max_connections_) continue;
+    const auto connection = std::make_shared<HttpConnection>(
+        std::move(socket), limits_(), on_request_);
+    if (is_leaving_) connection->CloseAfterAnswer();
+    connections_.insert(connection);
+    connection->Start();
+  }
+}
+
+auto HttpServer::CheckTimeouts(Time now) -> void {
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    const auto connection = *it;
+    connection->CheckTimeouts(now);
+    it = connection->is_open() ? std::next(it) : connections_.erase(it);
+  }
+}
+
+auto HttpServer::CloseAfterAnswers() -> void {
+  is_leaving_ = true;
+  for (const auto& connection : connections_) connection->CloseAfterAnswer();
+}
+
+auto HttpServer::CloseAll() -> void {
+  error_code ignored;  // The listener is given up whatever its state.
+  acceptor_.close(ignored);
+  const auto connections = std::move(connections_);
+  connections_.clear();
+  for (const auto& connection : connections) connection->Close();
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/http_server.h
@@ -0,0 +1,50 @@
+// Accepts connections of callers and keeps their time limits.
+#ifndef RELAY_HTTP_SERVER_H_
+#define RELAY_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "relay/asio.h"
+#include "relay/http_connection.h"
+
+namespace papayaplank {
+
+// One listening address.
+class HttpServer {
+ public:
+  using LimitsHook = std::function<CallerLimits()>;
+
+  HttpServer(asio::io_context& io, LimitsHook limits,
+             HttpConnection::RequestHook on_request);
+
+  // Binds and listens; an error names the address.
+  auto Listen(const std::string& address) -> Outcome<Done>;
+  // Closes connections that were idle for too long.
+  auto CheckTimeouts(Time now) -> void;
+  // Ends each connection with its next answer.
+  auto CloseAfterAnswers() -> void;
+  auto CloseAll() -> void;
+  auto connections() const -> std::size_t { return connections_.size(); }
+  auto set_max_connections(std::size_t count) -> void {
+    max_connections_ = count;
+  }
+
+ private:
+  auto WaitForCaller() -> void;
+  auto AcceptAll() -> void;
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  LimitsHook limits_;
+  HttpConnection::RequestHook on_request_;
+  std::unordered_set<std::shared_ptr<HttpConnection>> connections_;
+  std::size_t max_connections_ = 3000;
+  bool is_leaving_ = false;
+};
+
+}  // namespace papayaplank
+
+#endif  // RELAY_HTTP_SERVER_H_
--- /dev/null
+++ b/relay/message_reader.cpp
@@ -0,0 +1,110 @@
+// Parser callbacks.
+#include "relay/message_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace papayaplank {
+namespace {
+
+namespace http = boost::beast::http;
+
+auto IsSizeError(const boost::beast::error_code& error) -> bool {
+  return error == http::error::header_limit ||
+         error == http::error::body_limit ||
+         error == http::error::buffer_overflow;
+}
+
+}  // namespace
+
+template <bool kIsRequest>
+MessageReader<kIsRequest>::MessageReader(std::size_t header_limit,
+                                         std::uint64_t body_limit,
+                                         BodyHook on_body)
+    : on_body_(std::move(on_body)) {
+  this->header_limit(static_cast<std::uint32_t>(header_limit));
+  this->body_limit(body_limit);
+  this->eager(true);
+}
+
+template <bool kIsRequest>
+auto MessageReader<kIsRequest>::Read(std::string& bytes) -> Progress {
+  while (!this->is_done() && !bytes.empty()) {
+    Error error;
+    const auto taken =
+        this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    bytes.erase(0, taken);
+    if (error == http::error::need_more) {
+      if (taken == 0) break;
+      continue;
+    }
+    if (error) return IsSizeError(error) ? Progress::kTooLarge
+                                         : Progress::kInvalid;
+  }
+  if (this->is_done()) return Progress::kDone;
+  if (this->is_header_done() && !is_header_seen_) {
+    is_header_seen_ = true;
+    return Progress::kHeader;
+  }
+  return Progress::kNeedMore;
+}
+
+template <bool kIsRequest>
+auto MessageReader<kIsRequest>::ReadEnd() -> bool {
+  if (this->is_done()) return true;
+  if (!this->is_header_done()) return false;
+  Error error;
+  this->put_eof(error);
+  return !error && this->is_done();
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_request_impl(http::verb, Text method,
+                                                Text target, int, Error&) {
+  method_.assign(method.data(), method.size());
+  target_.assign(target.data(), target.size());
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_response_impl(int code, Text, int, Error&) {
+  status_ = code;
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_field_impl(http::field, Text name,
+                                              Text value, Error&) {
+  fields_.emplace_back(std::string(name.data(), name.size()),
+                       std::string(value.data(), value.size()));
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_header_impl(Error&) {}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_body_init_impl(
+    const boost::optional<std::uint64_t>&, Error&) {}
+
+template <bool kIsRequest>
+std::size_t MessageReader<kIsRequest>::on_body_impl(Text body, Error&) {
+  on_body_(std::string_view(body.data(), body.size()));
+  return body.size();
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_chunk_header_impl(std::uint64_t, Text,
+                                                     Error&) {}
+
+template <bool kIsRequest>
+std::size_t MessageReader<kIsRequest>::on_chunk_body_impl(std::uint64_t,
+                                                          Text body, Error&) {
+  on_body_(std::string_view(body.data(), body.size()));
+  return body.size();
+}
+
+template <bool kIsRequest>
+void MessageReader<kIsRequest>::on_finish_impl(Error&) {}
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/message_reader.h
@@ -0,0 +1,81 @@
+// Incremental reader of HTTP/1.1 messages on Boost.Beast's parser. It takes
+// bytes as they arrive and keeps the body out of memory: body bytes go to a
+// hook.
+#ifndef RELAY_MESSAGE_READER_H_
+#define RELAY_MESSAGE_READER_H_
+
+// Boost 1.74 relies on <utility> without including it.
+#include <utility>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "platform/platform.h"
+
+namespace papayaplank {
+
+// Reads one message; a new reader is made for the next one.
+template <bool kIsRequest>
+class MessageReader : public boost::beast::http::basic_parser<kIsRequest> {
+ public:
+  using BodyHook = std::function<void(std::string_view)>;
+
+  MessageReader(std::size_t header_limit, std::uint64_t body_limit,
+                BodyHook on_body);
+
+  // What became of the bytes.
+  enum class Progress {
+    kNeedMore,  // Everything usable was taken; more bytes are needed.
+    kHeader,    // The header has just become complete.
+    kDone,      // The message is complete.
+    kInvalid,   // The bytes are no HTTP message.
+    kTooLarge,  // The header or the body exceeds its limit.
+  };
+  // Takes bytes from the front of `bytes`, and removes them from it.
+  auto Read(std::string& bytes) -> Progress;
+  // The connection ended in order; whether that completes the message.
+  auto ReadEnd() -> bool;
+
+  auto fields() -> HttpFields& { return fields_; }
+  auto method() const -> const std::string& { return method_; }
+  auto target() const -> const std::string& { return target_; }
+  auto status() const -> int { return status_; }
+
+ private:
+  using Base = boost::beast::http::basic_parser<kIsRequest>;
+  using Text = boost::beast::string_view;
+  using Error = boost::beast::error_code;
+
+  // Callbacks of the parser; the library sets their names.
+  void on_request_impl(boost::beast::http::verb verb, Text method, Text target,
+                       int version, Error& error) override;
+  void on_response_impl(int code, Text reason, int version,
+                        Error& error) override;
+  void on_field_impl(boost::beast::http::field field, Text name, Text value,
+                     Error& error) override;
+  void on_header_impl(Error& error) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         Error& error) override;
+  std::size_t on_body_impl(Text body, Error& error) override;
+  void on_chunk_header_impl(std::uint64_t size, Text extensions,
+                            Error& error) override;
+  std::size_t on_chunk_body_impl(std::uint64_t remain, Text body,
+                                 Error& error) override;
+  void on_finish_impl(Error& error) override;
+
+  BodyHook on_body_;
+  HttpFields fields_;
+  std::string method_;
+  std::string target_;
+  int status_ = 0;
+  bool is_header_seen_ = false;
+};
+
+using RequestReader = MessageReader<true>;
+using ResponseReader = MessageReader<false>;
+
+}  // namespace papayaplank
+
+#endif  // RELAY_MESSAGE_READER_H_
--- /dev/null
+++ b/relay/socket_options.cpp
@@ -0,0 +1,68 @@
+// Keep-alive and user timeouts.
+#include "relay/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "platform/platform.h"
+
+namespace papayaplank {
+namespace {
+
+// A peer that acknowledges nothing for this long is taken for lost.
+constexpr int kUserTimeoutMs = 3000;
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+struct AddressParts {
+  asio::ip::address ip;
+  std::uint16_t port = 0;
+};
+
+auto ParseAddress(const std::string& text) -> std::optional<AddressParts> {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code error;
+  const auto ip = asio::ip::make_address(text.substr(0, colon), error);
+  const auto port = ParseNumber(text.substr(colon + 1));
+  constexpr std::int64_t kMaxPort = 65535;
+  if (error || !port || *port > kMaxPort) return std::nullopt;
+  return AddressParts{ip, static_cast<std::uint16_t>(*port)};
+}
+
+auto SetOption(int socket, int level, int name, int value) -> void {
+  // A refused option leaves the system's default, which only notices later.
+  (void)setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+auto SetSocketOptions(tcp::socket& socket) -> void {
+  error_code ignored;  // A socket that has failed shows it at its next use.
+  socket.non_blocking(true, ignored);
+  const auto handle = socket.native_handle();
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+auto ParseTcpEndpoint(const std::string& address)
+    -> std::optional<tcp::endpoint> {
+  const auto parts = ParseAddress(address);
+  if (!parts) return std::nullopt;
+  return tcp::endpoint(parts->ip, parts->port);
+}
+
+auto ParseUdpEndpoint(const std::string& address)
+    -> std::optional<udp::endpoint> {
+  const auto parts = ParseAddress(address);
+  if (!parts) return std::nullopt;
+  return udp::endpoint(parts->ip, parts->port);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/socket_options.h
@@ -0,0 +1,24 @@
+// Options of all TCP sockets of a router.
+#ifndef RELAY_SOCKET_OPTIONS_H_
+#define RELAY_SOCKET_OPTIONS_H_
+
+#include <optional>
+#include <string>
+
+#include "relay/asio.h"
+
+namespace papayaplank {
+
+// Sends small writes at once, notices silent peers within seconds, and makes
+// the socket non-blocking.
+auto SetSocketOptions(tcp::socket& socket) -> void;
+
+// "IP:PORT" as an endpoint; nothing if it is none.
+auto ParseTcpEndpoint(const std::string& address)
+    -> std::optional<tcp::endpoint>;
+auto ParseUdpEndpoint(const std::string& address)
+    -> std::optional<udp::endpoint>;
+
+}  // namespace papayaplank
+
+#endif  // RELAY_SOCKET_OPTIONS_H_
--- /dev/null
+++ b/relay/store_link.cpp
@@ -0,0 +1,68 @@
+// Calls over a kept connection.
+#include "relay/store_link.h"
+
+#include "relay/socket_options.h"
+
+namespace papayaplank {
+
+StoreLink::StoreLink(asio::io_context& io, std::string address)
+    : io_(io), address_(std::move(address)), timer_(io) {}
+
+auto StoreLink::Call(const StoreCall& call, Duration timeout,
+                     ReplyHook on_reply) -> void {
+  on_reply_ = std::move(on_reply);
+  reply_ = {};
+  ++calls_;
+  timer_.expires_after(timeout);
+  timer_.async_wait([this](error_code error) {
+    if (error || !on_reply_) return;
+    Finish(Error{ErrorCode::kUnknownEffect, "the store did not answer in time"});
+  });
+  if (connection_ == nullptr || !connection_->is_open()) {
+    const auto endpoint = ParseTcpEndpoint(address_);
+    if (!endpoint) {
+      return Finish(Error{ErrorCode::kInvalidArgument,
+                          "the store's address '" + address_ +
+                              "' is no IP:port"});
+    }
+    connection_ = std::make_shared<TargetConnection>(io_);
+    connection_->Connect(*endpoint);
+  }
+  std::string head = call.method + " " + call.path + " HTTP/1.1\r\nHost: " +
+                     address_ + "\r\n";
+  std::shared_ptr<const std::string> body;
+  if (!call.body.empty()) {
+    body = std::make_shared<const std::string>(call.body);
+    head += "Content-Type: application/json\r\nContent-Length: " +
+            std::to_string(body->size()) + "\r\n";
+  }
+  connection_->Send(
+      head + "\r\n", body, false,
+      TransferHooks{
+          [this](int status, const HttpFields&) { reply_.status = status; },
+          [this](std::string_view bytes) { reply_.body.append(bytes); },
+          [this](TransferEnd end) {
+            if (end == TransferEnd::kComplete) return Finish(reply_);
+            Finish(Error{end == TransferEnd::kNotConnected
+                             ? ErrorCode::kUnavailable
+                             : ErrorCode::kUnknownEffect,
+                         "the store's connection broke"});
+          }});
+}
+
+auto StoreLink::Finish(Outcome<StoreReply> reply) -> void {
+  if (!on_reply_) return;
+  timer_.cancel();
+  if (connection_ != nullptr) {
+    if (IsOk(reply) && connection_->is_reusable()) {
+      connection_->SetIdle([] {});
+    } else {
+      connection_->Close();
+      connection_.reset();
+    }
+  }
+  const auto on_reply = std::exchange(on_reply_, nullptr);
+  on_reply(std::move(reply));
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/target_connection.cpp
@@ -0,0 +1,198 @@
+// Sending of requests and reading of answers.
+#include "relay/target_connection.h"
+
+#include <array>
+#include <limits>
+
+#include "relay/socket_options.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kMaxAnswerHeader = 32768;
+// A target that takes longer to accept a connection is treated as away.
+constexpr Duration kConnectTimeout = milliseconds(400);
+
+auto ReadBuffer() -> std::array<char, kReadBytes>& {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+TargetConnection::TargetConnection(asio::io_context& io)
+    : socket_(io), connect_timer_(io) {}
+
+auto TargetConnection::Connect(const tcp::endpoint& endpoint) -> void {
+  error_code error;
+  socket_.open(endpoint.protocol(), error);
+  if (!error) SetSocketOptions(socket_);
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait([self = shared_from_this()](error_code e) {
+    if (!e && !self->is_connected_) self->End(TransferEnd::kNotConnected);
+  });
+  socket_.async_connect(endpoint, [self = shared_from_this()](error_code e) {
+    self->OnConnected(e);
+  });
+}
+
+auto TargetConnection::OnConnected(error_code error) -> void {
+  connect_timer_.cancel();
+  if (!socket_.is_open()) return;
+  if (error) return End(TransferEnd::kNotConnected);
+  is_connected_ = true;
+  WaitReadable();
+  WriteMore();
+}
+
+auto TargetConnection::Send(std::string head,
+                            std::shared_ptr<const std::string> body,
+                            bool is_head_request, TransferHooks hooks) -> void {
+  hooks_ = std::move(hooks);
+  on_lost_ = nullptr;
+  head_ = std::move(head);
+  body_ = std::move(body);
+  written_ = 0;
+  is_busy_ = true;
+  is_reusable_ = false;
+  is_head_request_ = is_head_request;
+  is_head_handled_ = false;
+  reader_.emplace(kMaxAnswerHeader, std::numeric_limits<std::uint64_t>::max(),
+                  [this](std::string_view bytes) {
+                    HandleHead();
+                    if (hooks_.on_body) hooks_.on_body(bytes);
+                  });
+  if (is_head_request) reader_->skip(true);
+  if (is_connected_) WriteMore();
+}
+
+auto TargetConnection::WriteMore() -> void {
+  if (!is_busy_) return;
+  const auto total = head_.size() + (body_ ? body_->size() : 0);
+  while (written_ < total) {
+    std::array<asio::const_buffer, 2> buffers;
+    if (written_ < head_.size()) {
+      buffers[0] = asio::buffer(head_) + written_;
+      if (body_) buffers[1] = asio::buffer(*body_);
+    } else {
+      buffers[0] = asio::buffer(*body_) + (written_ - head_.size());
+    }
+    error_code error;
+    written_ += socket_.write_some(buffers, error);
+    if (error == asio::error::would_block) {
+      socket_.async_wait(tcp::socket::wait_write,
+                         [self = shared_from_this()](error_code e) {
+                           if (!e && self->socket_.is_open()) self->WriteMore();
+                         });
+      return;
+    }
+    // An answer may already be here; reading shows how the transfer ended.
+    if (error) return;
+  }
+}
+
+auto TargetConnection::WaitReadable() -> void {
+  if (is_reading_ || is_paused_ || !socket_.is_open()) return;
+  is_reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->is_reading_ = false;
+                       if (!error) self->OnReadable();
+                     });
+}
+
+auto TargetConnection::ResumeReading() -> void {
+  if (!is_paused_) return;
+  is_paused_ = false;
+  WaitReadable();
+}
+
+auto TargetConnection::OnReadable() -> void {
+  if (!socket_.is_open()) return;
+  auto& buffer = ReadBuffer();
+  error_code error;
+  const auto count = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block) return WaitReadable();
+  if (!is_busy_) {
+    // Whatever an idle connection brings belongs to no request.
+    const auto on_lost = std::exchange(on_lost_, nullptr);
+    Close();
+    if (on_lost) on_lost();
+    return;
+  }
+  if (error) {
+    const auto is_orderly = error == asio::error::eof;
+    if (is_orderly && reader_->ReadEnd()) {
+      HandleHead();
+      return End(TransferEnd::kComplete);
+    }
+    return End(TransferEnd::kBroken);
+  }
+  const auto self = shared_from_this();
+  in_.append(buffer.data(), count);
+  is_handling_input_ = true;
+  HandleInput();
+  is_handling_input_ = false;
+  retired_hooks_ = TransferHooks{};
+  WaitReadable();
+}
+
+auto TargetConnection::HandleInput() -> void {
+  using Progress = ResponseReader::Progress;
+  const auto progress = reader_->Read(in_);
+  if (!is_busy_) return;
+  switch (progress) {
+    case Progress::kInvalid:
+    case Progress::kTooLarge:
+      return End(TransferEnd::kBroken);
+    case Progress::kHeader:
+      return HandleHead();
+    case Progress::kNeedMore:
+      return;
+    case Progress::kDone:
+      break;
+  }
+  HandleHead();
+  if (!is_busy_) return;
+  const auto total = head_.size() + (body_ ? body_->size() : 0);
+  is_reusable_ =
+      in_.empty() && written_ == total && reader_->keep_alive();
+  End(TransferEnd::kComplete);
+}
+
+auto TargetConnection::HandleHead() -> void {
+  if (is_head_handled_) return;
+  is_head_handled_ = true;
+  if (hooks_.on_head) hooks_.on_head(reader_->status(), reader_->fields());
+}
+
+auto TargetConnection::End(TransferEnd end) -> void {
+  if (!is_busy_) return Close();
+  is_busy_ = false;
+  is_fresh_ = false;
+  const auto hooks = std::exchange(hooks_, TransferHooks{});
+  body_.reset();
+  head_.clear();
+  if (!is_reusable_) Close();
+  if (hooks.on_end) hooks.on_end(end);
+}
+
+auto TargetConnection::SetIdle(std::function<void()> on_lost) -> void {
+  on_lost_ = std::move(on_lost);
+  in_ = std::string();
+  is_paused_ = false;
+  WaitReadable();
+}
+
+auto TargetConnection::Close() -> void {
+  is_busy_ = false;
+  is_reusable_ = false;
+  connect_timer_.cancel();
+  auto hooks = std::exchange(hooks_, TransferHooks{});
+  if (is_handling_input_) retired_hooks_ = std::move(hooks);
+  error_code ignored;  // The socket is given up whatever its state.
+  if (socket_.is_open()) socket_.close(ignored);
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/target_pool.cpp
@@ -0,0 +1,81 @@
+// Keeping of idle connections.
+#include "relay/target_pool.h"
+
+#include <algorithm>
+
+#include "relay/socket_options.h"
+
+namespace papayaplank {
+namespace {
+
+// Share of the target's idle time after which a connection is not used any
+// more, since the target may be closing it.
+constexpr double kUsableShare = 0.5;
+// Idle time of a target that does not state one.
+constexpr Duration kUnstatedKeepAlive = milliseconds(2000);
+constexpr std::size_t kMaxIdlePerTarget = 16;
+
+}  // namespace
+
+auto TargetPool::Take(const TargetRow& target, Time now)
+    -> std::shared_ptr<TargetConnection> {
+  auto& entry = targets_[target.id];
+  if (entry.address != target.address) {
+    Drop(target.id);
+    targets_[target.id].address = target.address;
+  }
+  auto& idle = targets_[target.id].idle;
+  while (!idle.empty()) {
+    // The newest one has been idle for the shortest time.
+    const auto newest = idle.back();
+    idle.pop_back();
+    if (newest.connection->is_open() && now < newest.usable_until) {
+      return newest.connection;
+    }
+    newest.connection->Close();
+  }
+  const auto endpoint = ParseTcpEndpoint(target.address);
+  if (!endpoint) return nullptr;
+  const auto connection = std::make_shared<TargetConnection>(io_);
+  connection->Connect(*endpoint);
+  ++opened_;
+  return connection;
+}
+
+auto TargetPool::Return(const TargetRow& target,
+                        const std::shared_ptr<TargetConnection>& connection,
+                        std::optional<Duration> keep_alive, Time now) -> void {
+  const auto entry = targets_.find(target.id);
+  if (!connection->is_reusable() || entry == targets_.end() ||
+      entry->second.address != target.address ||
+      entry->second.idle.size() >= kMaxIdlePerTarget) {
+    connection->Close();
+    return;
+  }
+  const auto stated = keep_alive.value_or(kUnstatedKeepAlive);
+  const auto usable = Duration(static_cast<Duration::rep>(
+      static_cast<double>(stated.count()) * kUsableShare));
+  auto& idle = entry->second.idle;
+  idle.push_back(Idle{connection, now + usable});
+  connection->SetIdle([] {});
+}
+
+auto TargetPool::Drop(const TargetId& target) -> void {
+  const auto entry = targets_.find(target);
+  if (entry == targets_.end()) return;
+  for (const auto& idle : entry->second.idle) idle.connection->Close();
+  targets_.erase(entry);
+}
+
+auto TargetPool::CloseExpired(Time now) -> void {
+  for (auto& [id, target] : targets_) {
+    std::erase_if(target.idle, [now](const Idle& idle) {
+      const auto is_over =
+          now >= idle.usable_until || !idle.connection->is_open();
+      if (is_over) idle.connection->Close();
+      return is_over;
+    });
+  }
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/routing/key_validity.h
@@ -0,0 +1,34 @@
+// For how long keys may be believed without news from the store.
+#ifndef ROUTING_KEY_VALIDITY_H_
+#define ROUTING_KEY_VALIDITY_H_
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+// A revoked key must stop working within `revocation_bound` of the store's
+// acknowledgement on every router, also on one that hears nothing.
+class KeyValidity {
+ public:
+  KeyValidity(Duration revocation_bound, Duration safety_margin)
+      : limit_(revocation_bound - safety_margin) {}
+
+  // The configuration was the newest one at `as_of`, the time at which a
+  // successful read was sent.
+  auto Confirm(Time as_of) -> void;
+  // The process stood still: nothing is believed until the next read.
+  auto Invalidate() -> void { is_confirmed_ = false; }
+
+  auto IsValid(Time now) const -> bool;
+  // Time since the last confirmation, for logs; the limit if there is none.
+  auto Age(Time now) const -> Duration;
+
+ private:
+  Duration limit_;
+  bool is_confirmed_ = false;
+  Time confirmed_at_{};
+};
+
+}  // namespace papayaplank
+
+#endif  // ROUTING_KEY_VALIDITY_H_
--- /dev/null
+++ b/routing/routing_table.cpp
@@ -0,0 +1,47 @@
+// Lookups in a routing table.
+#include "routing/routing_table.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+
+RoutingTable::RoutingTable(RoutingDocument document)
+    : document_(std::move(document)) {
+  const auto& routes = document_.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    by_host_[routes[i].host].push_back(i);
+  }
+  for (auto& [host, indexes] : by_host_) {
+    std::stable_sort(indexes.begin(), indexes.end(),
+                     [&routes](std::size_t a, std::size_t b) {
+                       return routes[a].prefix.size() > routes[b].prefix.size();
+                     });
+  }
+  for (std::size_t i = 0; i < document_.services.size(); ++i) {
+    services_[document_.services[i].id] = i;
+  }
+}
+
+auto RoutingTable::FindRoute(std::string_view host, std::string_view path) const
+    -> const Route* {
+  const auto found = by_host_.find(host);
+  if (found == by_host_.end()) return nullptr;
+  for (const auto index : found->second) {
+    const auto& route = document_.routes[index];
+    if (path.substr(0, route.prefix.size()) == route.prefix) return &route;
+  }
+  return nullptr;
+}
+
+auto RoutingTable::FindCustomer(const std::string& key) const
+    -> const CustomerId* {
+  const auto found = document_.customer_of_key.find(key);
+  return found == document_.customer_of_key.end() ? nullptr : &found->second;
+}
+
+auto RoutingTable::FindService(const PoolId& id) const -> const Service* {
+  const auto found = services_.find(id);
+  return found == services_.end() ? nullptr : &document_.services[found->second];
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/routing/routing_table.h
@@ -0,0 +1,113 @@
+// One version of the operator's configuration: routes, services, customers.
+#ifndef ROUTING_ROUTING_TABLE_H_
+#define ROUTING_ROUTING_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/base.h"
+
+namespace papayaplank {
+
+// What may be repeated, and how the answer arrives.
+enum class RequestKind {
+  kIdempotent,
+  kNonIdempotent,
+  kStream,  // Not idempotent unless the route is resumable.
+};
+
+// A service that a route sends to, with its share of the route's requests.
+struct WeightedPool {
+  PoolId pool;
+  double weight = 1;
+};
+
+// Requests of one host below one path prefix.
+struct Route {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  // A stream that may go on at another target after its last event.
+  bool is_resumable = false;
+  // Served without a key.
+  bool is_public = false;
+  // Longest time until the final answer; zero means no bound.
+  Duration timeout{};
+  // Time to the first event, or to the whole answer, for full value.
+  Duration objective = seconds(1);
+  // Targets that may run one request; at least 1.
+  int max_attempts = 1;
+  // Never empty.
+  std::vector<WeightedPool> pools;
+};
+
+// Limits of a model engine, the same for all targets of a service.
+struct EngineLimits {
+  int slots = 1;
+  // Tokens that running requests and kept prompt parts share.
+  double memory_tokens = 0;
+};
+
+// A set of equal targets.
+struct Service {
+  PoolId id;
+  // Connections that one target accepts from all callers together.
+  int max_connections = 0;
+  // Set for model engines only.
+  std::optional<EngineLimits> engine;
+};
+
+// Bounds on what a caller may send.
+struct CallerLimits {
+  std::size_t header_bytes = 16384;
+  std::size_t body_bytes = 4194304;
+  Duration header_timeout = seconds(3);
+  Duration idle_timeout = seconds(15);
+};
+
+// What a table is made of; `RoutingTable` adds the indexes.
+struct RoutingDocument {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+  // Tokens that all engines together produce a second; zero if not stated.
+  double fleet_tokens_per_second = 0;
+  // Whether requests need a key at all.
+  bool has_customers = false;
+  std::unordered_map<std::string, CustomerId> customer_of_key;
+};
+
+// An immutable version of the configuration.
+class RoutingTable {
+ public:
+  explicit RoutingTable(RoutingDocument document);
+
+  // The route of the host with the longest prefix of `path`, or null.
+  auto FindRoute(std::string_view host, std::string_view path) const
+      -> const Route*;
+  // The customer that holds the key, or null.
+  auto FindCustomer(const std::string& key) const -> const CustomerId*;
+  auto FindService(const PoolId& id) const -> const Service*;
+
+  auto version() const -> std::uint64_t { return document_.version; }
+  auto limits() const -> const CallerLimits& { return document_.limits; }
+  auto document() const -> const RoutingDocument& { return document_; }
+
+ private:
+  RoutingDocument document_;
+  // Indexes of routes by host, longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  std::map<PoolId, std::size_t> services_;
+};
+
+}  // namespace papayaplank
+
+#endif  // ROUTING_ROUTING_TABLE_H_
--- a/platform/claim_store.cpp
+++ b/storage/claim_store.cpp
@@ -1,5 +1,5 @@
 // Conditional writes of claim rows; a lost answer is read back.
-#include "platform/claim_store.h"
+#include "storage/claim_store.h"
 
 #include <map>
 #include <set>
--- a/platform/claim_store.h
+++ b/storage/claim_store.h
@@ -1,12 +1,12 @@
 // Claims of requests that must not run twice, in the table service.
-#ifndef PLATFORM_CLAIM_STORE_H_
-#define PLATFORM_CLAIM_STORE_H_
+#ifndef STORAGE_CLAIM_STORE_H_
+#define STORAGE_CLAIM_STORE_H_
 
 #include <string>
 #include <vector>
 
 #include "dispatch/dispatch.h"
-#include "platform/table_client.h"
+#include "storage/table_client.h"
 
 namespace papayaplank {
 
@@ -51,4 +51,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_CLAIM_STORE_H_
+#endif  // STORAGE_CLAIM_STORE_H_
--- a/platform/configuration_store.cpp
+++ b/storage/configuration_store.cpp
@@ -1,5 +1,5 @@
 // Compare-and-set on the head row, with answers read back.
-#include "platform/configuration_store.h"
+#include "storage/configuration_store.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/platform/configuration_store.h
+++ b/storage/configuration_store.h
@@ -4,16 +4,16 @@
 // that made version N, with its operation id. One transaction writes both, on
 // the condition that the head has not moved, so versions form one chain.
 // Every `kSnapshotPeriod` versions the whole goes to the object store.
-#ifndef PLATFORM_CONFIGURATION_STORE_H_
-#define PLATFORM_CONFIGURATION_STORE_H_
+#ifndef STORAGE_CONFIGURATION_STORE_H_
+#define STORAGE_CONFIGURATION_STORE_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "config/config.h"
-#include "platform/object_client.h"
-#include "platform/table_client.h"
+#include "storage/object_client.h"
+#include "storage/table_client.h"
 
 namespace papayaplank {
 
@@ -68,4 +68,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_CONFIGURATION_STORE_H_
+#endif  // STORAGE_CONFIGURATION_STORE_H_
--- a/platform/http_fetch.h
+++ b/storage/http_fetch.h
@@ -1,6 +1,6 @@
 // The hook through which platform clients make HTTP requests.
-#ifndef PLATFORM_HTTP_FETCH_H_
-#define PLATFORM_HTTP_FETCH_H_
+#ifndef STORAGE_HTTP_FETCH_H_
+#define STORAGE_HTTP_FETCH_H_
 
 #include <functional>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_HTTP_FETCH_H_
+#endif  // STORAGE_HTTP_FETCH_H_
--- a/platform/instance_list_client.cpp
+++ b/storage/instance_list_client.cpp
@@ -1,5 +1,5 @@
 // HTTP and JSON of the instance list.
-#include "platform/instance_list_client.h"
+#include "storage/instance_list_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/platform/instance_list_client.h
+++ b/storage/instance_list_client.h
@@ -1,13 +1,13 @@
 // Client of the lagging instance list (docs/PLATFORM.md).
-#ifndef PLATFORM_INSTANCE_LIST_CLIENT_H_
-#define PLATFORM_INSTANCE_LIST_CLIENT_H_
+#ifndef STORAGE_INSTANCE_LIST_CLIENT_H_
+#define STORAGE_INSTANCE_LIST_CLIENT_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "placement/placement.h"
-#include "platform/http_fetch.h"
+#include "storage/http_fetch.h"
 
 namespace papayaplank {
 
@@ -40,4 +40,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_INSTANCE_LIST_CLIENT_H_
+#endif  // STORAGE_INSTANCE_LIST_CLIENT_H_
--- a/platform/object_client.cpp
+++ b/storage/object_client.cpp
@@ -1,5 +1,5 @@
 // HTTP of the object store.
-#include "platform/object_client.h"
+#include "storage/object_client.h"
 
 #include <utility>
 
--- a/platform/object_client.h
+++ b/storage/object_client.h
@@ -1,10 +1,10 @@
 // Client of the object store (docs/PLATFORM.md).
-#ifndef PLATFORM_OBJECT_CLIENT_H_
-#define PLATFORM_OBJECT_CLIENT_H_
+#ifndef STORAGE_OBJECT_CLIENT_H_
+#define STORAGE_OBJECT_CLIENT_H_
 
 #include <string>
 
-#include "platform/http_fetch.h"
+#include "storage/http_fetch.h"
 
 namespace papayaplank {
 
@@ -23,4 +23,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_OBJECT_CLIENT_H_
+#endif  // STORAGE_OBJECT_CLIENT_H_
--- a/platform/table_client.cpp
+++ b/storage/table_client.cpp
@@ -1,5 +1,5 @@
 // HTTP and JSON of the table service.
-#include "platform/table_client.h"
+#include "storage/table_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/platform/table_client.h
+++ b/storage/table_client.h
@@ -1,13 +1,13 @@
 // Client of the transactional table service (docs/PLATFORM.md).
-#ifndef PLATFORM_TABLE_CLIENT_H_
-#define PLATFORM_TABLE_CLIENT_H_
+#ifndef STORAGE_TABLE_CLIENT_H_
+#define STORAGE_TABLE_CLIENT_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "platform/http_fetch.h"
+#include "storage/http_fetch.h"
 
 namespace papayaplank {
 
@@ -52,4 +52,4 @@
 
 }  // namespace papayaplank
 
-#endif  // PLATFORM_TABLE_CLIENT_H_
+#endif  // STORAGE_TABLE_CLIENT_H_
--- a/tasks/claim_task.h
+++ b/tasks/claim_task.h
@@ -10,7 +10,7 @@
 #include <thread>
 #include <variant>
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "router/router.h"
 
 namespace papayaplank {
--- a/tasks/configuration_task.h
+++ b/tasks/configuration_task.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "router/router.h"
 
 namespace papayaplank {
--- a/tasks/instance_task.h
+++ b/tasks/instance_task.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <thread>
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 namespace papayaplank {
 
--- a/transport/blocking_http_client.h
+++ b/transport/blocking_http_client.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 namespace papayaplank {
 
