--- a/admission/fair_share.cpp
+++ b/admission/fair_share.cpp
@@ -87,7 +87,10 @@
   asked.reserve(rates.size());
   for (const auto& [customer, rate] : rates) asked.push_back(rate.asked);
   std::sort(asked.begin(), asked.end());
-  auto left = capacity_;
+  // Targets may produce more than was stated; then that is what is shared.
+  double produced = 0;
+  for (const auto& [customer, rate] : rates) produced += rate.served;
+  auto left = std::max(capacity_, produced);
   auto customers = static_cast<double>(asked.size());
   for (const auto rate : asked) {
     const auto even = left / customers;
--- a/admission/prefix_homes.cpp
+++ b/admission/prefix_homes.cpp
@@ -34,22 +34,24 @@
   kept_.erase(target);
 }
 
-auto PrefixHomes::TokensToRead(const TargetId& target,
-                               const std::vector<PromptPart>& parts,
-                               bool is_home, Time now) const -> double {
+auto PrefixHomes::Missing(const TargetId& target,
+                          const std::vector<PromptPart>& parts, bool is_home,
+                          Time now) const -> TokensToRead {
   const auto found = kept_.find(target);
-  double tokens = 0;
+  TokensToRead missing;
   auto is_prefix_kept = true;
   for (std::size_t i = 0; i < parts.size(); ++i) {
-    auto is_kept = is_home && i + 1 < parts.size();
+    const auto is_shared = i + 1 < parts.size();
+    auto is_kept = is_home && is_shared;
     if (!is_kept && found != kept_.end()) {
       const auto part = found->second.find(parts[i].id);
       is_kept = part != found->second.end() && now - part->second <= kPartLife;
     }
     is_prefix_kept = is_prefix_kept && is_kept;
-    if (!is_prefix_kept) tokens += parts[i].tokens;
+    if (is_prefix_kept) continue;
+    (is_shared ? missing.shared : missing.own) += parts[i].tokens;
   }
-  return tokens;
+  return missing;
 }
 
 auto PrefixHomes::Rank(const TargetId& target,
--- a/admission/prefix_homes.h
+++ b/admission/prefix_homes.h
@@ -18,6 +18,16 @@
   double tokens = 0;
 };
 
+// Tokens of a prompt that a target has to read.
+struct TokensToRead {
+  // Of parts that other requests share; reading them again is waste.
+  double shared = 0;
+  // Of the last part, which belongs to the request or its session.
+  double own = 0;
+
+  auto total() const -> double { return shared + own; }
+};
+
 // Parts that this router has sent to each target, bounded and aged. Rendezvous
 // hashing on the last shared part gives all routers the same home for it
 // without a message.
@@ -29,11 +39,9 @@
   // A target that left or started anew keeps nothing.
   auto Forget(const TargetId& target) -> void;
 
-  // Tokens that the target has to read. A home is taken to keep all shared
-  // parts; the last part belongs to the request or its session.
-  auto TokensToRead(const TargetId& target,
-                    const std::vector<PromptPart>& parts, bool is_home,
-                    Time now) const -> double;
+  // What the target has to read. A home is taken to keep all shared parts.
+  auto Missing(const TargetId& target, const std::vector<PromptPart>& parts,
+               bool is_home, Time now) const -> TokensToRead;
 
   // Rank of a target for the last shared part; the highest is its home.
   static auto Rank(const TargetId& target,
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -287,12 +287,12 @@
     option.is_home = target.id == home;
     option.is_near = target.data_center == options_.data_center;
     if (!prompt.parts.empty()) {
-      option.tokens_to_read = prefixes_.TokensToRead(target.id, prompt.parts,
-                                                     option.is_home, now);
+      option.to_read =
+          prefixes_.Missing(target.id, prompt.parts, option.is_home, now);
     }
     option.forecast = LoadOf(target).Forecast(
-        option.tokens_to_read,
-        option.tokens_to_read + prompt.expected_output_tokens, now);
+        option.to_read.total(),
+        option.to_read.total() + prompt.expected_output_tokens, now);
     option.is_resting = outcomes_.IsResting(target.id, now);
     option.failure_rate = outcomes_.FailureRate(target.id, now);
     options.push_back(option);
@@ -327,11 +327,11 @@
   placement.target = *option->target;
   placement.number = RequestNumber(next_number_++);
   placement.forecast = option->forecast;
-  placement.tokens_to_read = option->tokens_to_read;
+  placement.tokens_to_read = option->to_read.total();
   const auto& prompt = request.prompt;
   LoadOf(placement.target)
-      .Start(placement.number, option->tokens_to_read,
-             option->tokens_to_read + prompt.expected_output_tokens, now);
+      .Start(placement.number, placement.tokens_to_read,
+             placement.tokens_to_read + prompt.expected_output_tokens, now);
   if (request.sends == 0) {
     const auto tokens =
         prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -12,12 +12,16 @@
 // A prompt that is long by itself may wait for at least this share of the
 // objective: long requests are late but not starved.
 constexpr double kMinWaitShare = 0.25;
-// The same two for a customer that has had its even share: it is served while
-// there is plenty of room, and yields first.
-constexpr double kOverShareForecast = 0.45;
-constexpr double kOverShareBatch = 0.8;
-// Cost of reading a prompt twice: it takes time from all requests there.
-constexpr double kPrefillPenalty = 1.5;
+// A customer yields more and more room between these two uses of its even
+// share, down to `kLeastRoom` of what others may take.
+constexpr double kYieldFrom = 0.8;
+constexpr double kYieldUntil = 1.4;
+constexpr double kLeastRoom = 0.3;
+// Share of a batch that is open to every customer.
+constexpr double kLeastBatch = 0.75;
+// What reading a shared part again costs, in times of that reading: it delays
+// all requests at the target, and it drives other parts out of its memory.
+constexpr double kRereadPenalty = 4;
 // What a failure costs, in objectives.
 constexpr double kFailurePenalty = 3;
 // A target in another data centre is used if it is faster by this much.
@@ -32,8 +36,12 @@
 
 auto ExpectedTime(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
-  auto time = option.forecast.queue_wait +
-              Scale(option.forecast.own_prefill, kPrefillPenalty) +
+  const auto& to_read = option.to_read;
+  const auto shared_share =
+      to_read.total() > 0 ? to_read.shared / to_read.total() : 0;
+  auto time = option.forecast.first_token() +
+              Scale(option.forecast.own_prefill,
+                    shared_share * kRereadPenalty) +
               Scale(terms.objective, option.failure_rate * kFailurePenalty);
   // A batch that is nearly full decodes slowly.
   time += Scale(terms.objective, 0.1 * option.forecast.batch_share);
@@ -43,10 +51,16 @@
   return time;
 }
 
+// Share of the usual limits that the customer may use, `kLeastRoom` to 1.
+auto RoomOf(const AdmissionTerms& terms) -> double {
+  const auto excess =
+      (terms.share_used - kYieldFrom) / (kYieldUntil - kYieldFrom);
+  return 1 - (1 - kLeastRoom) * std::clamp(excess, 0.0, 1.0);
+}
+
 auto LongestWait(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
-  const auto is_over = terms.share_used >= 1;
-  const auto share = is_over ? kOverShareForecast : kForecastShare;
+  const auto share = kForecastShare * RoomOf(terms);
   const auto wait =
       Scale(terms.objective, share) - option.forecast.own_prefill;
   const auto floor = Scale(terms.objective, kMinWaitShare * share);
@@ -78,7 +92,7 @@
   const auto excess = forecast.queue_wait - limit;
   const auto is_batch_full =
       terms.is_engine &&
-      forecast.batch_share >= (is_over ? kOverShareBatch : 1.0);
+      forecast.batch_share >= std::max(kLeastBatch, RoomOf(terms));
   const auto is_late = excess > Duration{} ||
                        forecast.first_token() >= terms.time_left;
   if (!is_late && !is_batch_full && forecast.has_memory) return Done{};
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -12,7 +12,7 @@
 struct TargetOption {
   const TargetRow* target = nullptr;
   LoadForecast forecast;
-  double tokens_to_read = 0;
+  TokensToRead to_read;
   bool is_near = false;
   bool is_home = false;
   bool is_resting = false;
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -111,7 +111,7 @@
 
 auto HttpConnection::Reject(int status) -> void {
   is_answering_ = true;
-  is_closing_ = true;
+  is_last_answer_ = true;
   Answer(status, "", "");
 }
 
@@ -122,7 +122,7 @@
   request.fields = std::move(reader_->fields());
   request.body = std::move(body_);
   body_ = std::string();
-  if (!reader_->keep_alive()) is_closing_ = true;
+  if (!reader_->keep_alive()) is_last_answer_ = true;
   is_head_request_ = request.method == "HEAD";
   reader_.reset();
   is_answering_ = true;
@@ -135,7 +135,7 @@
       boost::beast::http::int_to_status(static_cast<unsigned>(status)));
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(reason.data(), reason.size()).append("\r\n").append(headers);
-  if (is_closing_) head.append("Connection: close\r\n");
+  if (is_last_answer_) head.append("Connection: close\r\n");
   return head;
 }
 
@@ -180,17 +180,9 @@
   on_caller_left_ = nullptr;
   on_drained_ = nullptr;
   last_activity_ = FleetClock::now();
-  if (is_closing_) {
-    if (out_.empty()) {
-      error_code ignored;  // The caller may have closed first.
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      // Unread bytes would turn the close into a reset that loses the answer.
-      auto& buffer = ReadBuffer();
-      while (socket_.is_open() &&
-             socket_.read_some(asio::buffer(buffer), ignored) > 0) {
-      }
-      Close();
-    }
+  if (is_last_answer_) {
+    is_closing_ = true;
+    if (out_.empty()) CloseInOrder();
     return;
   }
   // The next request may be here already; it is handled from a fresh stack.
@@ -201,6 +193,17 @@
   });
 }
 
+auto HttpConnection::CloseInOrder() -> void {
+  error_code ignored;  // The caller may have closed first.
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  // Unread bytes would turn the close into a reset that loses the answer.
+  auto& buffer = ReadBuffer();
+  while (socket_.is_open() &&
+         socket_.read_some(asio::buffer(buffer), ignored) > 0) {
+  }
+  Close();
+}
+
 auto HttpConnection::Write(std::string_view bytes) -> void {
   if (!socket_.is_open()) return;
   std::size_t sent = 0;
@@ -233,7 +236,7 @@
   out_.erase(0, sent);
   if (!out_.empty()) return WaitWritable();
   out_.shrink_to_fit();
-  if (is_closing_ && !is_answering_) return EndAnswer();
+  if (is_closing_) return CloseInOrder();
   // The hook may end the answer and with it itself.
   const auto on_drained = on_drained_;
   if (on_drained) on_drained();
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -52,7 +52,7 @@
   auto AbortAnswer() -> void { Close(); }
 
   // The connection ends with its current or next answer.
-  auto CloseAfterAnswer() -> void { is_closing_ = true; }
+  auto CloseAfterAnswer() -> void { is_last_answer_ = true; }
 
   // Closes the connection if it was idle, or its request unfinished, for
   // longer than the limits allow.
@@ -69,6 +69,7 @@
   auto Reject(int status) -> void;
   auto Dispatch() -> void;
   auto EndAnswer() -> void;
+  auto CloseInOrder() -> void;
   auto Write(std::string_view bytes) -> void;
   auto WaitWritable() -> void;
   auto OnWritable() -> void;
@@ -89,6 +90,9 @@
   // A request is complete and its answer is not.
   bool is_answering_ = false;
   bool is_chunked_ = false;
+  // The current or next answer is the last one of the connection.
+  bool is_last_answer_ = false;
+  // The last answer is complete; nothing more is read.
   bool is_closing_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
