Store: few readers for many routers

Watchers (three by rendezvous) wait at the store; the others hear of versions in reports and ask for confirmations that are dated by the query's send time. Routers take turns to read the targets and report the changes. Now a missing row is kept only if no router has seen the store continuous.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,8 +3,9 @@
 #ifndef GATEWAY_GATEWAY_H_
 #define GATEWAY_GATEWAY_H_
 
+#include "gateway/config_watch.h"
 #include "gateway/gateway_core.h"
-#include "gateway/peer_report.h"
+#include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
 #include "gateway/request.h"
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -10,10 +10,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
-#include "gateway/peer_report.h"
+#include "gateway/config_watch.h"
+#include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
 #include "gateway/request.h"
@@ -68,10 +70,16 @@
   auto SetTable(std::shared_ptr<const RoutingTable> table) -> bool;
   // A successful read of the newest configuration was sent at `sent_at`.
   auto ConfirmConfiguration(Time sent_at) -> void;
-  auto SetTargets(const std::vector<TargetRow>& rows, Time now)
-      -> DirectoryChange;
+  auto SetTargets(std::vector<TargetRow> rows, std::uint64_t store_version,
+                  Time now) -> DirectoryChange;
+  // A call of the store was answered well.
+  auto RecordStoreSuccess(Time now) -> void;
   auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
-  auto TakeReport(const PeerReport& report, Time now) -> void;
+  // What changed in the directory with the report's news.
+  auto TakeReport(const PeerReport& report, Time now) -> DirectoryChange;
+  auto Answer(const FreshnessQuery& query, Time now) const
+      -> std::optional<FreshnessReply>;
+  auto TakeReply(const FreshnessReply& reply) -> void;
   // The process stood still: leases and confirmations are void.
   auto RecordPause(Time now) -> void;
   auto BeginStop(Time now) -> void;
@@ -88,6 +96,17 @@
   auto MayRepeat(const GatewayRequest& request, SendOutcome outcome,
                  bool has_events, Time now) -> bool;
 
+  // What this router reads from the store.
+  // Whether it waits at the store for changes of the configuration.
+  auto is_watcher(Time now) const -> bool;
+  // Whether it lacks a version that a peer has.
+  auto is_behind(Time now) const -> bool;
+  // Time between its readings of the targets.
+  auto ListingPeriod(Time now) const -> Duration;
+  // Peers to ask how fresh their configuration is; few, chosen at random.
+  auto QueryAddresses(Time now) -> std::vector<std::string>;
+  auto MakeQuery(Time now) -> FreshnessQuery { return watch_.MakeQuery(now); }
+
   // Peers and callers that look for a router.
   auto MakeReport(Time now) -> PeerReport;
   auto ReportAddresses(Time now) -> std::vector<std::string>;
@@ -102,6 +121,9 @@
   }
   auto directory() const -> const TargetDirectory& { return directory_; }
   auto key_age(Time now) const -> Duration { return keys_.Age(now); }
+  auto live_peers(Time now) const -> std::size_t {
+    return peers_.LiveCount(now);
+  }
   auto counters() const -> const GatewayCounters& { return counters_; }
   // Connections that this router may hold to one target of the service.
   auto ConnectionShare(const PoolId& pool, Time now) const -> std::size_t;
@@ -113,12 +135,17 @@
               const std::vector<PromptPart>& parts) const -> TargetId;
   auto ChoosePool(const Route& route) -> PoolId;
   auto LoadOf(const TargetRow& target) -> EngineLoad&;
-  auto ForgetTarget(const TargetId& target, Time now) -> void;
+  auto TakeLoads(const PeerReport& report, const RouterId& router, Time now)
+      -> void;
+  auto TakeChange(const DirectoryChange& change) -> void;
+  auto ForgetTarget(const TargetId& target) -> void;
+  auto IsStoreRecovering(Time now) const -> bool;
 
   GatewayOptions options_;
   Random random_;
   std::shared_ptr<const RoutingTable> table_;
   KeyValidity keys_;
+  ConfigWatch watch_;
   TargetDirectory directory_;
   PeerTable peers_;
   PrefixHomes prefixes_;
@@ -128,6 +155,11 @@
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their short names in reports.
   std::unordered_map<std::uint32_t, TargetId> by_hash_;
+  // Targets that each router named in its newest report.
+  std::unordered_map<RouterId, std::unordered_set<std::uint32_t>> peer_targets_;
+  // Changes that were read here, with when they were read.
+  std::deque<std::pair<Time, TargetNews>> news_;
+  StoreContinuity continuity_;
   std::uint64_t next_number_ = 1;
   std::uint64_t report_sequence_ = 0;
   bool is_leaving_ = false;
--- /dev/null
+++ b/gateway/peer_messages.cpp
@@ -0,0 +1,173 @@
+// Messages as CBOR arrays.
+#include "gateway/peer_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace papayaplank {
+namespace {
+
+using Json = nlohmann::json;
+
+// First member of a message; raised when a layout changes.
+constexpr int kReport = 11;
+constexpr int kQuery = 12;
+constexpr int kReply = 13;
+constexpr std::size_t kReportMembers = 13;
+
+auto Rounded(double value) -> std::int64_t {
+  return static_cast<std::int64_t>(value + 0.5);
+}
+
+auto EncodeLoads(const PeerReport& report) -> Json {
+  auto loads = Json::array();
+  for (const auto& [target, share] : report.loads) {
+    loads.push_back(target);
+    loads.push_back(Rounded(share.queued_tokens));
+    loads.push_back(share.requests);
+    loads.push_back(Rounded(share.memory_tokens));
+  }
+  return loads;
+}
+
+auto DecodeLoads(const Json& json, PeerReport& report) -> void {
+  constexpr std::size_t kMembers = 4;
+  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
+    report.loads.emplace_back(
+        json[i].get<std::uint32_t>(),
+        LoadShare{json[i + 1].get<double>(), json[i + 2].get<int>(),
+                  json[i + 3].get<double>()});
+  }
+}
+
+auto EncodeRates(const PeerReport& report) -> Json {
+  if (!report.rates) return nullptr;
+  auto rates = Json::array();
+  for (const auto& [customer, rate] : *report.rates) {
+    rates.push_back(
+        {customer.value(), Rounded(rate.asked), Rounded(rate.served)});
+  }
+  return rates;
+}
+
+auto DecodeRates(const Json& json, PeerReport& report) -> void {
+  if (json.is_null()) return;
+  report.rates.emplace();
+  for (const auto& rate : json) {
+    (*report.rates)[CustomerId(rate.at(0).get<std::string>())] =
+        CustomerRate{rate.at(1).get<double>(), rate.at(2).get<double>()};
+  }
+}
+
+auto EncodeNews(const PeerReport& report) -> Json {
+  auto all = Json::array();
+  for (const auto& news : report.news) {
+    const auto& row = news.row;
+    all.push_back({news.version, news.is_gone, row.id.value(), row.address,
+                   row.pool.value(), row.data_center.value(), row.slots,
+                   row.is_draining, row.started_unix_ms, row.reports});
+  }
+  return all;
+}
+
+auto DecodeNews(const Json& json, PeerReport& report) -> void {
+  for (const auto& entry : json) {
+    TargetNews news;
+    auto& row = news.row;
+    news.version = entry.at(0).get<std::uint64_t>();
+    news.is_gone = entry.at(1).get<bool>();
+    row.id = TargetId(entry.at(2).get<std::string>());
+    row.address = entry.at(3).get<std::string>();
+    row.pool = PoolId(entry.at(4).get<std::string>());
+    row.data_center = DataCenterId(entry.at(5).get<std::string>());
+    row.slots = entry.at(6).get<int>();
+    row.is_draining = entry.at(7).get<bool>();
+    row.started_unix_ms = entry.at(8).get<std::int64_t>();
+    row.reports = entry.at(9).get<std::int64_t>();
+    report.news.push_back(std::move(news));
+  }
+}
+
+auto ToJson(const PeerReport& report) -> Json {
+  return {kReport,
+          report.started_unix_ms,
+          report.sequence,
+          report.peer_address,
+          report.caller_address,
+          report.data_center.value(),
+          report.is_leaving,
+          report.is_ready,
+          report.config_version,
+          report.is_store_continuous,
+          EncodeLoads(report),
+          EncodeRates(report),
+          EncodeNews(report)};
+}
+
+auto ToJson(const FreshnessQuery& query) -> Json {
+  return {kQuery, query.nonce};
+}
+
+auto ToJson(const FreshnessReply& reply) -> Json {
+  return {kReply, reply.nonce, reply.config_version, reply.age.count()};
+}
+
+auto ReportFrom(const Json& body) -> PeerReport {
+  PeerReport report;
+  report.started_unix_ms = body.at(1).get<std::int64_t>();
+  report.sequence = body.at(2).get<std::uint64_t>();
+  report.peer_address = body.at(3).get<std::string>();
+  report.caller_address = body.at(4).get<std::string>();
+  report.data_center = DataCenterId(body.at(5).get<std::string>());
+  report.is_leaving = body.at(6).get<bool>();
+  report.is_ready = body.at(7).get<bool>();
+  report.config_version = body.at(8).get<std::uint64_t>();
+  report.is_store_continuous = body.at(9).get<bool>();
+  DecodeLoads(body.at(10), report);
+  DecodeRates(body.at(11), report);
+  DecodeNews(body.at(12), report);
+  return report;
+}
+
+auto MessageFrom(const Json& body) -> std::optional<PeerMessage> {
+  const auto kind = body.at(0).get<int>();
+  if (kind == kReport && body.size() == kReportMembers) {
+    return ReportFrom(body);
+  }
+  if (kind == kQuery) return FreshnessQuery{body.at(1).get<std::uint64_t>()};
+  if (kind == kReply) {
+    return FreshnessReply{body.at(1).get<std::uint64_t>(),
+                          body.at(2).get<std::uint64_t>(),
+                          Duration(body.at(3).get<std::int64_t>())};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+auto TargetHash(const TargetId& target) -> std::uint32_t {
+  return static_cast<std::uint32_t>(StableHash(target.value()));
+}
+
+auto EncodePeerMessage(const PeerMessage& message) -> std::string {
+  std::string bytes;
+  std::visit(
+      [&bytes](const auto& body) {
+        Json::to_cbor(ToJson(body),
+                      nlohmann::detail::output_adapter<char>(bytes));
+      },
+      message);
+  return bytes;
+}
+
+auto DecodePeerMessage(std::string_view bytes) -> std::optional<PeerMessage> {
+  const auto body = Json::from_cbor(bytes, true, false);
+  if (!body.is_array() || body.empty()) return std::nullopt;
+  // The library throws on a member of another type; such bytes are no message.
+  try {
+    return MessageFrom(body);
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace papayaplank
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -1,6 +1,8 @@
 // Liveness of peers by their reports.
 #include "gateway/peer_table.h"
 
+#include <algorithm>
+
 namespace papayaplank {
 namespace {
 
@@ -34,7 +36,8 @@
   }
   peer.report = report;
   peer.report.loads.clear();
-  peer.report.rates.clear();
+  peer.report.rates.reset();
+  peer.report.news.clear();
   peer.heard_at = now;
   peer.added_at = now;
   peer.is_heard = true;
@@ -88,4 +91,37 @@
   return count;
 }
 
+auto PeerTable::LivePeers(Time now) const -> std::vector<LivePeer> {
+  std::vector<LivePeer> live;
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now)) live.push_back({peer.report.router(), address});
+  }
+  return live;
+}
+
+auto PeerTable::HasContinuousPeer(Time now) const -> bool {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const auto& peer = entry.second;
+    return IsLive(peer, now) && peer.report.is_store_continuous;
+  });
+}
+
+auto PeerTable::LiveAddresses(Time now) const -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now)) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+auto PeerTable::NewestVersion(Time now) const -> std::uint64_t {
+  std::uint64_t newest = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now)) {
+      newest = std::max(newest, peer.report.config_version);
+    }
+  }
+  return newest;
+}
+
 }  // namespace papayaplank
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/peer_report.h"
+#include "gateway/peer_messages.h"
 
 namespace papayaplank {
 
@@ -15,6 +15,12 @@
   std::string peer_address;
 };
 
+// A router that was heard lately.
+struct LivePeer {
+  RouterId router;
+  std::string peer_address;
+};
+
 // Routers by the address of their peer socket.
 class PeerTable {
  public:
@@ -34,6 +40,13 @@
   auto ServingNear(const DataCenterId& data_center, Time now) const
       -> std::vector<std::string>;
   auto Serving(Time now) const -> std::vector<std::string>;
+  // The routers that were heard lately.
+  auto LivePeers(Time now) const -> std::vector<LivePeer>;
+  auto LiveAddresses(Time now) const -> std::vector<std::string>;
+  // Newest version that a live router has in force.
+  auto NewestVersion(Time now) const -> std::uint64_t;
+  // Whether a live router has seen the store without a break.
+  auto HasContinuousPeer(Time now) const -> bool;
   // Routers heard lately.
   auto LiveCount(Time now) const -> std::size_t;
 
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -51,10 +51,13 @@
     error_code error;
     acceptor_.accept(socket, error);
     if (error) return;
-    if (connections_.size() >= max_connections_) continue;
+    if (connections_.size() >= max_connections_) {
+      ++refused_;
+      continue;
+    }
     const auto connection = std::make_shared<HttpConnection>(
         std::move(socket), limits_(), on_request_);
-    if (is_leaving_) connection->CloseAfterAnswer();
+    if (is_leaving_ || is_crowded()) connection->CloseAfterAnswer();
     connections_.insert(connection);
     connection->Start();
   }
--- a/relay/http_server.h
+++ b/relay/http_server.h
@@ -2,6 +2,7 @@
 #ifndef RELAY_HTTP_SERVER_H_
 #define RELAY_HTTP_SERVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,11 +29,17 @@
   auto CloseAfterAnswers() -> void;
   auto CloseAll() -> void;
   auto connections() const -> std::size_t { return connections_.size(); }
+  // Connections that were closed at once because of the limit.
+  auto refused() const -> std::uint64_t { return refused_; }
   auto set_max_connections(std::size_t count) -> void {
     max_connections_ = count;
   }
 
  private:
+  // Kept connections that idle would soon leave no room for new ones.
+  auto is_crowded() const -> bool {
+    return connections_.size() > max_connections_ / 4;
+  }
   auto WaitForCaller() -> void;
   auto AcceptAll() -> void;
 
@@ -42,6 +49,7 @@
   HttpConnection::RequestHook on_request_;
   std::unordered_set<std::shared_ptr<HttpConnection>> connections_;
   std::size_t max_connections_ = 3000;
+  std::uint64_t refused_ = 0;
   bool is_leaving_ = false;
 };
 
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -62,6 +62,10 @@
   if (IsAddressQuery(request.target)) {
     const auto addresses =
         context.core.CallerAddresses(CallerDataCenter(request.target), now);
+    context.log.Write(
+        LogClass::kRoutine, "addresses_answered",
+        {{"count", static_cast<std::int64_t>(addresses.size())},
+         {"query", std::string_view(request.target)}});
     if (addresses.empty()) return caller->Answer(kNotReady, "", "");
     return caller->Answer(kOk, kJsonHeader,
                           EncodeAddresses(addresses, kAddressLifetime));
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -12,8 +12,9 @@
 
 }  // namespace
 
-PeerLink::PeerLink(asio::io_context& io, GatewayCore& core, EventLog& log)
-    : socket_(io), core_(core), log_(log) {}
+PeerLink::PeerLink(asio::io_context& io, GatewayCore& core, EventLog& log,
+                   ChangeHook on_change)
+    : socket_(io), core_(core), log_(log), on_change_(std::move(on_change)) {}
 
 auto PeerLink::Listen(const std::string& address) -> Outcome<Done> {
   const auto endpoint = ParseUdpEndpoint(address);
@@ -33,16 +34,43 @@
   return Done{};
 }
 
+auto PeerLink::Send(const std::string& bytes, const udp::endpoint& to) -> void {
+  // A message that is not sent is replaced by the next one.
+  error_code ignored;
+  socket_.send_to(asio::buffer(bytes), to, 0, ignored);
+}
+
 auto PeerLink::SendReports(Time now) -> void {
   const auto addresses = core_.ReportAddresses(now);
   if (addresses.empty()) return;
-  const auto bytes = EncodePeerReport(core_.MakeReport(now));
+  const auto bytes = EncodePeerMessage(core_.MakeReport(now));
   for (const auto& address : addresses) {
     const auto endpoint = ParseUdpEndpoint(address);
-    if (!endpoint) continue;
-    // A report that is not sent is replaced by the next one.
-    error_code ignored;
-    socket_.send_to(asio::buffer(bytes), *endpoint, 0, ignored);
+    if (endpoint) Send(bytes, *endpoint);
+  }
+}
+
+auto PeerLink::SendQueries(Time now) -> void {
+  for (const auto& address : core_.QueryAddresses(now)) {
+    const auto endpoint = ParseUdpEndpoint(address);
+    if (endpoint) Send(EncodePeerMessage(core_.MakeQuery(now)), *endpoint);
+  }
+}
+
+auto PeerLink::Take(const PeerMessage& message, const udp::endpoint& from)
+    -> void {
+  const auto now = FleetClock::now();
+  if (const auto* report = std::get_if<PeerReport>(&message)) {
+    const auto change = core_.TakeReport(*report, now);
+    if (!change.left.empty() || !change.restarted.empty() ||
+        !change.joined.empty()) {
+      on_change_(change);
+    }
+  } else if (const auto* query = std::get_if<FreshnessQuery>(&message)) {
+    const auto reply = core_.Answer(*query, now);
+    if (reply) Send(EncodePeerMessage(*reply), from);
+  } else if (const auto* reply = std::get_if<FreshnessReply>(&message)) {
+    core_.TakeReply(*reply);
   }
 }
 
@@ -64,15 +92,15 @@
     const auto count =
         socket_.receive_from(asio::buffer(buffer), from, 0, error);
     if (error) return;
-    const auto report =
-        DecodePeerReport(std::string_view(buffer.data(), count));
-    if (!report) {
+    const auto message =
+        DecodePeerMessage(std::string_view(buffer.data(), count));
+    if (!message) {
       const auto sender = from.address().to_string();
-      log_.Write(LogClass::kRoutine, "peer_report_malformed",
+      log_.Write(LogClass::kRoutine, "peer_message_malformed",
                  {{"from", std::string_view(sender)}});
       continue;
     }
-    core_.TakeReport(*report, FleetClock::now());
+    Take(*message, from);
   }
 }
 
--- a/relay/peer_link.h
+++ b/relay/peer_link.h
@@ -2,6 +2,7 @@
 #ifndef RELAY_PEER_LINK_H_
 #define RELAY_PEER_LINK_H_
 
+#include <functional>
 #include <string>
 
 #include "gateway/gateway.h"
@@ -13,19 +14,28 @@
 // Sends this router's report to all peers, and takes theirs.
 class PeerLink {
  public:
-  PeerLink(asio::io_context& io, GatewayCore& core, EventLog& log);
+  // `on_change` hears of changes of targets that peers have read.
+  using ChangeHook = std::function<void(const DirectoryChange&)>;
+
+  PeerLink(asio::io_context& io, GatewayCore& core, EventLog& log,
+           ChangeHook on_change);
 
   auto Listen(const std::string& address) -> Outcome<Done>;
   // Sends one report to each peer.
   auto SendReports(Time now) -> void;
+  // Asks a few peers how fresh their configuration is.
+  auto SendQueries(Time now) -> void;
 
  private:
   auto WaitForReport() -> void;
   auto ReceiveAll() -> void;
+  auto Send(const std::string& bytes, const udp::endpoint& to) -> void;
+  auto Take(const PeerMessage& message, const udp::endpoint& from) -> void;
 
   udp::socket socket_;
   GatewayCore& core_;
   EventLog& log_;
+  ChangeHook on_change_;
 };
 
 }  // namespace papayaplank
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -81,7 +81,10 @@
         ready_(MakeInfoServer()),
         directory_(MakeInfoServer()),
         metrics_(MakeInfoServer()),
-        peers_(io_, core_, log_),
+        peers_(io_, core_, log_,
+               [this](const DirectoryChange& change) {
+                 store_.TakeChange(change);
+               }),
         store_(io_, settings.store_address,
                OwnRow{settings.name, RouterRow{settings.peer_listen}}, core_,
                pool_, log_),
@@ -159,6 +162,7 @@
   last_tick_ = FleetClock::now();
   last_boot_offset_ = BootTime() - last_tick_.time_since_epoch();
   WaitForSignal();
+  store_.SetQueryHook([this] { peers_.SendQueries(FleetClock::now()); });
   store_.Start();
   TickReports();
   TickSweep();
@@ -209,6 +213,15 @@
   directory_->CheckTimeouts(now);
   metrics_->CheckTimeouts(now);
   pool_.CloseExpired(now);
+  log_.Write(
+      LogClass::kRoutine, "load",
+      {{"callers", static_cast<std::int64_t>(callers_.connections())},
+       {"callers_refused", static_cast<std::int64_t>(callers_.refused())},
+       {"open_requests", static_cast<std::int64_t>(context_.open_exchanges)},
+       {"store_calls", static_cast<std::int64_t>(store_.calls())},
+       {"is_watcher", core_.is_watcher(now)},
+       {"routers", static_cast<std::int64_t>(core_.live_peers(now) + 1)},
+       {"key_age_ms", core_.key_age(now).count() / 1000}});
   sweep_timer_.expires_after(kSweepPeriod);
   sweep_timer_.async_wait([this](error_code error) {
     if (!error) TickSweep();
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -12,9 +12,12 @@
 constexpr Duration kFeedWait = milliseconds(1200);
 constexpr Duration kCallTimeout = milliseconds(1000);
 constexpr Duration kFeedTimeout = kFeedWait + milliseconds(800);
-// Period of the target listing; a target that drains must be seen well within
-// two seconds.
-constexpr Duration kListingPeriod = milliseconds(700);
+// A router that is no watcher looks this often whether it has to act.
+constexpr Duration kCheckPeriod = milliseconds(150);
+// Age of the last confirmation at which peers are asked, and at which the
+// store is read; together well below the bound on revoked keys.
+constexpr Duration kQueryAge = milliseconds(1200);
+constexpr Duration kReadAge = milliseconds(2200);
 // Period of the routers' listing; peers' reports tell of new ones sooner.
 constexpr Duration kRoutersPeriod = seconds(10);
 constexpr Duration kFirstBackoff = milliseconds(100);
@@ -43,6 +46,7 @@
 
 auto StoreReader::NoteReachable(bool is_reachable, std::string_view call,
                                 std::string_view cause) -> void {
+  if (is_reachable) core_.RecordStoreSuccess(FleetClock::now());
   if (is_reachable == is_reachable_) return;
   is_reachable_ = is_reachable;
   log_.Write(LogClass::kState, is_reachable ? "store_regained" : "store_lost",
@@ -53,7 +57,7 @@
   const auto sent_at = FleetClock::now();
   feed_.Call(ListRows(kOperatorTable, ""), kCallTimeout,
              [this, sent_at](const Outcome<StoreReply>& reply) {
-               OnConfigurationReply(reply, sent_at, true);
+               OnConfigurationReply(reply, sent_at);
              });
 }
 
@@ -61,12 +65,12 @@
   const auto sent_at = FleetClock::now();
   feed_.Call(FeedRows(kOperatorTable, feed_version_, kFeedWait), kFeedTimeout,
              [this, sent_at](const Outcome<StoreReply>& reply) {
-               OnConfigurationReply(reply, sent_at, false);
+               OnConfigurationReply(reply, sent_at);
              });
 }
 
 auto StoreReader::OnConfigurationReply(const Outcome<StoreReply>& reply,
-                                       Time sent_at, bool is_listing) -> void {
+                                       Time sent_at) -> void {
   if (!IsOk(reply)) {
     NoteReachable(false, "configuration", ErrorOf(reply).message);
     return RetryConfiguration();
@@ -87,11 +91,27 @@
   NoteReachable(true, "configuration", "");
   TakeConfiguration(ValueOf(rows));
   feed_version_ = std::max(feed_version_, ValueOf(rows).version);
-  const auto has_table = core_.table() != nullptr;
-  if (has_table) core_.ConfirmConfiguration(sent_at);
-  if (has_table || !is_listing) return FollowConfiguration();
-  // The operator has not written a configuration yet.
-  FollowConfiguration();
+  if (core_.table() != nullptr) core_.ConfirmConfiguration(sent_at);
+  ScheduleConfiguration();
+}
+
+auto StoreReader::ScheduleConfiguration() -> void {
+  const auto now = FleetClock::now();
+  if (core_.table() == nullptr || core_.is_watcher(now)) {
+    return FollowConfiguration();
+  }
+  feed_timer_.expires_after(kCheckPeriod);
+  feed_timer_.async_wait([this](error_code error) {
+    if (!error) CheckConfiguration();
+  });
+}
+
+auto StoreReader::CheckConfiguration() -> void {
+  const auto now = FleetClock::now();
+  const auto age = core_.key_age(now);
+  if (core_.is_behind(now) || age > kReadAge) return ReadConfiguration();
+  if (age > kQueryAge && on_query_) on_query_();
+  ScheduleConfiguration();
 }
 
 auto StoreReader::TakeConfiguration(const StoreRows& rows) -> void {
@@ -179,7 +199,15 @@
     return ReadTargets(ValueOf(rows).rows.back().key);
   }
   const auto now = FleetClock::now();
-  const auto change = core_.SetTargets(pages_, now);
+  NoteReachable(true, "targets", "");
+  TakeChange(
+      core_.SetTargets(std::move(pages_), ValueOf(rows).version, now));
+  pages_.clear();
+  const auto elapsed = now - listing_started_at_;
+  ScheduleListing(std::max(Duration{}, core_.ListingPeriod(now) - elapsed));
+}
+
+auto StoreReader::TakeChange(const DirectoryChange& change) -> void {
   for (const auto& target : change.left) {
     pool_.Drop(target);
     log_.Write(LogClass::kState, "target_left",
@@ -190,8 +218,6 @@
     log_.Write(LogClass::kState, "target_joined",
                {{"target", std::string_view(target.value())}});
   }
-  const auto elapsed = now - listing_started_at_;
-  ScheduleListing(std::max(Duration{}, kListingPeriod - elapsed));
 }
 
 auto StoreReader::ReadRouters() -> void {
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -4,6 +4,7 @@
 #define RELAY_STORE_READER_H_
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,17 +22,24 @@
   RouterRow row;
 };
 
-// Reads on two connections: one waits for changes of the configuration, the
-// other reads the listings and writes the own row.
+// Reads on two connections: one for the configuration, the other for the
+// listings and the own row. Watchers wait at the store for changes of the
+// configuration; the others read it when a peer has a newer one, or when no
+// peer confirms that theirs is the newest.
 class StoreReader {
  public:
   StoreReader(asio::io_context& io, const std::string& address, OwnRow own_row,
               GatewayCore& core, TargetPool& pool, EventLog& log);
 
   auto Start() -> void;
+  // Sends a few peers the question how fresh their configuration is.
+  auto SetQueryHook(std::function<void()> hook) -> void {
+    on_query_ = std::move(hook);
+  }
+  // Drops connections and logs, after a change of targets.
+  auto TakeChange(const DirectoryChange& change) -> void;
   // Removes the own row.
   auto Leave() -> void;
-  // The process stood still: connections are made anew.
   auto calls() const -> std::uint64_t {
     return feed_.calls() + listing_.calls();
   }
@@ -40,10 +48,12 @@
   // The configuration.
   auto ReadConfiguration() -> void;
   auto FollowConfiguration() -> void;
-  auto OnConfigurationReply(const Outcome<StoreReply>& reply, Time sent_at,
-                            bool is_listing) -> void;
+  auto OnConfigurationReply(const Outcome<StoreReply>& reply, Time sent_at)
+      -> void;
   auto TakeConfiguration(const StoreRows& rows) -> void;
   auto RetryConfiguration() -> void;
+  auto ScheduleConfiguration() -> void;
+  auto CheckConfiguration() -> void;
 
   // Targets and routers.
   auto NextListing() -> void;
@@ -74,6 +84,7 @@
   Time listing_started_at_{};
   Time routers_read_at_{};
   Duration feed_backoff_{};
+  std::function<void()> on_query_;
   bool is_own_row_written_ = false;
   bool is_leaving_ = false;
   bool is_reachable_ = true;
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -5,6 +5,7 @@
 
 #include "routing/key_validity.h"
 #include "routing/routing_table.h"
+#include "routing/store_continuity.h"
 #include "routing/target_directory.h"
 
 #endif  // ROUTING_ROUTING_H_
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -13,53 +13,91 @@
 
 }  // namespace
 
-auto TargetDirectory::Apply(const std::vector<TargetRow>& rows, Time now)
-    -> DirectoryChange {
-  const auto is_first = listed_at_ == Time{};
-  if (!is_first && now - listed_at_ > kOutageGap) {
-    grace_until_ = now + kOutageGrace;
+auto TargetDirectory::IsChanged(const TargetRow& row) const -> bool {
+  const auto found = targets_.find(row.id);
+  if (found == targets_.end()) return true;
+  const auto& known = found->second;
+  return known.is_draining != row.is_draining || known.pool != row.pool ||
+         IsNewIncarnation(known, row);
+}
+
+auto TargetDirectory::Upsert(TargetRow row, DirectoryChange& change) -> void {
+  const auto incarnation = std::make_pair(row.id, row.started_unix_ms);
+  if (row.is_draining) {
+    if (drained_.size() >= kMaxDrainedRemembered) drained_.clear();
+    drained_.insert(incarnation);
+  } else if (drained_.count(incarnation) != 0) {
+    row.is_draining = true;
+  }
+  const auto found = targets_.find(row.id);
+  if (found == targets_.end()) {
+    change.joined.push_back(row.id);
+    if (row.is_draining) change.left.push_back(row.id);
+    targets_.emplace(row.id, std::move(row));
+    return;
   }
-  listed_at_ = now;
+  if (IsNewIncarnation(found->second, row)) change.restarted.push_back(row.id);
+  if (row.is_draining && !found->second.is_draining) {
+    change.left.push_back(row.id);
+  }
+  found->second = std::move(row);
+}
+
+auto TargetDirectory::Remove(const TargetId& id, DirectoryChange& change)
+    -> void {
+  if (targets_.erase(id) != 0) change.left.push_back(id);
+}
+
+auto TargetDirectory::Apply(const TargetListing& listing) -> DirectoryChange {
   DirectoryChange change;
+  if (listing.version < listed_version_) return change;
+  listed_version_ = listing.version;
+  std::erase_if(newer_, [&listing](const auto& entry) {
+    return entry.second.version <= listing.version;
+  });
   std::set<TargetId> present;
-  for (auto row : rows) {
+  for (const auto& row : listing.rows) {
     present.insert(row.id);
-    const auto incarnation = std::make_pair(row.id, row.started_unix_ms);
-    if (row.is_draining) {
-      if (drained_.size() >= kMaxDrainedRemembered) drained_.clear();
-      drained_.insert(incarnation);
-    } else if (drained_.count(incarnation) != 0) {
-      row.is_draining = true;
-    }
-    const auto found = targets_.find(row.id);
-    if (found == targets_.end()) {
-      change.joined.push_back(row.id);
-      if (row.is_draining) change.left.push_back(row.id);
-      targets_.emplace(row.id, row);
-      continue;
-    }
-    if (IsNewIncarnation(found->second, row)) {
-      change.restarted.push_back(row.id);
+    if (newer_.count(row.id) != 0) continue;
+    if (IsChanged(row)) {
+      change.news.push_back(TargetNews{listing.version, false, row});
     }
-    if (row.is_draining && !found->second.is_draining) {
-      change.left.push_back(row.id);
-    }
-    found->second = row;
+    Upsert(row, change);
+  }
+  std::vector<TargetId> missing;
+  for (const auto& [id, target] : targets_) {
+    if (present.count(id) == 0 && newer_.count(id) == 0) missing.push_back(id);
   }
-  if (now >= grace_until_) {
-    for (auto it = targets_.begin(); it != targets_.end();) {
-      if (present.count(it->first) != 0) {
-        ++it;
-        continue;
-      }
-      change.left.push_back(it->first);
-      it = targets_.erase(it);
+  if (!listing.is_store_recovering) {
+    for (const auto& id : missing) {
+      TargetNews news{listing.version, true, {}};
+      news.row.id = id;
+      change.news.push_back(std::move(news));
+      Remove(id, change);
     }
   }
   RebuildPools();
   return change;
 }
 
+auto TargetDirectory::Apply(const TargetNews& news) -> DirectoryChange {
+  DirectoryChange change;
+  const auto& id = news.row.id;
+  if (news.version <= listed_version_) return change;
+  const auto known = newer_.find(id);
+  if (known != newer_.end() && known->second.version >= news.version) {
+    return change;
+  }
+  newer_[id] = news;
+  if (news.is_gone) {
+    Remove(id, change);
+  } else {
+    Upsert(news.row, change);
+  }
+  RebuildPools();
+  return change;
+}
+
 auto TargetDirectory::RebuildPools() -> void {
   by_pool_.clear();
   for (const auto& [id, target] : targets_) {
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -27,35 +27,54 @@
   std::int64_t reports = 0;
 };
 
-// What changed with a listing.
+// One change of a target, as another router has read it.
+struct TargetNews {
+  // Version of the store at that reading.
+  std::uint64_t version = 0;
+  bool is_gone = false;
+  // Only the id counts if the target is gone.
+  TargetRow row;
+};
+
+// One complete reading of the targets' rows.
+struct TargetListing {
+  std::vector<TargetRow> rows;
+  // Version of the store as of which the rows hold.
+  std::uint64_t version = 0;
+  // Rows lapse while the store is away and are back soon after its return;
+  // until then a missing row does not count as gone.
+  bool is_store_recovering = false;
+};
+
+// What changed with a listing or with news.
 struct DirectoryChange {
   // Targets that take no new request from now on.
   std::vector<TargetId> left;
   // Targets that started anew under the same id and know nothing of before.
   std::vector<TargetId> restarted;
   std::vector<TargetId> joined;
+  // The same for other routers.
+  std::vector<TargetNews> news;
 };
 
-// Rows lapse while the store is away, so a row that is missing right after an
-// outage counts as gone only when the grace has passed.
+// The targets by id. Versions of the store order listings and news.
 class TargetDirectory {
  public:
-  // Takes a complete listing that was read at `now`. A gap of more than
-  // `kOutageGap` since the last one counts as an outage of the store.
-  auto Apply(const std::vector<TargetRow>& rows, Time now) -> DirectoryChange;
+  // Takes a complete listing; one that is older than what is known changes
+  // nothing.
+  auto Apply(const TargetListing& listing) -> DirectoryChange;
+  // Takes a change that another router has read.
+  auto Apply(const TargetNews& news) -> DirectoryChange;
 
   // Targets of a service that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
   auto size() const -> std::size_t { return targets_.size(); }
 
-  // Longest time between listings that is no outage; source: three times the
-  // period at which the router reads the listing.
-  static constexpr Duration kOutageGap = milliseconds(2000);
-  // Source: rows of living targets return within two seconds of the store.
-  static constexpr Duration kOutageGrace = milliseconds(2300);
-
  private:
+  auto Upsert(TargetRow row, DirectoryChange& change) -> void;
+  auto Remove(const TargetId& id, DirectoryChange& change) -> void;
+  auto IsChanged(const TargetRow& row) const -> bool;
   auto RebuildPools() -> void;
 
   std::map<TargetId, TargetRow> targets_;
@@ -63,8 +82,10 @@
   std::set<std::pair<TargetId, std::int64_t>> drained_;
   // Exactly the targets that do not drain, by service.
   std::map<PoolId, std::vector<TargetRow>> by_pool_;
-  Time listed_at_{};
-  Time grace_until_{};
+  // Version of the newest listing.
+  std::uint64_t listed_version_ = 0;
+  // Newest news of each target that is newer than the newest listing.
+  std::map<TargetId, TargetNews> newer_;
 };
 
 }  // namespace papayaplank
