--- a/gateway/config_watch.cpp
+++ b/gateway/config_watch.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Watchers at a time; more than one, so that the loss of one delays nothing.
-constexpr std::size_t kWatchers = 3;
+constexpr std::size_t kWatchers = 2;
 constexpr std::size_t kMaxOpenQueries = 64;
 
 }  // namespace
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kShortestListing = milliseconds(700);
 constexpr Duration kLongestListing = seconds(8);
 constexpr Duration kRecoveringListing = milliseconds(1500);
+constexpr Duration kFleetRouterListing = seconds(2);
+constexpr Duration kShortestRouterListing = seconds(8);
+constexpr Duration kLongestRouterListing = seconds(120);
 constexpr std::size_t kQueriedPeers = 2;
 // How long a change is repeated in reports, as datagrams get lost.
 constexpr Duration kNewsLife = milliseconds(1000);
@@ -258,6 +261,12 @@
   return std::clamp(kFleetListing * routers, kShortestListing, longest);
 }
 
+auto GatewayCore::RouterListingPeriod(Time now) const -> Duration {
+  const auto routers = static_cast<int>(peers_.LiveCount(now)) + 1;
+  return std::clamp(kFleetRouterListing * routers, kShortestRouterListing,
+                    kLongestRouterListing);
+}
+
 auto GatewayCore::QueryAddresses(Time now) -> std::vector<std::string> {
   auto live = peers_.LiveAddresses(now);
   std::vector<std::string> chosen;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -103,6 +103,8 @@
   auto is_behind(Time now) const -> bool;
   // Time between its readings of the targets.
   auto ListingPeriod(Time now) const -> Duration;
+  // The same for the rows of routers, of which reports tell sooner.
+  auto RouterListingPeriod(Time now) const -> Duration;
   // Peers to ask how fresh their configuration is; few, chosen at random.
   auto QueryAddresses(Time now) -> std::vector<std::string>;
   auto MakeQuery(Time now) -> FreshnessQuery { return watch_.MakeQuery(now); }
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -9,17 +9,15 @@
 constexpr int kOk = 200;
 // Longest wait of a feed call. The answer confirms the keys as of the moment
 // at which the call was sent, so it bounds how old that is.
-constexpr Duration kFeedWait = milliseconds(1200);
+constexpr Duration kFeedWait = milliseconds(700);
 constexpr Duration kCallTimeout = milliseconds(1000);
 constexpr Duration kFeedTimeout = kFeedWait + milliseconds(800);
 // A router that is no watcher looks this often whether it has to act.
 constexpr Duration kCheckPeriod = milliseconds(150);
 // Age of the last confirmation at which peers are asked, and at which the
 // store is read; together well below the bound on revoked keys.
-constexpr Duration kQueryAge = milliseconds(1200);
-constexpr Duration kReadAge = milliseconds(2200);
-// Period of the routers' listing; peers' reports tell of new ones sooner.
-constexpr Duration kRoutersPeriod = seconds(10);
+constexpr Duration kQueryAge = milliseconds(1500);
+constexpr Duration kReadAge = milliseconds(2800);
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(600);
 constexpr std::size_t kMaxMalformedRemembered = 256;
@@ -153,7 +151,7 @@
   if (listing_.is_busy()) return;
   const auto now = FleetClock::now();
   if (!is_own_row_written_ && !is_leaving_) return WriteOwnRow();
-  if (routers_read_at_ == Time{} || now - routers_read_at_ > kRoutersPeriod) {
+  if (routers_read_at_ == Time{} || now - routers_read_at_ > core_.RouterListingPeriod(now)) {
     return ReadRouters();
   }
   pages_.clear();
