--- /dev/null
+++ b/tests/gateway/test_gateway_core.cpp
@@ -0,0 +1,405 @@
+// Decisions about requests, in virtual time and without sockets.
+#include <gtest/gtest.h>
+
+#include "gateway/gateway.h"
+
+namespace papayaplank {
+namespace {
+
+const Time kStart(seconds(1000));
+
+auto MakeRoute(const std::string& prefix, RequestKind kind) -> Route {
+  Route route;
+  route.name = prefix;
+  route.host = "shop.example";
+  route.prefix = prefix;
+  route.kind = kind;
+  route.timeout = seconds(10);
+  route.objective = milliseconds(400);
+  route.max_attempts = 2;
+  route.pools = {{PoolId("engines"), 1}};
+  return route;
+}
+
+auto MakeTable(std::uint64_t version) -> std::shared_ptr<const RoutingTable> {
+  RoutingDocument document;
+  document.version = version;
+  document.routes = {MakeRoute("/chat/", RequestKind::kStream),
+                     MakeRoute("/order/", RequestKind::kNonIdempotent),
+                     MakeRoute("/status/", RequestKind::kIdempotent)};
+  Service engines;
+  engines.id = PoolId("engines");
+  engines.max_connections = 100;
+  engines.engine = EngineLimits{8, 100000};
+  document.services = {engines};
+  document.has_customers = true;
+  document.customer_of_key = {{"key-a", CustomerId("a")},
+                              {"key-b", CustomerId("b")}};
+  document.fleet_tokens_per_second = 10000;
+  return std::make_shared<const RoutingTable>(document);
+}
+
+auto MakeTargets(int count) -> std::vector<TargetRow> {
+  std::vector<TargetRow> rows;
+  for (int i = 0; i < count; ++i) {
+    TargetRow row;
+    row.id = TargetId("t" + std::to_string(i));
+    row.address = "127.0.0.1:" + std::to_string(9000 + i);
+    row.pool = PoolId("engines");
+    row.data_center = DataCenterId("west");
+    row.slots = 8;
+    row.started_unix_ms = 1;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+auto MakeOptions(const std::string& address) -> GatewayOptions {
+  GatewayOptions options;
+  options.router = RouterId(address + "#1");
+  options.started_unix_ms = 1;
+  options.peer_address = address;
+  options.caller_address = "c" + address;
+  options.data_center = DataCenterId("west");
+  options.retries = RetryBound{0.2, 20, seconds(10)};
+  return options;
+}
+
+auto Facts(const std::string& path, const std::string& key,
+           double prompt_tokens = 0) -> RequestFacts {
+  RequestFacts facts;
+  facts.host = "shop.example";
+  facts.path = path;
+  facts.key = key;
+  facts.prompt.prompt_tokens = prompt_tokens;
+  if (prompt_tokens > 0) {
+    facts.prompt.parts = {{7, prompt_tokens / 2}, {8, prompt_tokens / 2}};
+    facts.prompt.expected_output_tokens = 50;
+  }
+  facts.caller_wait = seconds(12);
+  return facts;
+}
+
+class GatewayCoreTest : public ::testing::Test {
+ protected:
+  auto Serve(int targets) -> void {
+    core_.SetTable(MakeTable(1));
+    core_.ConfirmConfiguration(kStart);
+    core_.SetTargets(MakeTargets(targets), 1, kStart);
+  }
+  auto Accepted(const RequestFacts& facts, Time now = kStart)
+      -> GatewayRequest {
+    auto accepted = core_.Accept(facts, now);
+    EXPECT_TRUE(std::holds_alternative<GatewayRequest>(accepted));
+    return std::get<GatewayRequest>(accepted);
+  }
+  auto Reason(const GatewayCore::Accepted& accepted) -> RefusalReason {
+    EXPECT_TRUE(std::holds_alternative<Refusal>(accepted));
+    return std::get<Refusal>(accepted).reason;
+  }
+
+  GatewayCore core_{MakeOptions("10.0.0.1:1")};
+};
+
+TEST_F(GatewayCoreTest, WithoutConfigurationNothingIsDenied) {
+  const auto reason = Reason(core_.Accept(Facts("/chat/1", "key-a"), kStart));
+  EXPECT_EQ(reason, RefusalReason::kNoConfiguration);
+  EXPECT_EQ(RefusalStatus(reason), 503);
+  EXPECT_FALSE(core_.is_ready(kStart));
+}
+
+TEST_F(GatewayCoreTest, KeysAndRoutesDecide) {
+  Serve(1);
+  EXPECT_EQ(Reason(core_.Accept(Facts("/chat/1", "stolen"), kStart)),
+            RefusalReason::kUnknownKey);
+  EXPECT_EQ(Reason(core_.Accept(Facts("/none/1", "key-a"), kStart)),
+            RefusalReason::kNoRoute);
+  EXPECT_EQ(Accepted(Facts("/chat/1", "key-b")).customer, CustomerId("b"));
+}
+
+TEST_F(GatewayCoreTest, NoKeyIsBelievedLongerThanTheRevocationBound) {
+  Serve(1);
+  const auto late = kStart + milliseconds(4700);
+  const auto reason = Reason(core_.Accept(Facts("/chat/1", "key-a"), late));
+  EXPECT_EQ(reason, RefusalReason::kKeyUnconfirmed);
+  EXPECT_EQ(RefusalStatus(reason), 503);
+}
+
+TEST_F(GatewayCoreTest, AfterAStandStillKeysAreConfirmedFirst) {
+  Serve(1);
+  core_.RecordPause(kStart);
+  EXPECT_EQ(Reason(core_.Accept(Facts("/chat/1", "key-a"), kStart)),
+            RefusalReason::kKeyUnconfirmed);
+}
+
+TEST_F(GatewayCoreTest, AnOlderConfigurationNeverReplacesANewerOne) {
+  EXPECT_TRUE(core_.SetTable(MakeTable(5)));
+  EXPECT_FALSE(core_.SetTable(MakeTable(4)));
+  EXPECT_FALSE(core_.SetTable(MakeTable(5)));
+  EXPECT_EQ(core_.table()->version(), 5U);
+}
+
+TEST_F(GatewayCoreTest, ARequestThatMayHaveRunIsNotSentTwice) {
+  Serve(3);
+  auto request = Accepted(Facts("/order/1", "key-a"));
+  const auto placement = std::get<Placement>(core_.Place(request, kStart));
+  for (const auto outcome : {SendOutcome::kBroken, SendOutcome::kServerError}) {
+    EXPECT_FALSE(core_.MayRepeat(request, outcome, false, kStart));
+  }
+  EXPECT_TRUE(
+      core_.MayRepeat(request, SendOutcome::kNotExecuted, false, kStart));
+  EXPECT_FALSE(placement.target.id.is_empty());
+}
+
+TEST_F(GatewayCoreTest, AStreamThatIsNotResumableIsNotSentTwice) {
+  Serve(3);
+  auto request = Accepted(Facts("/chat/1", "key-a", 100));
+  core_.Place(request, kStart);
+  EXPECT_FALSE(core_.MayRepeat(request, SendOutcome::kBroken, false, kStart));
+  EXPECT_FALSE(core_.MayRepeat(request, SendOutcome::kBroken, true, kStart));
+}
+
+TEST_F(GatewayCoreTest, AnIdempotentRequestGoesToAnotherTarget) {
+  Serve(2);
+  auto request = Accepted(Facts("/status/1", "key-a"));
+  const auto first = std::get<Placement>(core_.Place(request, kStart));
+  core_.RecordEnd(request, first, SendOutcome::kBroken, kStart);
+  ASSERT_TRUE(core_.MayRepeat(request, SendOutcome::kBroken, false, kStart));
+  const auto second = std::get<Placement>(core_.Place(request, kStart));
+  EXPECT_NE(first.target.id, second.target.id);
+  EXPECT_FALSE(core_.MayRepeat(request, SendOutcome::kBroken, false, kStart))
+      << "the route allows two targets";
+}
+
+TEST_F(GatewayCoreTest, RefusesAtOnceWhatNoTargetCouldAnswerInTime) {
+  Serve(1);
+  // Each prompt needs 200 ms at the rate that is assumed at first.
+  auto refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    auto request = Accepted(Facts("/chat/1", "key-a", 6000));
+    const auto result = core_.Place(request, kStart);
+    if (const auto* refusal = std::get_if<Refusal>(&result)) {
+      ++refused;
+      EXPECT_GT(refusal->retry_after, Duration{});
+    }
+  }
+  EXPECT_GE(refused, 15);
+  EXPECT_LT(refused, 20);
+}
+
+TEST_F(GatewayCoreTest, AnEndedRequestGivesItsRoomBack) {
+  Serve(1);
+  for (int i = 0; i < 200; ++i) {
+    auto request = Accepted(Facts("/chat/1", "key-a", 3000));
+    const auto result = core_.Place(request, kStart);
+    ASSERT_TRUE(std::holds_alternative<Placement>(result)) << "request " << i;
+    const auto& placement = std::get<Placement>(result);
+    core_.RecordFirstToken(placement, kStart);
+    core_.RecordEnd(request, placement, SendOutcome::kComplete, kStart);
+  }
+}
+
+// Load pattern: one customer floods while another asks now and then. The
+// second finds room although the first would take all of it.
+TEST_F(GatewayCoreTest, AFloodLeavesRoomForOthers) {
+  Serve(2);
+  int refused_small = 0;
+  int served_small = 0;
+  int refused_flood = 0;
+  struct Open {
+    GatewayRequest request;
+    Placement placement;
+    Time first_token_at{};
+    Time ends_at{};
+  };
+  std::deque<Open> open;
+  for (int i = 0; i < 4000; ++i) {
+    const auto now = kStart + milliseconds(5) * i;
+    core_.ConfirmConfiguration(now);
+    for (const auto& running : open) {
+      if (running.first_token_at <= now) {
+        core_.RecordFirstToken(running.placement, now);
+      }
+    }
+    while (!open.empty() && open.front().ends_at <= now) {
+      const auto& done = open.front();
+      core_.RecordEnd(done.request, done.placement, SendOutcome::kComplete,
+                      now);
+      open.pop_front();
+    }
+    const auto is_small = i % 40 == 0;
+    auto request =
+        Accepted(Facts("/chat/1", is_small ? "key-b" : "key-a", 1000), now);
+    const auto result = core_.Place(request, now);
+    const auto is_refused = std::holds_alternative<Refusal>(result);
+    if (is_small) ++(is_refused ? refused_small : served_small);
+    if (!is_small && is_refused) ++refused_flood;
+    if (is_refused) continue;
+    open.push_back({request, std::get<Placement>(result),
+                    now + milliseconds(60), now + milliseconds(600)});
+  }
+  EXPECT_GT(refused_flood, 1000);
+  EXPECT_GT(served_small, 95 * (served_small + refused_small) / 100);
+}
+
+TEST_F(GatewayCoreTest, RequestsWithOnePrefixMeetAtOneTarget) {
+  Serve(6);
+  std::set<TargetId> used;
+  for (int i = 0; i < 30; ++i) {
+    auto request = Accepted(Facts("/chat/1", "key-a", 1000));
+    const auto placement = std::get<Placement>(core_.Place(request, kStart));
+    used.insert(placement.target.id);
+    core_.RecordFirstToken(placement, kStart);
+    core_.RecordEnd(request, placement, SendOutcome::kComplete, kStart);
+  }
+  EXPECT_EQ(used.size(), 1U);
+}
+
+// Load pattern: several routers choose at the same moment. Each sees the
+// others' requests in their reports and goes elsewhere.
+TEST_F(GatewayCoreTest, ReportsOfPeersMoveRequestsElsewhere) {
+  Serve(2);
+  auto probe = Accepted(Facts("/chat/1", "key-a", 1000));
+  const auto home = std::get<Placement>(core_.Place(probe, kStart)).target.id;
+  PeerReport report;
+  report.started_unix_ms = 1;
+  report.sequence = 1;
+  report.peer_address = "10.0.0.2:1";
+  report.loads = {{TargetHash(home), LoadShare{20000, 8, 20000}}};
+  core_.TakeReport(report, kStart);
+  auto request = Accepted(Facts("/chat/1", "key-a", 1000));
+  const auto placement = std::get<Placement>(core_.Place(request, kStart));
+  EXPECT_NE(placement.target.id, home);
+}
+
+TEST_F(GatewayCoreTest, NewsOfADrainingTargetIsActedOn) {
+  Serve(2);
+  PeerReport report;
+  report.started_unix_ms = 1;
+  report.sequence = 1;
+  report.peer_address = "10.0.0.2:1";
+  auto row = MakeTargets(1)[0];
+  row.is_draining = true;
+  report.news = {TargetNews{9, false, row}};
+  core_.TakeReport(report, kStart);
+  for (int i = 0; i < 20; ++i) {
+    auto request = Accepted(Facts("/status/1", "key-a"));
+    const auto placement = std::get<Placement>(core_.Place(request, kStart));
+    EXPECT_NE(placement.target.id, row.id);
+    core_.RecordEnd(request, placement, SendOutcome::kComplete, kStart);
+  }
+}
+
+TEST_F(GatewayCoreTest, ARepliesFreshnessCountsFromTheQuery) {
+  core_.SetTable(MakeTable(3));
+  const auto query = core_.MakeQuery(kStart);
+  core_.TakeReply(FreshnessReply{query.nonce, 3, milliseconds(500)});
+  // However late the reply arrives, the age starts before the query.
+  EXPECT_EQ(core_.key_age(kStart + seconds(2)), milliseconds(2500));
+}
+
+TEST_F(GatewayCoreTest, APeersNewerVersionConfirmsNothing) {
+  core_.SetTable(MakeTable(3));
+  const auto query = core_.MakeQuery(kStart);
+  core_.TakeReply(FreshnessReply{query.nonce, 4, Duration{}});
+  EXPECT_FALSE(core_.is_ready(kStart));
+  core_.TakeReply(FreshnessReply{query.nonce + 1, 3, Duration{}});
+  EXPECT_EQ(core_.key_age(kStart), milliseconds(4600)) << "no such query";
+}
+
+TEST_F(GatewayCoreTest, AStoppingRouterRefusesWhatCannotEnd) {
+  Serve(1);
+  core_.BeginStop(kStart);
+  EXPECT_TRUE(core_.CallerAddresses(DataCenterId("west"), kStart).empty());
+  const auto late = kStart + seconds(2);
+  EXPECT_EQ(Reason(core_.Accept(Facts("/chat/1", "key-a", 100), late)),
+            RefusalReason::kLeaving);
+  EXPECT_TRUE(std::holds_alternative<GatewayRequest>(
+      core_.Accept(Facts("/status/1", "key-a"), kStart)));
+}
+
+TEST(ConfigWatchTest, TwoRoutersOfManyWatch) {
+  std::vector<LivePeer> all;
+  for (int i = 0; i < 50; ++i) {
+    const auto name = "10.0.0." + std::to_string(i) + ":1";
+    all.push_back({RouterId(name + "#1"), name});
+  }
+  int watchers = 0;
+  for (const auto& self : all) {
+    std::vector<LivePeer> peers;
+    for (const auto& peer : all) {
+      if (peer.router != self.router) peers.push_back(peer);
+    }
+    const ConfigWatch watch(self.router);
+    if (watch.IsWatcher(peers)) ++watchers;
+    EXPECT_LE(watch.WatcherAddresses(peers).size(), 2U);
+  }
+  EXPECT_EQ(watchers, 2);
+}
+
+TEST(PeerMessagesTest, SurviveTheCodec) {
+  PeerReport report;
+  report.started_unix_ms = 1772707117173;
+  report.sequence = 12;
+  report.peer_address = "10.0.0.1:7400";
+  report.caller_address = "10.0.0.1:8000";
+  report.data_center = DataCenterId("west");
+  report.is_ready = true;
+  report.is_store_continuous = true;
+  report.config_version = 9;
+  report.loads = {{4000000000U, LoadShare{1200, 3, 9000}}};
+  report.rates = {{CustomerId("a"), CustomerRate{10, 5}}};
+  report.news = {TargetNews{77, true, MakeTargets(1)[0]}};
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(report));
+  ASSERT_TRUE(decoded && std::holds_alternative<PeerReport>(*decoded));
+  const auto& copy = std::get<PeerReport>(*decoded);
+  EXPECT_EQ(copy.router(), report.router());
+  EXPECT_EQ(copy.loads[0].first, 4000000000U);
+  EXPECT_EQ(copy.loads[0].second.requests, 3);
+  EXPECT_EQ(copy.rates->at(CustomerId("a")).asked, 10);
+  EXPECT_EQ(copy.news[0].version, 77U);
+  EXPECT_TRUE(copy.news[0].is_gone);
+  EXPECT_TRUE(copy.is_store_continuous);
+}
+
+TEST(PeerMessagesTest, OtherBytesAreNoMessage) {
+  const auto bytes = EncodePeerMessage(FreshnessReply{1, 2, seconds(3)});
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_FALSE(DecodePeerMessage(bytes.substr(0, size)));
+  }
+  EXPECT_FALSE(DecodePeerMessage("\x81\x0b"));
+  EXPECT_FALSE(DecodePeerMessage("hello"));
+}
+
+TEST(PeerTableTest, SilentAndLeavingRoutersAreNotNamed) {
+  PeerTable peers("self:1");
+  PeerReport report;
+  report.started_unix_ms = 1;
+  report.sequence = 1;
+  report.peer_address = "peer:1";
+  report.caller_address = "peer:2";
+  report.is_ready = true;
+  peers.Take(report, kStart);
+  EXPECT_EQ(peers.Serving(kStart).size(), 1U);
+  EXPECT_TRUE(peers.Serving(kStart + seconds(2)).empty());
+  report.sequence = 2;
+  report.is_leaving = true;
+  peers.Take(report, kStart);
+  EXPECT_TRUE(peers.Serving(kStart).empty());
+}
+
+TEST(PeerTableTest, ALateReportChangesNothing) {
+  PeerTable peers("self:1");
+  PeerReport report;
+  report.started_unix_ms = 2;
+  report.sequence = 5;
+  report.peer_address = "peer:1";
+  EXPECT_TRUE(peers.Take(report, kStart));
+  EXPECT_FALSE(peers.Take(report, kStart));
+  report.started_unix_ms = 1;
+  report.sequence = 9;
+  EXPECT_FALSE(peers.Take(report, kStart)) << "of the process before";
+}
+
+}  // namespace
+}  // namespace papayaplank
--- /dev/null
+++ b/tests/relay/test_relay.cpp
@@ -0,0 +1,113 @@
+// Reading of messages and events.
+#include <gtest/gtest.h>
+
+#include "relay/event_splitter.h"
+#include "relay/message_reader.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr std::size_t kHeaderLimit = 1000;
+constexpr std::uint64_t kBodyLimit = 100;
+
+using RequestProgress = RequestReader::Progress;
+
+auto ReadRequest(std::string bytes, std::string* body = nullptr)
+    -> RequestProgress {
+  RequestReader reader(kHeaderLimit, kBodyLimit,
+                       [body](std::string_view part) {
+                         if (body != nullptr) body->append(part);
+                       });
+  return reader.Read(bytes);
+}
+
+TEST(MessageReaderTest, ReadsAMessageByteByByte) {
+  const std::string message =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET";
+  std::string body;
+  RequestReader reader(kHeaderLimit, kBodyLimit,
+                       [&body](std::string_view part) { body.append(part); });
+  std::string pending;
+  std::size_t used = 0;
+  auto progress = RequestProgress::kNeedMore;
+  while (progress != RequestProgress::kDone && used < message.size()) {
+    pending.push_back(message[used++]);
+    progress = reader.Read(pending);
+  }
+  EXPECT_EQ(progress, RequestProgress::kDone);
+  EXPECT_EQ(body, "abcde");
+  EXPECT_EQ(message.substr(used), "GET");
+}
+
+TEST(MessageReaderTest, RefusesAmbiguousFraming) {
+  for (const auto* message :
+       {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost : h\r\n\r\n", "\x16\x03\x01\r\n\r\n"}) {
+    EXPECT_EQ(ReadRequest(message), RequestProgress::kInvalid) << message;
+  }
+}
+
+TEST(MessageReaderTest, KeepsItsLimits) {
+  EXPECT_EQ(ReadRequest("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
+            RequestProgress::kTooLarge);
+  const std::string long_header(kHeaderLimit, 'x');
+  EXPECT_EQ(ReadRequest("GET / HTTP/1.1\r\nA: " + long_header + "\r\n\r\n"),
+            RequestProgress::kTooLarge);
+}
+
+TEST(MessageReaderTest, AnAnswerWithoutLengthEndsWithItsConnection) {
+  std::string body;
+  ResponseReader reader(kHeaderLimit, kBodyLimit,
+                        [&body](std::string_view part) { body.append(part); });
+  std::string bytes = "HTTP/1.1 200 OK\r\nA: b\r\n\r\nabc";
+  reader.Read(bytes);
+  EXPECT_FALSE(reader.is_done());
+  EXPECT_TRUE(reader.ReadEnd());
+  EXPECT_EQ(body, "abc");
+}
+
+TEST(MessageReaderTest, ATruncatedAnswerIsNotComplete) {
+  ResponseReader reader(kHeaderLimit, kBodyLimit, [](std::string_view) {});
+  std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+  reader.Read(bytes);
+  EXPECT_FALSE(reader.ReadEnd());
+}
+
+auto Split(EventSplitter& splitter, std::string_view bytes) -> std::string {
+  std::string whole;
+  splitter.Take(bytes,
+                [&whole](std::string_view event) { whole.append(event); });
+  return whole;
+}
+
+TEST(EventSplitterTest, HandsOnWholeEventsOnly) {
+  EventSplitter splitter;
+  EXPECT_EQ(Split(splitter, "id: 1\ndata: a\n\nid: 2\nda"),
+            "id: 1\ndata: a\n\n");
+  EXPECT_TRUE(splitter.has_rest());
+  EXPECT_EQ(Split(splitter, "ta: b\n\n"), "id: 2\ndata: b\n\n");
+  EXPECT_FALSE(splitter.has_rest());
+  EXPECT_EQ(splitter.last_number(), 2);
+}
+
+TEST(EventSplitterTest, AnotherTargetRepeatsNothing) {
+  EventSplitter splitter;
+  Split(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  splitter.Restart();
+  EXPECT_EQ(Split(splitter, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+            "id: 3\ndata: c\n\n");
+}
+
+TEST(EventSplitterTest, AMissingEventIsNoticed) {
+  EventSplitter splitter;
+  Split(splitter, "id: 1\ndata: a\n\n");
+  EXPECT_EQ(Split(splitter, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"), "");
+  EXPECT_TRUE(splitter.has_gap());
+}
+
+}  // namespace
+}  // namespace papayaplank
--- /dev/null
+++ b/tests/routing/test_routing.cpp
@@ -0,0 +1,166 @@
+// Routes, keys and targets as the store tells of them.
+#include <gtest/gtest.h>
+
+#include "routing/routing.h"
+
+namespace papayaplank {
+namespace {
+
+auto MakeRoute(const std::string& prefix, const std::string& pool) -> Route {
+  Route route;
+  route.name = prefix;
+  route.host = "shop.example";
+  route.prefix = prefix;
+  route.pools = {{PoolId(pool), 1}};
+  return route;
+}
+
+auto MakeRow(const std::string& id, std::int64_t started = 1) -> TargetRow {
+  TargetRow row;
+  row.id = TargetId(id);
+  row.address = "127.0.0.1:9000";
+  row.pool = PoolId("pool");
+  row.started_unix_ms = started;
+  return row;
+}
+
+auto List(std::vector<TargetRow> rows, std::uint64_t version,
+          bool is_recovering = false) -> TargetListing {
+  return TargetListing{std::move(rows), version, is_recovering};
+}
+
+TEST(RoutingTableTest, TakesTheLongestPrefixOfTheHost) {
+  RoutingDocument document;
+  document.routes = {MakeRoute("/a/", "short"), MakeRoute("/a/b/", "long")};
+  const RoutingTable table(document);
+  EXPECT_EQ(table.FindRoute("shop.example", "/a/b/c")->prefix, "/a/b/");
+  EXPECT_EQ(table.FindRoute("shop.example", "/a/c")->prefix, "/a/");
+  EXPECT_EQ(table.FindRoute("shop.example", "/a"), nullptr);
+  EXPECT_EQ(table.FindRoute("other.example", "/a/b/c"), nullptr);
+}
+
+TEST(KeyValidityTest, EndsBeforeTheRevocationBound) {
+  KeyValidity keys(milliseconds(5000), milliseconds(400));
+  const Time start(seconds(100));
+  EXPECT_FALSE(keys.IsValid(start));
+  keys.Confirm(start);
+  EXPECT_TRUE(keys.IsValid(start + milliseconds(4599)));
+  EXPECT_FALSE(keys.IsValid(start + milliseconds(4600)));
+}
+
+TEST(KeyValidityTest, AnOlderConfirmationChangesNothing) {
+  KeyValidity keys(milliseconds(5000), milliseconds(400));
+  const Time start(seconds(100));
+  keys.Confirm(start);
+  keys.Confirm(start - seconds(3));
+  EXPECT_EQ(keys.Age(start), Duration{});
+}
+
+TEST(KeyValidityTest, AStandStillVoidsWhatWasConfirmed) {
+  KeyValidity keys(milliseconds(5000), milliseconds(400));
+  const Time start(seconds(100));
+  keys.Confirm(start);
+  keys.Invalidate();
+  EXPECT_FALSE(keys.IsValid(start));
+}
+
+TEST(StoreContinuityTest, AGapInWhichRowsMayLapseBreaksIt) {
+  StoreContinuity continuity;
+  Time now(seconds(100));
+  for (int i = 0; i < 30; ++i, now += milliseconds(100)) {
+    continuity.RecordSuccess(now);
+  }
+  EXPECT_TRUE(continuity.IsContinuous(now));
+  now += seconds(4);
+  EXPECT_FALSE(continuity.IsContinuous(now));
+  continuity.RecordSuccess(now);
+  EXPECT_FALSE(continuity.IsContinuous(now));
+}
+
+TEST(StoreContinuityTest, HoldsAgainWhenLivingRowsAreBack) {
+  StoreContinuity continuity;
+  Time now(seconds(100));
+  continuity.RecordSuccess(now);
+  const auto returned = now + seconds(5);
+  for (now = returned; now < returned + milliseconds(2400);
+       now += milliseconds(200)) {
+    continuity.RecordSuccess(now);
+  }
+  EXPECT_TRUE(continuity.IsContinuous(now));
+}
+
+TEST(TargetDirectoryTest, ADrainingTargetTakesNoNewRequest) {
+  TargetDirectory directory;
+  directory.Apply(List({MakeRow("a"), MakeRow("b")}, 1));
+  auto draining = MakeRow("a");
+  draining.is_draining = true;
+  const auto change = directory.Apply(List({draining, MakeRow("b")}, 2));
+  EXPECT_EQ(change.left, std::vector<TargetId>{TargetId("a")});
+  ASSERT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+  EXPECT_EQ(directory.Serving(PoolId("pool"))[0].id, TargetId("b"));
+}
+
+TEST(TargetDirectoryTest, ALateRowDoesNotReviveADrainingTarget) {
+  TargetDirectory directory;
+  auto draining = MakeRow("a");
+  draining.is_draining = true;
+  directory.Apply(List({draining}, 1));
+  directory.Apply(List({MakeRow("a")}, 2));
+  EXPECT_TRUE(directory.Serving(PoolId("pool")).empty());
+  directory.Apply(List({MakeRow("a", 2)}, 3));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+}
+
+TEST(TargetDirectoryTest, AMissingRowIsGone) {
+  TargetDirectory directory;
+  directory.Apply(List({MakeRow("a"), MakeRow("b")}, 1));
+  const auto change = directory.Apply(List({MakeRow("b")}, 2));
+  EXPECT_EQ(change.left, std::vector<TargetId>{TargetId("a")});
+  ASSERT_EQ(change.news.size(), 1U);
+  EXPECT_TRUE(change.news[0].is_gone);
+}
+
+TEST(TargetDirectoryTest, ALapsedRowIsKeptWhileTheStoreRecovers) {
+  TargetDirectory directory;
+  directory.Apply(List({MakeRow("a"), MakeRow("b")}, 1));
+  directory.Apply(List({MakeRow("b")}, 2, true));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 2U);
+  directory.Apply(List({MakeRow("b")}, 3));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+}
+
+TEST(TargetDirectoryTest, NewsOfAPeerHoldsUntilANewerListing) {
+  TargetDirectory directory;
+  directory.Apply(List({MakeRow("a")}, 5));
+  TargetNews gone{7, true, MakeRow("a")};
+  directory.Apply(gone);
+  EXPECT_TRUE(directory.Serving(PoolId("pool")).empty());
+  directory.Apply(List({MakeRow("a")}, 6));
+  EXPECT_TRUE(directory.Serving(PoolId("pool")).empty());
+  directory.Apply(List({MakeRow("a", 2)}, 8));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+}
+
+TEST(TargetDirectoryTest, OlderNewsAndListingsChangeNothing) {
+  TargetDirectory directory;
+  directory.Apply(List({MakeRow("a")}, 5));
+  directory.Apply(TargetNews{5, true, MakeRow("a")});
+  directory.Apply(List({}, 4));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+}
+
+TEST(TargetDirectoryTest, ANewIncarnationUnderTheSameIdIsSeen) {
+  TargetDirectory directory;
+  auto row = MakeRow("a");
+  row.reports = 9;
+  directory.Apply(List({row}, 1));
+  row.reports = 1;
+  EXPECT_EQ(directory.Apply(List({row}, 2)).restarted.size(), 1U);
+  row.started_unix_ms = 2;
+  EXPECT_EQ(directory.Apply(List({row}, 3)).restarted.size(), 1U);
+  row.reports = 2;
+  EXPECT_TRUE(directory.Apply(List({row}, 4)).restarted.empty());
+}
+
+}  // namespace
+}  // namespace papayaplank
