Relay: tell a body that is too large from a header that is

Cause: the parser reports the body limit before the header counts as done, so a large body was answered 431. Found by tests/process/test_edge.py, the process tests of the router between stand-ins of the platform (26 cases).

--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -91,9 +91,10 @@
   switch (reader_->Read(in_)) {
     case Progress::kInvalid:
       return Reject(kBadRequest);
-    case Progress::kTooLarge:
-      return Reject(reader_->is_header_done() ? kBodyTooLarge
-                                              : kHeadersTooLarge);
+    case Progress::kHeaderTooLarge:
+      return Reject(kHeadersTooLarge);
+    case Progress::kBodyTooLarge:
+      return Reject(kBodyTooLarge);
     case Progress::kDone:
       return Dispatch();
     case Progress::kHeader:
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -9,10 +9,14 @@
 
 namespace http = boost::beast::http;
 
-auto IsSizeError(const boost::beast::error_code& error) -> bool {
-  return error == http::error::header_limit ||
-         error == http::error::body_limit ||
-         error == http::error::buffer_overflow;
+template <typename Progress>
+auto ProgressOf(const boost::beast::error_code& error) -> Progress {
+  if (error == http::error::body_limit) return Progress::kBodyTooLarge;
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return Progress::kHeaderTooLarge;
+  }
+  return Progress::kInvalid;
 }
 
 }  // namespace
@@ -38,8 +42,7 @@
       if (taken == 0) break;
       continue;
     }
-    if (error) return IsSizeError(error) ? Progress::kTooLarge
-                                         : Progress::kInvalid;
+    if (error) return ProgressOf<Progress>(error);
   }
   if (this->is_done()) return Progress::kDone;
   if (this->is_header_done() && !is_header_seen_) {
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -31,7 +31,8 @@
     kHeader,    // The header has just become complete.
     kDone,      // The message is complete.
     kInvalid,   // The bytes are no HTTP message.
-    kTooLarge,  // The header or the body exceeds its limit.
+    kHeaderTooLarge,
+    kBodyTooLarge,
   };
   // Takes bytes from the front of `bytes`, and removes them from it.
   auto Read(std::string& bytes) -> Progress;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -144,7 +144,8 @@
   if (!is_busy_) return;
   switch (progress) {
     case Progress::kInvalid:
-    case Progress::kTooLarge:
+    case Progress::kHeaderTooLarge:
+    case Progress::kBodyTooLarge:
       return End(TransferEnd::kBroken);
     case Progress::kHeader:
       return HandleHead();
--- /dev/null
+++ b/tests/process/platform_standin.py
@@ -0,0 +1,243 @@
+"""Stand-ins of the users' platform: its store, and targets with faults.
+
+Small and scripted; each test sets the fault that it needs.
+"""
+
+import base64
+import json
+import socket
+import threading
+import time
+import urllib.parse
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def read_message(stream):
+    """Returns start line, headers and body of one message, or None."""
+    line = stream.readline()
+    if not line:
+        return None
+    headers = {}
+    while True:
+        header = stream.readline()
+        if header in (b"\r\n", b""):
+            break
+        name, _, value = header.decode().partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = stream.read(int(headers.get("content-length", 0)))
+    return line.decode().split(), headers, body
+
+
+class Server:
+    """Accepts connections and hands each to a thread."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.open = set()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.open.add(connection)
+            threading.Thread(target=self.run, args=(connection,),
+                             daemon=True).start()
+
+    def run(self, connection):
+        try:
+            with connection, connection.makefile("rb") as stream:
+                while True:
+                    message = read_message(stream)
+                    if message is None or not self.serve(connection, *message):
+                        return
+        except OSError:
+            pass  # The peer closed first.
+        finally:
+            self.open.discard(connection)
+
+    def stop(self):
+        self.listener.close()
+        for connection in list(self.open):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # It was closed meanwhile.
+
+
+class Store(Server):
+    """Rows with versions, listings and feeds."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.changed = threading.Condition()
+        self.fault = None  # "busy", "silent" or "reset".
+        self.calls = 0
+        super().__init__()
+
+    def put(self, table, key, value):
+        with self.changed:
+            self.version += 1
+            self.rows[(table, key)] = (value, self.version)
+            self.changed.notify_all()
+
+    def remove(self, table, key):
+        with self.changed:
+            self.version += 1
+            self.rows[(table, key)] = (None, self.version)
+            self.changed.notify_all()
+
+    def listed(self, table, after=0, with_removed=False):
+        rows = []
+        for (name, key), (value, version) in sorted(self.rows.items()):
+            if name != table or version <= after:
+                continue
+            row = {"table": table, "part": "", "key": key, "ver": version}
+            if value is not None:
+                text = value if isinstance(value, str) else json.dumps(value)
+                row["value"] = base64.b64encode(text.encode()).decode()
+            elif with_removed:
+                row["removed"] = True
+            else:
+                continue
+            rows.append(row)
+        return rows
+
+    def serve(self, connection, start, headers, body):
+        self.calls += 1
+        if self.fault == "silent":
+            time.sleep(3600)
+        if self.fault == "reset":
+            return False
+        if self.fault == "busy":
+            return self.reply(connection, 503, {})
+        path, _, query = start[1].partition("?")
+        query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        if path == "/v1/rows-tx":
+            for row in json.loads(body)["writes"]:
+                value = base64.b64decode(row["value"]).decode()
+                self.put(row["table"], row["key"], value)
+            return self.reply(connection, 200, {"ver": self.version})
+        if path == "/v1/rows-get":
+            with self.changed:
+                return self.reply(connection, 200, {
+                    "rows": self.listed(query["table"]),
+                    "truncated": False, "ver": self.version})
+        after = int(query["after-rev"])
+        until = time.monotonic() + int(query["wait-ms"]) / 1000
+        with self.changed:
+            while not self.listed(query["table"], after, True):
+                left = until - time.monotonic()
+                if left <= 0:
+                    break
+                self.changed.wait(left)
+            answer = {
+                "rows": self.listed(query["table"], after, True),
+                "ver": self.version}
+        if self.fault:
+            return self.serve(connection, start, headers, body)
+        return self.reply(connection, 200, answer)
+
+    @staticmethod
+    def reply(connection, status, body):
+        text = json.dumps(body).encode()
+        connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s"
+                           % (status, len(text), text))
+        return True
+
+
+class Target(Server):
+    """A target: plain answers, or streams of numbered events.
+
+    `faults` is a list of names; each request takes the first one.
+    """
+
+    def __init__(self, store, name, service, state="ready"):
+        self.name = name
+        self.faults = []
+        self.runs = []       # (request id, first event) of each run.
+        self.seen = []       # Headers of each request.
+        self.cancelled = []  # Request ids whose connection ended early.
+        self.event_gap = 0.0
+        super().__init__()
+        self.row = {"service": service, "address": self.address, "zone": "west",
+                    "version": "v1", "slots": 8, "state": state,
+                    "cold-left-ms": 0, "seq": 1, "born": 1}
+        self.store = store
+        store.put("servers", name, self.row)
+
+    def drain(self):
+        self.row["state"] = "draining"
+        self.store.put("servers", self.name, self.row)
+
+    def head(self, headers, status=200, extra=b""):
+        return (b"HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nRunner-Signature: s\r\n%s"
+                % (status, headers["attempt-id"].encode(), extra))
+
+    def serve(self, connection, start, headers, body):
+        self.seen.append(headers)
+        fault = self.faults.pop(0) if self.faults else None
+        if headers.get("expect-runner") != self.name:
+            connection.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if fault == "shed":
+            connection.sendall(b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+                               b"Content-Length: 0\r\n\r\n")
+            return True
+        if fault == "reset":
+            return False
+        self.runs.append((headers["attempt-id"],
+                          int(headers.get("last-event-id", 0))))
+        if fault == "lost":
+            return False
+        if fault == "hang":
+            time.sleep(3600)
+        if start[1].startswith("/stream/"):
+            return self.stream(connection, headers, fault)
+        answer = b"answer to " + headers["attempt-id"].encode()
+        if fault == "crossed":
+            headers = {"attempt-id": "another"}
+        if fault == "error":
+            connection.sendall(self.head(headers, 500) +
+                               b"Content-Length: 0\r\n\r\n")
+            return True
+        if fault == "slow":
+            time.sleep(1.0)
+        length = len(answer)
+        if fault == "truncated":
+            answer = answer[:4]
+        connection.sendall(self.head(headers) +
+                           b"Content-Length: %d\r\n\r\n%s" % (length, answer))
+        if fault == "extra":
+            connection.sendall(self.head({"attempt-id": "late"}) +
+                               b"Content-Length: 4\r\n\r\nlate")
+        return fault != "truncated"
+
+    def stream(self, connection, headers, fault):
+        first = int(headers.get("last-event-id", 0)) + 1
+        connection.sendall(self.head(
+            headers, extra=b"Content-Type: text/event-stream\r\n"
+                           b"Transfer-Encoding: chunked\r\n") + b"\r\n")
+        for number in range(first, 11):
+            event = b"id: %d\ndata: event %d\n\n" % (number, number)
+            if fault == "cut" and number == first + 3:
+                half = event[:9]
+                connection.sendall(b"%x\r\n%s\r\n" % (len(half), half))
+                return False
+            try:
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            except OSError:
+                self.cancelled.append(headers["attempt-id"])
+                raise
+            time.sleep(self.event_gap)
+        connection.sendall(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tests/process/test_edge.py
@@ -0,0 +1,396 @@
+"""The router of the users' platform as a process, between stand-ins."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_standin as standin  # noqa: E402
+
+EDGE = os.path.join(sys.argv.pop(1), "apps/papayaplank_edge")
+WAIT_SECONDS = 20  # Longest wait for a state; no test measures time by it.
+
+
+def route(prefix, kind, **more):
+    return dict({"name": prefix, "host": "shop.example", "prefix": prefix,
+                 "route-kind": kind, "timeout-ms": 8000, "goal-ms": 2000,
+                 "service": "s", "max-attempts": 2, "public": False}, **more)
+
+
+def configuration(version, keys=("key-1",), extra=()):
+    return {"version": version,
+            "routes": [route("/read/", "idempotent"),
+                       route("/write/", "non_idempotent"),
+                       route("/stream/", "streaming", resumable=True),
+                       route("/stream/once/", "streaming", resumable=False),
+                       route("/short/", "idempotent", **{"timeout-ms": 600}),
+                       *extra],
+            "services": [{"name": "s", "max-conns": 100}],
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 65536,
+                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+                       "tokens-per-s": 1000},
+            "tenants": [{"name": "guild", "api-keys": list(keys)}]}
+
+
+class Edge:
+    """One router process."""
+
+    def __init__(self, store, name):
+        self.caller, self.ready, self.directory, self.metrics = (
+            standin.free_port() for _ in range(4))
+        peer = standin.free_port(socket.SOCK_DGRAM)
+        self.process = subprocess.Popen(
+            [EDGE, f"--name={name}", "--data_center=west", "--region=r",
+             f"--caller_listen=127.0.0.1:{self.caller}",
+             f"--ready_listen=127.0.0.1:{self.ready}",
+             f"--directory_listen=127.0.0.1:{self.directory}",
+             f"--metrics_listen=127.0.0.1:{self.metrics}",
+             f"--peer_listen=127.0.0.1:{peer}",
+             f"--store_address={store.address}", "--retry_slack=1000",
+             "--stop_grace_seconds=8"],
+            stdout=subprocess.PIPE, text=True)
+        self.lines = []
+        threading.Thread(target=self.read_log, daemon=True).start()
+
+    def read_log(self):
+        for line in self.process.stdout:
+            self.lines.append(json.loads(line))
+
+    def is_ready(self):
+        try:
+            return get(self.ready, "/v1/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+def get(port, path):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    connection.request("GET", path)
+    answer = connection.getresponse()
+    body = answer.read()
+    connection.close()
+    return answer.status, body
+
+
+def wait_for(condition, what):
+    until = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        if time.monotonic() > until:
+            raise AssertionError("not in time: " + what)
+        time.sleep(0.02)
+
+
+class EdgeTest(unittest.TestCase):
+    count = 0
+    edges_wanted = 1
+
+    def setUp(self):
+        self.store = standin.Store()
+        self.store.put("op", "config", configuration(1))
+        self.targets = [standin.Target(self.store, f"t{i}", "s")
+                        for i in range(2)]
+        self.edges = [Edge(self.store, f"e{i}")
+                      for i in range(self.edges_wanted)]
+        self.edge = self.edges[0]
+        for edge in self.edges:
+            wait_for(edge.is_ready, "the router is ready")
+        wait_for(lambda: all(self.joined(edge) == 2 for edge in self.edges),
+                 "targets are known")
+
+    def tearDown(self):
+        for edge in self.edges:
+            edge.stop()
+        for server in [self.store, *self.targets]:
+            server.stop()
+
+    def joined(self, edge):
+        return sum(line["event"] == "target_joined" for line in edge.lines)
+
+    def headers(self, key="key-1", wait_ms=6000):
+        EdgeTest.count += 1
+        return {"Host": "shop.example", "Attempt-Id": f"id{EdgeTest.count}",
+                "Credential": key, "Deadline-Ms": str(wait_ms)}
+
+    def connect(self, edge=None):
+        port = (edge or self.edge).caller
+        return http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+
+    def ask(self, path, method="POST", body=b"hello", connection=None,
+            **headers):
+        own = connection is None
+        connection = connection or self.connect()
+        sent = self.headers(**headers)
+        connection.request(method, path, body, sent)
+        answer = connection.getresponse()
+        text = answer.read()
+        if own:
+            connection.close()
+        return answer.status, sent["Attempt-Id"], text, answer
+
+    def runs(self):
+        return [run for target in self.targets for run in target.runs]
+
+    def fault_all(self, *faults):
+        for target in self.targets:
+            target.faults = list(faults)
+
+    # Answers.
+
+    def test_an_answer_is_the_targets_own(self):
+        status, request, body, answer = self.ask("/write/1")
+        self.assertEqual((status, body),
+                         (200, b"answer to " + request.encode()))
+        self.assertEqual(answer.headers["Attempt-Id"], request)
+        self.assertEqual(answer.headers["Runner-Signature"], "s")
+        seen = [h for t in self.targets for h in t.seen][0]
+        self.assertEqual(seen["tenant"], "guild")
+        self.assertNotIn("credential", seen)
+
+    def test_what_no_configuration_allows_is_denied(self):
+        self.assertEqual(self.ask("/nowhere/1")[0], 404)
+        self.assertEqual(self.ask("/read/1", key="stolen")[0], 401)
+        self.assertEqual(self.runs(), [])
+
+    def test_a_crossed_answer_reaches_nobody(self):
+        self.fault_all("crossed")
+        status, request, body, _ = self.ask("/read/1")
+        self.assertEqual(status, 502)
+        self.assertEqual(body, b"")
+
+    def test_an_extra_answer_is_not_taken_for_the_next_one(self):
+        self.fault_all("extra", "extra")
+        for _ in range(6):
+            status, request, body, _ = self.ask("/write/1")
+            self.assertEqual((status, body),
+                             (200, b"answer to " + request.encode()))
+
+    def test_a_truncated_answer_is_tried_again_if_idempotent(self):
+        self.targets[0].faults = ["truncated"]
+        self.targets[1].faults = ["truncated"]
+        statuses = [self.ask("/read/1")[0] for _ in range(3)]
+        self.assertIn(200, statuses)
+        self.assertTrue(set(statuses) <= {200, 502})
+
+    def test_a_stream_goes_on_at_another_target(self):
+        self.fault_all("cut")
+        self.targets[1].faults = []
+        for _ in range(4):
+            status, _, body, _ = self.ask("/stream/1")
+            self.assertEqual(status, 200)
+            numbers = [int(line[4:]) for line in body.decode().splitlines()
+                       if line.startswith("id: ")]
+            self.assertEqual(numbers, list(range(1, 11)))
+
+    def test_a_stream_that_cannot_go_on_does_not_look_complete(self):
+        self.fault_all("cut")
+        with self.assertRaises(http.client.IncompleteRead):
+            self.ask("/stream/once/1")
+        self.assertEqual(len(self.runs()), 1)
+
+    # At most once, and true refusals.
+
+    def test_a_request_that_may_have_run_is_never_sent_again(self):
+        for fault in ("lost", "reset", "hang", "truncated", "crossed", "error"):
+            self.fault_all(fault)
+            before = sum(len(t.seen) for t in self.targets)
+            status = self.ask("/write/1", wait_ms=700)[0]
+            self.assertNotIn(status, (200, 408, 421, 429, 503), fault)
+            after = sum(len(t.seen) for t in self.targets)
+            self.assertEqual(after - before, 1, fault)
+
+    def test_a_request_that_a_target_refused_goes_to_the_next(self):
+        self.targets[0].faults = ["shed"]
+        self.targets[1].faults = ["shed"]
+        self.assertEqual({self.ask("/write/1")[0] for _ in range(2)},
+                         {200, 503})
+
+    def test_a_refusal_says_when_to_come_back(self):
+        self.fault_all(*["shed"] * 5)
+        status, request, _, answer = self.ask("/write/1")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(), [])
+
+    # Time.
+
+    def test_the_routes_timeout_ends_a_request(self):
+        self.fault_all("hang", "hang")
+        self.assertEqual(self.ask("/short/1")[0], 504)
+
+    def test_targets_get_what_is_left_of_the_time(self):
+        self.ask("/read/1", wait_ms=3000)
+        seen = [h for t in self.targets for h in t.seen][0]
+        self.assertLessEqual(int(seen["deadline-ms"]), 3000)
+        self.assertGreater(int(seen["deadline-ms"]), 1000)
+
+    # Callers.
+
+    def test_a_caller_that_leaves_frees_the_target(self):
+        for target in self.targets:
+            target.event_gap = 0.2
+        connection = self.connect()
+        sent = self.headers()
+        connection.request("POST", "/stream/1", b"x", sent)
+        answer = connection.getresponse()
+        answer.read(10)
+        connection.sock.shutdown(socket.SHUT_RDWR)
+        connection.close()
+        wait_for(lambda: any(t.cancelled for t in self.targets),
+                 "the target sees that the caller left")
+
+    def test_ambiguous_framing_is_refused_and_harms_no_other(self):
+        raw = socket.create_connection(("127.0.0.1", self.edge.caller))
+        raw.sendall(b"POST /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    b"0\r\n\r\nGET /read/2 HTTP/1.1\r\n\r\n")
+        self.assertTrue(raw.recv(4096).startswith(b"HTTP/1.1 400"))
+        raw.close()
+        self.assertEqual(self.ask("/read/1")[0], 200)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_limits_of_the_configuration_hold(self):
+        self.assertEqual(self.ask("/read/1", body=b"x" * 70000)[0], 413)
+        connection = self.connect()
+        connection.request("GET", "/read/1", headers=dict(
+            self.headers(), Long="x" * 5000))
+        self.assertEqual(connection.getresponse().status, 431)
+        connection.close()
+
+    # News.
+
+    def test_a_new_configuration_is_in_force_and_an_older_one_is_not(self):
+        self.store.put("op", "config", configuration(
+            5, extra=[route("/new/", "idempotent")]))
+        wait_for(lambda: self.ask("/new/1")[0] == 200, "the new route")
+        self.store.put("op", "config", configuration(4))
+        time.sleep(1.0)
+        self.assertEqual(self.ask("/new/1")[0], 200)
+
+    def test_a_faulty_configuration_changes_nothing(self):
+        self.store.put("op", "config", "{not json")
+        wait_for(lambda: any(line["event"] == "configuration_rejected"
+                             for line in self.edge.lines), "it is logged")
+        self.assertEqual(self.ask("/read/1")[0], 200)
+
+    def test_a_revoked_key_ends(self):
+        self.store.put("op", "config", configuration(2, keys=("key-2",)))
+        wait_for(lambda: self.ask("/read/1")[0] == 401, "the key is refused")
+        self.assertEqual(self.ask("/read/1", key="key-2")[0], 200)
+
+    def test_keys_are_not_believed_without_the_store(self):
+        for fault in ("silent", "busy"):
+            self.store.fault = fault
+            wait_for(lambda: self.ask("/read/1")[0] == 503,
+                     "keys count as unconfirmed")
+            self.assertFalse(self.edge.is_ready())
+            self.store.fault = None
+            wait_for(lambda: self.ask("/read/1")[0] == 200, "keys count again")
+
+    def test_a_draining_target_gets_no_new_request(self):
+        self.targets[0].drain()
+        wait_for(lambda: any(line["event"] == "target_left"
+                             for line in self.edge.lines), "it is noticed")
+        seen = len(self.targets[0].seen)
+        for _ in range(10):
+            self.assertEqual(self.ask("/read/1")[0], 200)
+        self.assertEqual(len(self.targets[0].seen), seen)
+
+    def test_a_malformed_row_harms_no_other(self):
+        self.store.put("servers", "odd", "\x00\x01")
+        wait_for(lambda: any(line["event"] == "target_row_malformed"
+                             for line in self.edge.lines), "it is logged")
+        self.assertEqual(self.ask("/read/1")[0], 200)
+
+    # Stopping.
+
+    def test_a_kept_connection_is_served_while_the_router_stops(self):
+        connection = self.connect()
+        self.assertEqual(self.ask("/read/1", connection=connection)[0], 200)
+        self.edge.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.edge.is_ready(), "the router is not ready")
+        status, _, _, answer = self.ask("/read/1", connection=connection)
+        self.assertEqual(status, 200)
+        self.assertEqual(answer.headers["Connection"], "close")
+        connection.close()
+        self.edge.process.wait(timeout=WAIT_SECONDS)
+        self.assertEqual(self.edge.process.returncode, 0)
+
+    def test_a_request_in_progress_ends_while_the_router_stops(self):
+        self.fault_all("slow")
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(self.ask("/write/1")[0]))
+        asking.start()
+        wait_for(lambda: self.runs(), "the request runs")
+        self.edge.process.send_signal(signal.SIGTERM)
+        asking.join()
+        self.assertEqual(answers, [200])
+
+
+class FleetTest(EdgeTest):
+    """Several routers that find each other through the store."""
+
+    edges_wanted = 3
+
+    def addresses(self, edge):
+        status, body = get(edge.directory,
+                           "/v1/resolve?name=shop.example&zone=west")
+        return set(json.loads(body)["addrs"]) if status == 200 else set()
+
+    def test_callers_hear_of_all_routers_that_serve(self):
+        everybody = {f"127.0.0.1:{edge.caller}" for edge in self.edges}
+        for edge in self.edges:
+            wait_for(lambda: self.addresses(edge) == everybody, "all are named")
+        self.edges[2].process.send_signal(signal.SIGTERM)
+        everybody.remove(f"127.0.0.1:{self.edges[2].caller}")
+        for edge in self.edges[:2]:
+            wait_for(lambda: self.addresses(edge) == everybody,
+                     "the stopping one is not named")
+        self.edges[1].process.kill()
+        everybody.remove(f"127.0.0.1:{self.edges[1].caller}")
+        wait_for(lambda: self.addresses(self.edges[0]) == everybody,
+                 "the dead one is not named")
+
+    def test_a_router_that_stood_still_believes_no_key(self):
+        edge = self.edges[1]
+        os.kill(edge.process.pid, signal.SIGSTOP)
+        self.store.put("op", "config", configuration(2, keys=("key-2",)))
+        time.sleep(6)
+        os.kill(edge.process.pid, signal.SIGCONT)
+        connection = self.connect(edge)
+        status = self.ask("/read/1", connection=connection)[0]
+        self.assertIn(status, (401, 503))
+        wait_for(lambda: self.ask("/read/1", key="key-2",
+                                  connection=connection)[0] == 200,
+                 "it serves again")
+        connection.close()
+
+
+class SettingsTest(unittest.TestCase):
+    def test_a_wrong_setting_is_named(self):
+        result = subprocess.run([EDGE, "--name=e", "--caller_listen=nowhere"],
+                                capture_output=True, text=True, timeout=20)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("--caller_listen is 'nowhere'; give IP:port",
+                      result.stderr)
+
+
+# The cases of one router are not repeated with several.
+for case in [name for name in dir(EdgeTest) if name.startswith("test_")]:
+    setattr(FleetTest, case, None)
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -53,10 +53,10 @@
 
 TEST(MessageReaderTest, KeepsItsLimits) {
   EXPECT_EQ(ReadRequest("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
-            RequestProgress::kTooLarge);
+            RequestProgress::kBodyTooLarge);
   const std::string long_header(kHeaderLimit, 'x');
   EXPECT_EQ(ReadRequest("GET / HTTP/1.1\r\nA: " + long_header + "\r\n\r\n"),
-            RequestProgress::kTooLarge);
+            RequestProgress::kHeaderTooLarge);
 }
 
 TEST(MessageReaderTest, AnAnswerWithoutLengthEndsWithItsConnection) {
