--- a/admission/prefix_homes.h
+++ b/admission/prefix_homes.h
@@ -44,8 +44,8 @@
                bool is_home, Time now) const -> TokensToRead;
 
   // Rank of a target for the last shared part; the highest is its home.
-  static auto Rank(const TargetId& target,
-                   const std::vector<PromptPart>& parts) -> std::uint64_t;
+  static auto Rank(const TargetId& target, const std::vector<PromptPart>& parts)
+      -> std::uint64_t;
 
  private:
   using Kept = std::unordered_map<std::uint64_t, Time>;
--- a/admission/retry_window.cpp
+++ b/admission/retry_window.cpp
@@ -36,9 +36,8 @@
   auto& counts = pools_[pool];
   Trim(counts, now);
   const auto allowed =
-      kUsedShare *
-      (bound_.ratio * static_cast<double>(counts.requests.size()) +
-       bound_.slack / routers_);
+      kUsedShare * (bound_.ratio * static_cast<double>(counts.requests.size()) +
+                    bound_.slack / routers_);
   if (static_cast<double>(counts.repeats.size()) + 1 > allowed) return false;
   counts.repeats.push_back(now);
   return true;
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -9,8 +9,9 @@
 #include "platform/platform.h"
 #include "relay/socket_options.h"
 
-DEFINE_string(settings_file, "",
-              "File with one --flag=value a line; the platform's own if empty.");
+DEFINE_string(
+    settings_file, "",
+    "File with one --flag=value a line; the platform's own if empty.");
 DEFINE_string(name, "", "Name of this instance; unique in the fleet.");
 DEFINE_string(data_center, "", "Data centre of this instance.");
 DEFINE_string(region, "", "Region of the data centre.");
--- a/apps/edge_flags.h
+++ b/apps/edge_flags.h
@@ -11,7 +11,8 @@
 namespace papayaplank {
 
 // The settings, or every fault of the flags and the settings file.
-using EdgeSettingsResult = std::variant<RelaySettings, std::vector<std::string>>;
+using EdgeSettingsResult =
+    std::variant<RelaySettings, std::vector<std::string>>;
 
 // Reads the command line and the settings file; changes `argc` and `argv`.
 auto ReadEdgeSettings(int* argc, char*** argv) -> EdgeSettingsResult;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -1,4 +1,4 @@
-// Composition of routing and admission.
+// What the core does with requests.
 #include "gateway/gateway_core.h"
 
 #include <algorithm>
@@ -24,106 +24,11 @@
 // as they can end before the process is killed.
 constexpr Duration kStreamsAfterStop = milliseconds(300);
 constexpr Duration kStopMargin = milliseconds(1500);
-// One router of the fleet reads the targets this often on average, and tells
-// the others what changed.
-constexpr Duration kFleetListing = milliseconds(200);
-// Bounds on the period of one router.
-constexpr Duration kShortestListing = milliseconds(700);
-constexpr Duration kLongestListing = seconds(8);
-constexpr Duration kRecoveringListing = milliseconds(1500);
-constexpr Duration kFleetRouterListing = seconds(2);
-constexpr Duration kShortestRouterListing = seconds(8);
-constexpr Duration kLongestRouterListing = seconds(120);
-constexpr std::size_t kQueriedPeers = 2;
-// How long a change is repeated in reports, as datagrams get lost.
-constexpr Duration kNewsLife = milliseconds(1000);
-constexpr std::size_t kMaxNewsPerReport = 24;
-constexpr std::size_t kMaxRememberedRouters = 4096;
 // Share of a target's connections that the routers plan for.
 constexpr double kConnectionShare = 0.9;
 
 }  // namespace
 
-auto RefusalName(RefusalReason reason) -> std::string_view {
-  switch (reason) {
-    case RefusalReason::kNoConfiguration:
-      return "no_configuration";
-    case RefusalReason::kKeyUnconfirmed:
-      return "key_unconfirmed";
-    case RefusalReason::kNoRoute:
-      return "no_route";
-    case RefusalReason::kUnknownKey:
-      return "unknown_key";
-    case RefusalReason::kNoTarget:
-      return "no_target";
-    case RefusalReason::kOverShare:
-      return "over_share";
-    case RefusalReason::kNoRoom:
-      return "no_room";
-    case RefusalReason::kLeaving:
-      return "leaving";
-    case RefusalReason::kDeadline:
-      return "deadline";
-    case RefusalReason::kNotExecuted:
-      return "not_executed";
-    case RefusalReason::kTargetFailed:
-      return "target_failed";
-    case RefusalReason::kTimeout:
-      return "timeout";
-  }
-  return "unknown";
-}
-
-auto RefusalStatus(RefusalReason reason) -> int {
-  switch (reason) {
-    case RefusalReason::kNoRoute:
-      return 404;
-    case RefusalReason::kUnknownKey:
-      return 401;
-    case RefusalReason::kOverShare:
-      return 429;
-    case RefusalReason::kTargetFailed:
-      return 502;
-    case RefusalReason::kTimeout:
-      return 504;
-    case RefusalReason::kNoConfiguration:
-    case RefusalReason::kKeyUnconfirmed:
-    case RefusalReason::kNoTarget:
-    case RefusalReason::kNoRoom:
-    case RefusalReason::kLeaving:
-    case RefusalReason::kDeadline:
-    case RefusalReason::kNotExecuted:
-      return 503;
-  }
-  return 503;
-}
-
-auto SendOutcomeName(SendOutcome outcome) -> std::string_view {
-  switch (outcome) {
-    case SendOutcome::kComplete:
-      return "complete";
-    case SendOutcome::kServerError:
-      return "server_error";
-    case SendOutcome::kNotExecuted:
-      return "not_executed";
-    case SendOutcome::kWrongTarget:
-      return "wrong_target";
-    case SendOutcome::kNotReached:
-      return "not_reached";
-    case SendOutcome::kBroken:
-      return "broken";
-    case SendOutcome::kCancelled:
-      return "cancelled";
-  }
-  return "unknown";
-}
-
-auto SurelyNotRun(SendOutcome outcome) -> bool {
-  return outcome == SendOutcome::kNotExecuted ||
-         outcome == SendOutcome::kWrongTarget ||
-         outcome == SendOutcome::kNotReached;
-}
-
 GatewayCore::GatewayCore(GatewayOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
@@ -143,144 +48,6 @@
   keys_.Confirm(sent_at);
 }
 
-auto GatewayCore::SetTargets(std::vector<TargetRow> rows,
-                             std::uint64_t store_version, Time now)
-    -> DirectoryChange {
-  const auto change = directory_.Apply(TargetListing{
-      std::move(rows), store_version, IsStoreRecovering(now)});
-  for (const auto& news : change.news) news_.emplace_back(now, news);
-  TakeChange(change);
-  return change;
-}
-
-auto GatewayCore::TakeChange(const DirectoryChange& change) -> void {
-  for (const auto& target : change.joined) {
-    by_hash_[TargetHash(target)] = target;
-  }
-  for (const auto& target : change.restarted) ForgetTarget(target);
-  for (const auto& target : change.left) {
-    if (directory_.Find(target) == nullptr) ForgetTarget(target);
-  }
-}
-
-auto GatewayCore::ForgetTarget(const TargetId& target) -> void {
-  prefixes_.Forget(target);
-  outcomes_.Forget(target);
-  const auto load = loads_.find(target);
-  if (load == loads_.end()) return;
-  load->second.Reset();
-  if (directory_.Find(target) != nullptr) return;
-  loads_.erase(load);
-  by_hash_.erase(TargetHash(target));
-}
-
-auto GatewayCore::RecordStoreSuccess(Time now) -> void {
-  continuity_.RecordSuccess(now);
-}
-
-auto GatewayCore::IsStoreRecovering(Time now) const -> bool {
-  // A router that reads rarely relies on the peers that read often.
-  return !continuity_.IsContinuous(now) && !peers_.HasContinuousPeer(now);
-}
-
-auto GatewayCore::AddPeers(const std::vector<PeerSeed>& seeds, Time now)
-    -> void {
-  peers_.AddSeeds(seeds, now);
-}
-
-auto GatewayCore::TakeReport(const PeerReport& report, Time now)
-    -> DirectoryChange {
-  DirectoryChange changes;
-  if (!peers_.Take(report, now)) return changes;
-  const auto router = report.router();
-  retries_.SetRouters(peers_.LiveCount(now) + 1);
-  if (report.rates) shares_.SetPeer(router, *report.rates, now);
-  for (const auto& news : report.news) {
-    const auto change = directory_.Apply(news);
-    TakeChange(change);
-    const auto append = [](auto& to, const auto& from) {
-      to.insert(to.end(), from.begin(), from.end());
-    };
-    append(changes.left, change.left);
-    append(changes.restarted, change.restarted);
-    append(changes.joined, change.joined);
-  }
-  TakeLoads(report, router, now);
-  return changes;
-}
-
-auto GatewayCore::TakeLoads(const PeerReport& report, const RouterId& router,
-                            Time now) -> void {
-  // A target that the report does not name holds nothing of that router.
-  auto& named = peer_targets_[router];
-  std::unordered_set<std::uint32_t> present;
-  for (const auto& [hash, share] : report.loads) {
-    present.insert(hash);
-    const auto known = by_hash_.find(hash);
-    if (known == by_hash_.end()) continue;
-    const auto* target = directory_.Find(known->second);
-    if (target != nullptr) LoadOf(*target).SetPeer(router, share, now);
-  }
-  for (const auto hash : named) {
-    if (present.count(hash) != 0) continue;
-    const auto known = by_hash_.find(hash);
-    if (known == by_hash_.end()) continue;
-    const auto load = loads_.find(known->second);
-    if (load != loads_.end()) load->second.SetPeer(router, LoadShare{}, now);
-  }
-  named = std::move(present);
-  if (peer_targets_.size() > kMaxRememberedRouters) peer_targets_.clear();
-}
-
-auto GatewayCore::Answer(const FreshnessQuery& query, Time now) const
-    -> std::optional<FreshnessReply> {
-  if (table_ == nullptr || !keys_.IsValid(now)) return std::nullopt;
-  return FreshnessReply{query.nonce, table_->version(), keys_.Age(now)};
-}
-
-auto GatewayCore::TakeReply(const FreshnessReply& reply) -> void {
-  const auto as_of = watch_.Take(reply);
-  if (!as_of || table_ == nullptr) return;
-  if (reply.config_version > table_->version()) return;
-  keys_.Confirm(*as_of);
-}
-
-auto GatewayCore::is_watcher(Time now) const -> bool {
-  return watch_.IsWatcher(peers_.LivePeers(now));
-}
-
-auto GatewayCore::is_behind(Time now) const -> bool {
-  if (table_ == nullptr) return true;
-  return peers_.NewestVersion(now) > table_->version();
-}
-
-auto GatewayCore::ListingPeriod(Time now) const -> Duration {
-  const auto routers = static_cast<int>(peers_.LiveCount(now)) + 1;
-  const auto longest =
-      IsStoreRecovering(now) ? kRecoveringListing : kLongestListing;
-  return std::clamp(kFleetListing * routers, kShortestListing, longest);
-}
-
-auto GatewayCore::RouterListingPeriod(Time now) const -> Duration {
-  const auto routers = static_cast<int>(peers_.LiveCount(now)) + 1;
-  return std::clamp(kFleetRouterListing * routers, kShortestRouterListing,
-                    kLongestRouterListing);
-}
-
-auto GatewayCore::QueryAddresses(Time now) -> std::vector<std::string> {
-  auto live = peers_.LiveAddresses(now);
-  std::vector<std::string> chosen;
-  // Watchers know best.
-  auto watchers = watch_.WatcherAddresses(peers_.LivePeers(now));
-  if (!watchers.empty()) chosen.push_back(watchers[random_.Index(watchers.size())]);
-  while (!live.empty() && chosen.size() < kQueriedPeers) {
-    const auto index = random_.Index(live.size());
-    chosen.push_back(live[index]);
-    live.erase(live.begin() + static_cast<std::ptrdiff_t>(index));
-  }
-  return chosen;
-}
-
 auto GatewayCore::RecordPause(Time) -> void { keys_.Invalidate(); }
 
 auto GatewayCore::BeginStop(Time now) -> void {
@@ -326,8 +93,8 @@
     request.customer = *customer;
   }
   const auto is_stream = route->kind == RequestKind::kStream;
-  auto wait = facts.caller_wait > Duration{} ? facts.caller_wait
-                                             : kDefaultDeadline;
+  auto wait =
+      facts.caller_wait > Duration{} ? facts.caller_wait : kDefaultDeadline;
   if (route->timeout > Duration{}) wait = std::min(wait, route->timeout);
   if (is_leaving_) {
     const auto left = leaving_since_ + options_.stop_grace - kStopMargin - now;
@@ -509,53 +276,6 @@
   return true;
 }
 
-auto GatewayCore::MakeReport(Time now) -> PeerReport {
-  PeerReport report;
-  report.started_unix_ms = options_.started_unix_ms;
-  report.sequence = ++report_sequence_;
-  report.peer_address = options_.peer_address;
-  report.caller_address = options_.caller_address;
-  report.data_center = options_.data_center;
-  report.is_leaving = is_leaving_;
-  report.is_ready = is_ready(now);
-  report.config_version = table_ == nullptr ? 0 : table_->version();
-  for (const auto& [target, load] : loads_) {
-    if (!load.is_idle()) {
-      report.loads.emplace_back(TargetHash(target), load.OwnShare());
-    }
-  }
-  constexpr std::uint64_t kReportsPerRates = 3;
-  if (report.sequence % kReportsPerRates == 0) {
-    report.rates = shares_.OwnRates(now);
-  }
-  report.is_store_continuous = continuity_.IsContinuous(now);
-  while (!news_.empty() && now - news_.front().first > kNewsLife) {
-    news_.pop_front();
-  }
-  for (const auto& [read_at, news] : news_) {
-    if (report.news.size() < kMaxNewsPerReport) report.news.push_back(news);
-  }
-  return report;
-}
-
-auto GatewayCore::ReportAddresses(Time now) -> std::vector<std::string> {
-  return peers_.Addresses(now);
-}
-
-auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
-    -> std::vector<std::string> {
-  const auto is_self_serving = !is_leaving_ && is_ready(now);
-  auto addresses = peers_.ServingNear(near, now);
-  if (is_self_serving && options_.data_center == near) {
-    addresses.push_back(options_.caller_address);
-  }
-  // One router alone would be lost with every caller nearby.
-  if (addresses.size() >= 2) return addresses;
-  addresses = peers_.Serving(now);
-  if (is_self_serving) addresses.push_back(options_.caller_address);
-  return addresses;
-}
-
 auto GatewayCore::is_ready(Time now) const -> bool {
   return table_ != nullptr && directory_.size() > 0 && keys_.IsValid(now);
 }
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -1,6 +1,7 @@
 // Messages as CBOR arrays.
 #include "gateway/peer_messages.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace papayaplank {
@@ -14,9 +15,7 @@
 constexpr int kReply = 13;
 constexpr std::size_t kReportMembers = 13;
 
-auto Rounded(double value) -> std::int64_t {
-  return static_cast<std::int64_t>(value + 0.5);
-}
+auto Rounded(double value) -> std::int64_t { return std::lround(value); }
 
 auto EncodeLoads(const PeerReport& report) -> Json {
   auto loads = Json::array();
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -28,10 +28,9 @@
   auto& peer = peers_[report.peer_address];
   const auto& known = peer.report;
   if (peer.is_heard) {
-    const auto is_older =
-        report.started_unix_ms < known.started_unix_ms ||
-        (report.started_unix_ms == known.started_unix_ms &&
-         report.sequence <= known.sequence);
+    const auto is_older = report.started_unix_ms < known.started_unix_ms ||
+                          (report.started_unix_ms == known.started_unix_ms &&
+                           report.sequence <= known.sequence);
     if (is_older) return false;
   }
   peer.report = report;
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -39,10 +39,10 @@
   const auto& to_read = option.to_read;
   const auto shared_share =
       to_read.total() > 0 ? to_read.shared / to_read.total() : 0;
-  auto time = option.forecast.first_token() +
-              Scale(option.forecast.own_prefill,
-                    shared_share * kRereadPenalty) +
-              Scale(terms.objective, option.failure_rate * kFailurePenalty);
+  auto time =
+      option.forecast.first_token() +
+      Scale(option.forecast.own_prefill, shared_share * kRereadPenalty) +
+      Scale(terms.objective, option.failure_rate * kFailurePenalty);
   // A batch that is nearly full decodes slowly.
   time += Scale(terms.objective, 0.1 * option.forecast.batch_share);
   if (!option.is_near) time += kFarPenalty;
@@ -61,8 +61,7 @@
 auto LongestWait(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
   const auto share = kForecastShare * RoomOf(terms);
-  const auto wait =
-      Scale(terms.objective, share) - option.forecast.own_prefill;
+  const auto wait = Scale(terms.objective, share) - option.forecast.own_prefill;
   const auto floor = Scale(terms.objective, kMinWaitShare * share);
   return std::max(wait, floor);
 }
@@ -93,8 +92,8 @@
   const auto is_batch_full =
       terms.is_engine &&
       forecast.batch_share >= std::max(kLeastBatch, RoomOf(terms));
-  const auto is_late = excess > Duration{} ||
-                       forecast.first_token() >= terms.time_left;
+  const auto is_late =
+      excess > Duration{} || forecast.first_token() >= terms.time_left;
   if (!is_late && !is_batch_full && forecast.has_memory) return Done{};
   const auto comeback =
       std::clamp(std::max(excess, limit), kMinRetryAfter, kMaxRetryAfter);
--- /dev/null
+++ b/gateway/request.cpp
@@ -0,0 +1,86 @@
+// Names and statuses.
+#include "gateway/request.h"
+
+namespace papayaplank {
+
+auto RefusalName(RefusalReason reason) -> std::string_view {
+  switch (reason) {
+    case RefusalReason::kNoConfiguration:
+      return "no_configuration";
+    case RefusalReason::kKeyUnconfirmed:
+      return "key_unconfirmed";
+    case RefusalReason::kNoRoute:
+      return "no_route";
+    case RefusalReason::kUnknownKey:
+      return "unknown_key";
+    case RefusalReason::kNoTarget:
+      return "no_target";
+    case RefusalReason::kOverShare:
+      return "over_share";
+    case RefusalReason::kNoRoom:
+      return "no_room";
+    case RefusalReason::kLeaving:
+      return "leaving";
+    case RefusalReason::kDeadline:
+      return "deadline";
+    case RefusalReason::kNotExecuted:
+      return "not_executed";
+    case RefusalReason::kTargetFailed:
+      return "target_failed";
+    case RefusalReason::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
+auto RefusalStatus(RefusalReason reason) -> int {
+  switch (reason) {
+    case RefusalReason::kNoRoute:
+      return 404;
+    case RefusalReason::kUnknownKey:
+      return 401;
+    case RefusalReason::kOverShare:
+      return 429;
+    case RefusalReason::kTargetFailed:
+      return 502;
+    case RefusalReason::kTimeout:
+      return 504;
+    case RefusalReason::kNoConfiguration:
+    case RefusalReason::kKeyUnconfirmed:
+    case RefusalReason::kNoTarget:
+    case RefusalReason::kNoRoom:
+    case RefusalReason::kLeaving:
+    case RefusalReason::kDeadline:
+    case RefusalReason::kNotExecuted:
+      return 503;
+  }
+  return 503;
+}
+
+auto SendOutcomeName(SendOutcome outcome) -> std::string_view {
+  switch (outcome) {
+    case SendOutcome::kComplete:
+      return "complete";
+    case SendOutcome::kServerError:
+      return "server_error";
+    case SendOutcome::kNotExecuted:
+      return "not_executed";
+    case SendOutcome::kWrongTarget:
+      return "wrong_target";
+    case SendOutcome::kNotReached:
+      return "not_reached";
+    case SendOutcome::kBroken:
+      return "broken";
+    case SendOutcome::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+auto SurelyNotRun(SendOutcome outcome) -> bool {
+  return outcome == SendOutcome::kNotExecuted ||
+         outcome == SendOutcome::kWrongTarget ||
+         outcome == SendOutcome::kNotReached;
+}
+
+}  // namespace papayaplank
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -44,18 +44,18 @@
 
 // Why a router answers a request itself.
 enum class RefusalReason {
-  kNoConfiguration,   // No version is known yet.
-  kKeyUnconfirmed,    // Keys were not confirmed lately.
-  kNoRoute,           // No route matches.
-  kUnknownKey,        // The key is missing or belongs to nobody.
-  kNoTarget,          // No target serves the pool.
-  kOverShare,         // The customer has had its share and room is short.
-  kNoRoom,            // No target would answer in time.
-  kLeaving,           // The router stops before the request could end.
-  kDeadline,          // The time was up before it was sent.
-  kNotExecuted,       // Targets refused it before it ran.
-  kTargetFailed,      // It was sent and failed; it may have run.
-  kTimeout,           // It was sent and did not end in time.
+  kNoConfiguration,  // No version is known yet.
+  kKeyUnconfirmed,   // Keys were not confirmed lately.
+  kNoRoute,          // No route matches.
+  kUnknownKey,       // The key is missing or belongs to nobody.
+  kNoTarget,         // No target serves the pool.
+  kOverShare,        // The customer has had its share and room is short.
+  kNoRoom,           // No target would answer in time.
+  kLeaving,          // The router stops before the request could end.
+  kDeadline,         // The time was up before it was sent.
+  kNotExecuted,      // Targets refused it before it ran.
+  kTargetFailed,     // It was sent and failed; it may have run.
+  kTimeout,          // It was sent and did not end in time.
 };
 
 // Name of a reason, as it stands in logs and metrics.
--- a/relay/asio.h
+++ b/relay/asio.h
@@ -3,13 +3,12 @@
 #define RELAY_ASIO_H_
 
 // Boost 1.74 relies on <utility> without including it.
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace papayaplank {
 
--- a/relay/event_log.cpp
+++ b/relay/event_log.cpp
@@ -71,9 +71,9 @@
     reported_dropped_ = dropped_;
   }
   // Bytes of a caller that are no UTF-8 are replaced.
-  WriteLine(line.dump(-1, ' ', false,
-                      nlohmann::json::error_handler_t::replace) +
-            "\n");
+  WriteLine(
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      "\n");
 }
 
 auto EventLog::WriteLine(const std::string& line) -> void {
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -44,8 +44,8 @@
                    HttpServerRequest request)
     : context_(context),
       caller_(std::move(caller)),
-      request_(DecodeCallerRequest(request.method, request.target,
-                                   request.fields)),
+      request_(
+          DecodeCallerRequest(request.method, request.target, request.fields)),
       deadline_timer_(context.io),
       arrived_at_(FleetClock::now()) {
   if (!request.body.empty()) {
@@ -59,8 +59,8 @@
 auto Exchange::Start() -> void {
   RequestFacts facts;
   facts.host = request_.host;
-  facts.path = std::string_view(request_.target)
-                   .substr(0, request_.target.find('?'));
+  facts.path =
+      std::string_view(request_.target).substr(0, request_.target.find('?'));
   facts.key = request_.key;
   facts.prompt = request_.prompt;
   facts.caller_wait = request_.wait;
@@ -79,11 +79,10 @@
 auto Exchange::ArmDeadline() -> void {
   deadline_timer_.expires_after(accepted_.deadline - arrived_at_ -
                                 kTimeoutMargin);
-  deadline_timer_.async_wait(
-      [weak = weak_from_this()](error_code error) {
-        if (error) return;
-        if (const auto self = weak.lock()) self->OnDeadline();
-      });
+  deadline_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    if (error) return;
+    if (const auto self = weak.lock()) self->OnDeadline();
+  });
 }
 
 auto Exchange::PlaceAndSend() -> void {
@@ -118,12 +117,11 @@
   const auto self = shared_from_this();
   target_->Send(
       EncodeTargetRequest(request_, send), body_, request_.method == "HEAD",
-      TransferHooks{
-          [self](int status, const HttpFields& fields) {
-            self->OnHead(status, fields);
-          },
-          [self](std::string_view bytes) { self->OnBody(bytes); },
-          [self](TransferEnd end) { self->OnTransferEnd(end); }});
+      TransferHooks{[self](int status, const HttpFields& fields) {
+                      self->OnHead(status, fields);
+                    },
+                    [self](std::string_view bytes) { self->OnBody(bytes); },
+                    [self](TransferEnd end) { self->OnTransferEnd(end); }});
 }
 
 auto Exchange::IsOwnAnswer() const -> bool {
@@ -309,11 +307,11 @@
       context_.core.table() == nullptr ? 0 : context_.core.table()->version();
   context_.log.Write(
       log_class, event,
-      {{"request", std::string_view(request_.request_id)},
+      {{"request", request_.request_id},
        {"outcome", outcome},
-       {"route", std::string_view(route == nullptr ? "" : route->name)},
-       {"customer", std::string_view(accepted_.customer.value())},
-       {"target", std::string_view(placement_.target.id.value())},
+       {"route", route == nullptr ? "" : route->name},
+       {"customer", accepted_.customer.value()},
+       {"target", placement_.target.id.value()},
        {"sends", static_cast<std::int64_t>(accepted_.sends)},
        {"target_status", static_cast<std::int64_t>(answer_.status)},
        {"elapsed_ms", ToMs(now - arrived_at_)},
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -37,7 +37,9 @@
   auto Close() -> void;
 
   // The caller closed the connection before its answer was complete.
-  auto SetCallerLeftHook(Hook hook) -> void { on_caller_left_ = std::move(hook); }
+  auto SetCallerLeftHook(Hook hook) -> void {
+    on_caller_left_ = std::move(hook);
+  }
   // The caller has taken what was written.
   auto SetDrainedHook(Hook hook) -> void { on_drained_ = std::move(hook); }
 
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -39,12 +39,11 @@
                static_cast<double>(context.log.dropped()));
   AppendMetric(text, "key_age_seconds",
                std::chrono::duration<double>(core.key_age(now)).count());
-  AppendMetric(text, "targets",
-               static_cast<double>(core.directory().size()));
-  AppendMetric(
-      text, "configuration_version",
-      core.table() == nullptr ? 0
-                              : static_cast<double>(core.table()->version()));
+  AppendMetric(text, "targets", static_cast<double>(core.directory().size()));
+  AppendMetric(text, "configuration_version",
+               core.table() == nullptr
+                   ? 0
+                   : static_cast<double>(core.table()->version()));
   return text;
 }
 
@@ -62,10 +61,9 @@
   if (IsAddressQuery(request.target)) {
     const auto addresses =
         context.core.CallerAddresses(CallerDataCenter(request.target), now);
-    context.log.Write(
-        LogClass::kRoutine, "addresses_answered",
-        {{"count", static_cast<std::int64_t>(addresses.size())},
-         {"query", std::string_view(request.target)}});
+    context.log.Write(LogClass::kRoutine, "addresses_answered",
+                      {{"count", static_cast<std::int64_t>(addresses.size())},
+                       {"query", request.target}});
     if (addresses.empty()) return caller->Answer(kNotReady, "", "");
     return caller->Answer(kOk, kJsonHeader,
                           EncodeAddresses(addresses, kAddressLifetime));
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -62,50 +62,52 @@
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_request_impl(http::verb, Text method,
-                                                Text target, int, Error&) {
+auto MessageReader<kIsRequest>::on_request_impl(http::verb, Text method,
+                                                Text target, int, Error&)
+    -> void {
   method_.assign(method.data(), method.size());
   target_.assign(target.data(), target.size());
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_response_impl(int code, Text, int, Error&) {
+auto MessageReader<kIsRequest>::on_response_impl(int code, Text, int, Error&)
+    -> void {
   status_ = code;
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_field_impl(http::field, Text name,
-                                              Text value, Error&) {
+auto MessageReader<kIsRequest>::on_field_impl(http::field, Text name,
+                                              Text value, Error&) -> void {
   fields_.emplace_back(std::string(name.data(), name.size()),
                        std::string(value.data(), value.size()));
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_header_impl(Error&) {}
+auto MessageReader<kIsRequest>::on_header_impl(Error&) -> void {}
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_body_init_impl(
-    const boost::optional<std::uint64_t>&, Error&) {}
+auto MessageReader<kIsRequest>::on_body_init_impl(
+    const boost::optional<std::uint64_t>&, Error&) -> void {}
 
 template <bool kIsRequest>
-std::size_t MessageReader<kIsRequest>::on_body_impl(Text body, Error&) {
+auto MessageReader<kIsRequest>::on_body_impl(Text body, Error&) -> std::size_t {
   on_body_(std::string_view(body.data(), body.size()));
   return body.size();
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_chunk_header_impl(std::uint64_t, Text,
-                                                     Error&) {}
+auto MessageReader<kIsRequest>::on_chunk_header_impl(std::uint64_t, Text,
+                                                     Error&) -> void {}
 
 template <bool kIsRequest>
-std::size_t MessageReader<kIsRequest>::on_chunk_body_impl(std::uint64_t,
-                                                          Text body, Error&) {
+auto MessageReader<kIsRequest>::on_chunk_body_impl(std::uint64_t, Text body,
+                                                   Error&) -> std::size_t {
   on_body_(std::string_view(body.data(), body.size()));
   return body.size();
 }
 
 template <bool kIsRequest>
-void MessageReader<kIsRequest>::on_finish_impl(Error&) {}
+auto MessageReader<kIsRequest>::on_finish_impl(Error&) -> void {}
 
 template class MessageReader<true>;
 template class MessageReader<false>;
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -5,12 +5,11 @@
 #define RELAY_MESSAGE_READER_H_
 
 // Boost 1.74 relies on <utility> without including it.
-#include <utility>
-
 #include <boost/beast/http/basic_parser.hpp>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "platform/platform.h"
 
@@ -50,21 +49,21 @@
   using Error = boost::beast::error_code;
 
   // Callbacks of the parser; the library sets their names.
-  void on_request_impl(boost::beast::http::verb verb, Text method, Text target,
-                       int version, Error& error) override;
-  void on_response_impl(int code, Text reason, int version,
-                        Error& error) override;
-  void on_field_impl(boost::beast::http::field field, Text name, Text value,
-                     Error& error) override;
-  void on_header_impl(Error& error) override;
-  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
-                         Error& error) override;
-  std::size_t on_body_impl(Text body, Error& error) override;
-  void on_chunk_header_impl(std::uint64_t size, Text extensions,
-                            Error& error) override;
-  std::size_t on_chunk_body_impl(std::uint64_t remain, Text body,
-                                 Error& error) override;
-  void on_finish_impl(Error& error) override;
+  auto on_request_impl(boost::beast::http::verb verb, Text method, Text target,
+                       int version, Error& error) -> void override;
+  auto on_response_impl(int code, Text reason, int version, Error& error)
+      -> void override;
+  auto on_field_impl(boost::beast::http::field field, Text name, Text value,
+                     Error& error) -> void override;
+  auto on_header_impl(Error& error) -> void override;
+  auto on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         Error& error) -> void override;
+  auto on_body_impl(Text body, Error& error) -> std::size_t override;
+  auto on_chunk_header_impl(std::uint64_t size, Text extensions, Error& error)
+      -> void override;
+  auto on_chunk_body_impl(std::uint64_t remain, Text body, Error& error)
+      -> std::size_t override;
+  auto on_finish_impl(Error& error) -> void override;
 
   BodyHook on_body_;
   HttpFields fields_;
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -97,7 +97,7 @@
     if (!message) {
       const auto sender = from.address().to_string();
       log_.Write(LogClass::kRoutine, "peer_message_malformed",
-                 {{"from", std::string_view(sender)}});
+                 {{"from", sender}});
       continue;
     }
     Take(*message, from);
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -43,8 +43,7 @@
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(now.tv_sec) +
-      std::chrono::nanoseconds(now.tv_nsec));
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 auto CoreOptions(const RelaySettings& settings) -> GatewayOptions {
@@ -74,10 +73,11 @@
         core_(CoreOptions(settings)),
         pool_(io_),
         context_{io_, core_, log_, pool_},
-        callers_(io_, [this] { return Limits(); },
-                 [this](auto caller, auto request) {
-                   TakeRequest(std::move(caller), std::move(request));
-                 }),
+        callers_(
+            io_, [this] { return Limits(); },
+            [this](auto caller, auto request) {
+              TakeRequest(std::move(caller), std::move(request));
+            }),
         ready_(MakeInfoServer()),
         directory_(MakeInfoServer()),
         metrics_(MakeInfoServer()),
@@ -167,9 +167,9 @@
   TickReports();
   TickSweep();
   log_.Write(LogClass::kState, "started",
-             {{"callers", std::string_view(settings_.caller_listen)},
-              {"data_center", std::string_view(settings_.data_center)},
-              {"store", std::string_view(settings_.store_address)}});
+             {{"callers", settings_.caller_listen},
+              {"data_center", settings_.data_center},
+              {"store", settings_.store_address}});
   io_.run();
   log_.Write(LogClass::kState, "stopped", {});
   return Done{};
@@ -233,8 +233,7 @@
     if (error) return;
     if (signal_number == SIGHUP) {
       const auto outcome = on_reload_();
-      log_.Write(LogClass::kState, "reload",
-                 {{"outcome", std::string_view(outcome)}});
+      log_.Write(LogClass::kState, "reload", {{"outcome", outcome}});
     } else {
       BeginStop();
     }
--- a/relay/store_link.cpp
+++ b/relay/store_link.cpp
@@ -16,20 +16,21 @@
   timer_.expires_after(timeout);
   timer_.async_wait([this](error_code error) {
     if (error || !on_reply_) return;
-    Finish(Error{ErrorCode::kUnknownEffect, "the store did not answer in time"});
+    Finish(
+        Error{ErrorCode::kUnknownEffect, "the store did not answer in time"});
   });
   if (connection_ == nullptr || !connection_->is_open()) {
     const auto endpoint = ParseTcpEndpoint(address_);
     if (!endpoint) {
-      return Finish(Error{ErrorCode::kInvalidArgument,
-                          "the store's address '" + address_ +
-                              "' is no IP:port"});
+      return Finish(
+          Error{ErrorCode::kInvalidArgument,
+                "the store's address '" + address_ + "' is no IP:port"});
     }
     connection_ = std::make_shared<TargetConnection>(io_);
     connection_->Connect(*endpoint);
   }
-  std::string head = call.method + " " + call.path + " HTTP/1.1\r\nHost: " +
-                     address_ + "\r\n";
+  std::string head =
+      call.method + " " + call.path + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
   std::shared_ptr<const std::string> body;
   if (!call.body.empty()) {
     body = std::make_shared<const std::string>(call.body);
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -118,7 +118,7 @@
     auto document = DecodeConfiguration(row.value);
     if (!IsOk(document)) {
       log_.Write(LogClass::kState, "configuration_rejected",
-                 {{"cause", std::string_view(ErrorOf(document).message)}});
+                 {{"cause", ErrorOf(document).message}});
       continue;
     }
     const auto version = ValueOf(document).version;
@@ -151,7 +151,8 @@
   if (listing_.is_busy()) return;
   const auto now = FleetClock::now();
   if (!is_own_row_written_ && !is_leaving_) return WriteOwnRow();
-  if (routers_read_at_ == Time{} || now - routers_read_at_ > core_.RouterListingPeriod(now)) {
+  if (routers_read_at_ == Time{} ||
+      now - routers_read_at_ > core_.RouterListingPeriod(now)) {
     return ReadRouters();
   }
   pages_.clear();
@@ -171,9 +172,9 @@
   const auto is_answer = IsOk(reply) && ValueOf(reply).status == kOk;
   if (!is_answer) {
     NoteReachable(false, "targets",
-                  IsOk(reply) ? "status " +
-                                    std::to_string(ValueOf(reply).status)
-                              : ErrorOf(reply).message);
+                  IsOk(reply)
+                      ? "status " + std::to_string(ValueOf(reply).status)
+                      : ErrorOf(reply).message);
     return ScheduleListing(kFirstBackoff * 2);
   }
   const auto rows = DecodeStoreRows(ValueOf(reply).body);
@@ -190,16 +191,14 @@
     }
     if (malformed_rows_.size() >= kMaxMalformedRemembered) continue;
     if (!malformed_rows_.insert(row.key).second) continue;
-    log_.Write(LogClass::kState, "target_row_malformed",
-               {{"target", std::string_view(row.key)}});
+    log_.Write(LogClass::kState, "target_row_malformed", {{"target", row.key}});
   }
   if (ValueOf(rows).is_truncated && !ValueOf(rows).rows.empty()) {
     return ReadTargets(ValueOf(rows).rows.back().key);
   }
   const auto now = FleetClock::now();
   NoteReachable(true, "targets", "");
-  TakeChange(
-      core_.SetTargets(std::move(pages_), ValueOf(rows).version, now));
+  TakeChange(core_.SetTargets(std::move(pages_), ValueOf(rows).version, now));
   pages_.clear();
   const auto elapsed = now - listing_started_at_;
   ScheduleListing(std::max(Duration{}, core_.ListingPeriod(now) - elapsed));
@@ -208,13 +207,11 @@
 auto StoreReader::TakeChange(const DirectoryChange& change) -> void {
   for (const auto& target : change.left) {
     pool_.Drop(target);
-    log_.Write(LogClass::kState, "target_left",
-               {{"target", std::string_view(target.value())}});
+    log_.Write(LogClass::kState, "target_left", {{"target", target.value()}});
   }
   for (const auto& target : change.restarted) pool_.Drop(target);
   for (const auto& target : change.joined) {
-    log_.Write(LogClass::kState, "target_joined",
-               {{"target", std::string_view(target.value())}});
+    log_.Write(LogClass::kState, "target_joined", {{"target", target.value()}});
   }
 }
 
@@ -243,8 +240,7 @@
       continue;
     }
     log_.Write(LogClass::kState, "router_row_malformed",
-               {{"key", std::string_view(row.key)},
-                {"cause", std::string_view(ErrorOf(router).message)}});
+               {{"key", row.key}, {"cause", ErrorOf(router).message}});
   }
   core_.AddPeers(seeds, routers_read_at_);
   ScheduleListing(Duration{});
@@ -265,8 +261,6 @@
                 });
 }
 
-auto StoreReader::Leave() -> void {
-  is_leaving_ = true;
-}
+auto StoreReader::Leave() -> void { is_leaving_ = true; }
 
 }  // namespace papayaplank
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -157,8 +157,7 @@
   HandleHead();
   if (!is_busy_) return;
   const auto total = head_.size() + (body_ ? body_->size() : 0);
-  is_reusable_ =
-      in_.empty() && written_ == total && reader_->keep_alive();
+  is_reusable_ = in_.empty() && written_ == total && reader_->keep_alive();
   End(TransferEnd::kComplete);
 }
 
--- a/relay/target_pool.cpp
+++ b/relay/target_pool.cpp
@@ -36,7 +36,7 @@
   }
   const auto endpoint = ParseTcpEndpoint(target.address);
   if (!endpoint) return nullptr;
-  const auto connection = std::make_shared<TargetConnection>(io_);
+  auto connection = std::make_shared<TargetConnection>(io_);
   connection->Connect(*endpoint);
   ++opened_;
   return connection;
--- a/routing/routing_table.cpp
+++ b/routing/routing_table.cpp
@@ -41,7 +41,8 @@
 
 auto RoutingTable::FindService(const PoolId& id) const -> const Service* {
   const auto found = services_.find(id);
-  return found == services_.end() ? nullptr : &document_.services[found->second];
+  return found == services_.end() ? nullptr
+                                  : &document_.services[found->second];
 }
 
 }  // namespace papayaplank
--- a/scripts/check_layout.py
+++ b/scripts/check_layout.py
@@ -7,12 +7,14 @@
 import sys
 
 # Lower libraries first. A library includes only libraries before it.
-LIBRARIES = ["base", "config", "metrics", "membership", "placement",
-             "fairness", "capacity", "dispatch", "router", "platform",
-             "transport", "tasks", "apps"]
+LIBRARIES = ["base", "routing", "admission", "gateway", "platform", "relay",
+             "config", "metrics", "membership", "placement", "fairness",
+             "capacity", "dispatch", "router", "storage", "transport", "tasks",
+             "apps"]
 # Internal headers that others may include, with the reason.
 EXCEPTIONS = {
     "transport/socket_address.h": "settings are checked before any socket",
+    "relay/socket_options.h": "settings are checked before any socket",
     "tasks/operator_service.h": "papayaplankctl calls the operator port",
 }
 MAX_LINES = 560
--- a/tasks/claim_task.h
+++ b/tasks/claim_task.h
@@ -10,8 +10,8 @@
 #include <thread>
 #include <variant>
 
-#include "storage/storage.h"
 #include "router/router.h"
+#include "storage/storage.h"
 
 namespace papayaplank {
 
--- a/tasks/configuration_task.h
+++ b/tasks/configuration_task.h
@@ -13,8 +13,8 @@
 #include <variant>
 #include <vector>
 
-#include "storage/storage.h"
 #include "router/router.h"
+#include "storage/storage.h"
 
 namespace papayaplank {
 
--- a/tests/admission/test_admission.cpp
+++ b/tests/admission/test_admission.cpp
@@ -175,10 +175,9 @@
       repeats.push_back(now);
     }
     const auto in_window = [now](const std::vector<Time>& times) {
-      return static_cast<double>(
-          std::count_if(times.begin(), times.end(), [now](Time time) {
-            return now - time <= seconds(10);
-          }));
+      return static_cast<double>(std::count_if(
+          times.begin(), times.end(),
+          [now](Time time) { return now - time <= seconds(10); }));
     };
     RC_ASSERT(in_window(repeats) <=
               bound.ratio * in_window(requests) + bound.slack);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -92,14 +92,15 @@
   const auto head = EncodeTargetRequest(request, send);
   EXPECT_EQ(head.find("secret"), std::string::npos);
   EXPECT_EQ(head.find("forged"), std::string::npos);
-  for (const auto* name : {"kv-from", "Kv-Hold", "Pin-Ms", "Kv-Backup",
-                           "X-Once", "Connection"}) {
+  for (const auto* name :
+       {"kv-from", "Kv-Hold", "Pin-Ms", "Kv-Backup", "X-Once", "Connection"}) {
     EXPECT_EQ(head.find(name), std::string::npos) << name;
   }
   for (const auto* line :
        {"Attempt-Id: id1\r\n", "Tenant: real\r\n", "Expect-Runner: i-1\r\n",
         "Deadline-Ms: 1200\r\n", "X-Kept: 2\r\n", "Token-Counts: 1460,80\r\n",
-        "Prefix-Hash: 5c1e07a2:800,91bd3f06:660\r\n", "Content-Length: 3\r\n"}) {
+        "Prefix-Hash: 5c1e07a2:800,91bd3f06:660\r\n",
+        "Content-Length: 3\r\n"}) {
     EXPECT_NE(head.find(line), std::string::npos) << line;
   }
 }
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -14,10 +14,9 @@
 
 auto ReadRequest(std::string bytes, std::string* body = nullptr)
     -> RequestProgress {
-  RequestReader reader(kHeaderLimit, kBodyLimit,
-                       [body](std::string_view part) {
-                         if (body != nullptr) body->append(part);
-                       });
+  RequestReader reader(kHeaderLimit, kBodyLimit, [body](std::string_view part) {
+    if (body != nullptr) body->append(part);
+  });
   return reader.Read(bytes);
 }
 
