Store: spread the routers' readings over time

Ruled out: lost datagrams (all heard within 10 ms of the first reading), and the grace after an outage. ListingTest fails without the spread.

--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -101,8 +101,9 @@
   auto is_watcher(Time now) const -> bool;
   // Whether it lacks a version that a peer has.
   auto is_behind(Time now) const -> bool;
-  // Time between its readings of the targets.
-  auto ListingPeriod(Time now) const -> Duration;
+  // Time until its next reading of the targets. It is random, so that the
+  // readings of the routers spread over time whenever they started.
+  auto NextListingDelay(Time now) -> Duration;
   // The same for the rows of routers, of which reports tell sooner.
   auto RouterListingPeriod(Time now) const -> Duration;
   // Peers to ask how fresh their configuration is; few, chosen at random.
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kShortestListing = milliseconds(700);
 constexpr Duration kLongestListing = seconds(8);
 constexpr Duration kRecoveringListing = milliseconds(1500);
+// The delay until the next reading is the mean, plus or minus this share.
+constexpr double kListingSpread = 0.5;
 constexpr Duration kFleetRouterListing = seconds(2);
 constexpr Duration kShortestRouterListing = seconds(8);
 constexpr Duration kLongestRouterListing = seconds(120);
@@ -135,11 +137,16 @@
   return peers_.NewestVersion(now) > table_->version();
 }
 
-auto GatewayCore::ListingPeriod(Time now) const -> Duration {
+auto GatewayCore::NextListingDelay(Time now) -> Duration {
   const auto routers = static_cast<int>(peers_.LiveCount(now)) + 1;
   const auto longest =
       IsStoreRecovering(now) ? kRecoveringListing : kLongestListing;
-  return std::clamp(kFleetListing * routers, kShortestListing, longest);
+  const auto mean =
+      std::clamp(kFleetListing * routers, kShortestListing, longest);
+  const auto spread =
+      1 - kListingSpread + 2 * kListingSpread * random_.Uniform();
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(mean.count()) * spread));
 }
 
 auto GatewayCore::RouterListingPeriod(Time now) const -> Duration {
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -201,7 +201,7 @@
   TakeChange(core_.SetTargets(std::move(pages_), ValueOf(rows).version, now));
   pages_.clear();
   const auto elapsed = now - listing_started_at_;
-  ScheduleListing(std::max(Duration{}, core_.ListingPeriod(now) - elapsed));
+  ScheduleListing(std::max(Duration{}, core_.NextListingDelay(now) - elapsed));
 }
 
 auto StoreReader::TakeChange(const DirectoryChange& change) -> void {
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -318,6 +318,38 @@
       core_.Accept(Facts("/status/1", "key-a"), kStart)));
 }
 
+// Replays a start of all routers at once: their readings must not stay in
+// step, or nobody reads the targets for a whole period.
+TEST(ListingTest, ReadingsOfRoutersThatStartTogetherSpread) {
+  constexpr int kRouters = 59;
+  std::vector<Time> readings;
+  for (int i = 0; i < kRouters; ++i) {
+    auto options = MakeOptions("10.0.0." + std::to_string(i) + ":1");
+    options.seed = static_cast<std::uint64_t>(i);
+    GatewayCore core(options);
+    for (int j = 0; j < kRouters; ++j) {
+      PeerReport report;
+      report.started_unix_ms = 1;
+      report.sequence = 1;
+      report.peer_address = "10.0.0." + std::to_string(j) + ":1";
+      report.is_store_continuous = true;
+      core.TakeReport(report, kStart);
+    }
+    for (auto at = kStart; at < kStart + seconds(60);) {
+      at += core.NextListingDelay(kStart);
+      readings.push_back(at);
+    }
+  }
+  std::sort(readings.begin(), readings.end());
+  Duration longest_gap{};
+  for (std::size_t i = 1; i < readings.size(); ++i) {
+    if (readings[i - 1] < kStart + seconds(16)) continue;
+    if (readings[i] > kStart + seconds(60)) break;
+    longest_gap = std::max(longest_gap, readings[i] - readings[i - 1]);
+  }
+  EXPECT_LT(longest_gap, milliseconds(1500));
+}
+
 TEST(ConfigWatchTest, TwoRoutersOfManyWatch) {
   std::vector<LivePeer> all;
   for (int i = 0; i < 50; ++i) {
