--- a/admission/admission.h
+++ b/admission/admission.h
@@ -7,6 +7,7 @@
 #include "admission/fair_share.h"
 #include "admission/prefix_homes.h"
 #include "admission/retry_window.h"
+#include "admission/router_load.h"
 #include "admission/target_outcomes.h"
 
 #endif  // ADMISSION_ADMISSION_H_
--- /dev/null
+++ b/gateway/caller_steering.cpp
@@ -0,0 +1,47 @@
+// Choice by data centre and load.
+#include "gateway/caller_steering.h"
+
+namespace papayaplank {
+namespace {
+
+// One router alone would be lost with every caller that was sent to it.
+constexpr std::size_t kMinRouters = 2;
+// Routers are spared only while they are at most this share of all; beyond it
+// the fleet as a whole is loaded, and sparing some would overload the others.
+constexpr double kMaxSparedShare = 0.34;
+
+auto Addresses(const std::vector<ServingRouter>& serving,
+               const DataCenterId* near, bool with_spared)
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
+  for (const auto& router : serving) {
+    if (near != nullptr && router.data_center != *near) continue;
+    if (router.should_be_spared && !with_spared) continue;
+    addresses.push_back(router.caller_address);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+auto ChooseCallerAddresses(const std::vector<ServingRouter>& serving,
+                           const DataCenterId& near)
+    -> std::vector<std::string> {
+  std::size_t spared = 0;
+  for (const auto& router : serving) {
+    if (router.should_be_spared) ++spared;
+  }
+  const auto with_spared =
+      static_cast<double>(spared) >
+      kMaxSparedShare * static_cast<double>(serving.size());
+  auto addresses = Addresses(serving, &near, with_spared);
+  if (addresses.size() < kMinRouters) {
+    addresses = Addresses(serving, nullptr, with_spared);
+  }
+  if (addresses.size() < kMinRouters) {
+    addresses = Addresses(serving, nullptr, true);
+  }
+  return addresses;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/gateway/caller_steering.h
@@ -0,0 +1,21 @@
+// Which routers a caller is told to use. Load pattern: a customer's callers
+// gather at few routers, and some instances carry less than others.
+#ifndef GATEWAY_CALLER_STEERING_H_
+#define GATEWAY_CALLER_STEERING_H_
+
+#include <string>
+#include <vector>
+
+#include "gateway/peer_table.h"
+
+namespace papayaplank {
+
+// Addresses for a caller: routers of its own data centre that keep up, as long
+// as there are at least two; else more and more of the others.
+auto ChooseCallerAddresses(const std::vector<ServingRouter>& serving,
+                           const DataCenterId& near)
+    -> std::vector<std::string>;
+
+}  // namespace papayaplank
+
+#endif  // GATEWAY_CALLER_STEERING_H_
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,6 +3,7 @@
 #ifndef GATEWAY_GATEWAY_H_
 #define GATEWAY_GATEWAY_H_
 
+#include "gateway/caller_steering.h"
 #include "gateway/config_watch.h"
 #include "gateway/gateway_core.h"
 #include "gateway/peer_messages.h"
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -18,6 +18,7 @@
 constexpr double kOutputWeight = 2;
 // Caller's retry when nothing is known about the cause's end.
 constexpr Duration kUnknownRetryAfter = milliseconds(300);
+constexpr Duration kBusyRetryAfter = milliseconds(150);
 // Bound on requests without a stated deadline.
 constexpr Duration kDefaultDeadline = seconds(60);
 // A stopping router takes streams for this long, and other requests as long
@@ -102,6 +103,9 @@
         is_stream ? now - leaving_since_ > kStreamsAfterStop : left < wait / 2;
     if (is_too_long) return refuse(RefusalReason::kLeaving, milliseconds(1));
   }
+  if (is_stream && load_.is_saturated()) {
+    return refuse(RefusalReason::kRouterBusy, kBusyRetryAfter);
+  }
   request.prompt = facts.prompt;
   request.arrived_at = now;
   request.deadline = now + wait;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -80,6 +80,10 @@
   auto Answer(const FreshnessQuery& query, Time now) const
       -> std::optional<FreshnessReply>;
   auto TakeReply(const FreshnessReply& reply) -> void;
+  // How late the periodic timer of the shell has fired.
+  auto RecordLateness(Duration lateness, Time now) -> void {
+    load_.RecordLateness(lateness, now);
+  }
   // The process stood still: leases and confirmations are void.
   auto RecordPause(Time now) -> void;
   auto BeginStop(Time now) -> void;
@@ -154,6 +158,7 @@
   PrefixHomes prefixes_;
   FairShare shares_;
   RetryWindow retries_;
+  RouterLoad load_;
   TargetOutcomes outcomes_;
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their short names in reports.
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -1,6 +1,7 @@
 // What the core does with the store's news and with its peers.
 #include <algorithm>
 
+#include "gateway/caller_steering.h"
 #include "gateway/gateway_core.h"
 
 namespace papayaplank {
@@ -179,6 +180,7 @@
   report.caller_address = options_.caller_address;
   report.data_center = options_.data_center;
   report.is_leaving = is_leaving_;
+  report.should_be_spared = load_.ShouldBeSpared(now);
   report.is_ready = is_ready(now);
   report.config_version = table_ == nullptr ? 0 : table_->version();
   for (const auto& [target, load] : loads_) {
@@ -206,16 +208,12 @@
 
 auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
     -> std::vector<std::string> {
-  const auto is_self_serving = !is_leaving_ && is_ready(now);
-  auto addresses = peers_.ServingNear(near, now);
-  if (is_self_serving && options_.data_center == near) {
-    addresses.push_back(options_.caller_address);
+  auto serving = peers_.Serving(now);
+  if (!is_leaving_ && is_ready(now)) {
+    serving.push_back({options_.caller_address, options_.data_center,
+                       load_.ShouldBeSpared(now)});
   }
-  // One router alone would be lost with every caller nearby.
-  if (addresses.size() >= 2) return addresses;
-  addresses = peers_.Serving(now);
-  if (is_self_serving) addresses.push_back(options_.caller_address);
-  return addresses;
+  return ChooseCallerAddresses(serving, near);
 }
 
 }  // namespace papayaplank
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -10,10 +10,10 @@
 using Json = nlohmann::json;
 
 // First member of a message; raised when a layout changes.
-constexpr int kReport = 11;
+constexpr int kReport = 21;
 constexpr int kQuery = 12;
 constexpr int kReply = 13;
-constexpr std::size_t kReportMembers = 13;
+constexpr std::size_t kReportMembers = 14;
 
 auto Rounded(double value) -> std::int64_t { return std::lround(value); }
 
@@ -94,6 +94,7 @@
           report.caller_address,
           report.data_center.value(),
           report.is_leaving,
+          report.should_be_spared,
           report.is_ready,
           report.config_version,
           report.is_store_continuous,
@@ -118,12 +119,13 @@
   report.caller_address = body.at(4).get<std::string>();
   report.data_center = DataCenterId(body.at(5).get<std::string>());
   report.is_leaving = body.at(6).get<bool>();
-  report.is_ready = body.at(7).get<bool>();
-  report.config_version = body.at(8).get<std::uint64_t>();
-  report.is_store_continuous = body.at(9).get<bool>();
-  DecodeLoads(body.at(10), report);
-  DecodeRates(body.at(11), report);
-  DecodeNews(body.at(12), report);
+  report.should_be_spared = body.at(7).get<bool>();
+  report.is_ready = body.at(8).get<bool>();
+  report.config_version = body.at(9).get<std::uint64_t>();
+  report.is_store_continuous = body.at(10).get<bool>();
+  DecodeLoads(body.at(11), report);
+  DecodeRates(body.at(12), report);
+  DecodeNews(body.at(13), report);
   return report;
 }
 
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -26,6 +26,8 @@
   std::string caller_address;
   DataCenterId data_center;
   bool is_leaving = false;
+  // Callers should be sent to other routers.
+  bool should_be_spared = false;
   // Whether it serves: it has a configuration and targets.
   bool is_ready = false;
   std::uint64_t config_version = 0;
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -60,26 +60,15 @@
   return peer.is_heard && now - peer.heard_at <= kLiveFor;
 }
 
-auto PeerTable::ServingNear(const DataCenterId& data_center, Time now) const
-    -> std::vector<std::string> {
-  std::vector<std::string> addresses;
-  for (const auto& [address, peer] : peers_) {
-    const auto& report = peer.report;
-    if (!IsLive(peer, now) || report.is_leaving || !report.is_ready) continue;
-    if (report.data_center != data_center) continue;
-    addresses.push_back(report.caller_address);
-  }
-  return addresses;
-}
-
-auto PeerTable::Serving(Time now) const -> std::vector<std::string> {
-  std::vector<std::string> addresses;
+auto PeerTable::Serving(Time now) const -> std::vector<ServingRouter> {
+  std::vector<ServingRouter> routers;
   for (const auto& [address, peer] : peers_) {
     const auto& report = peer.report;
     if (!IsLive(peer, now) || report.is_leaving || !report.is_ready) continue;
-    addresses.push_back(report.caller_address);
+    routers.push_back(
+        {report.caller_address, report.data_center, report.should_be_spared});
   }
-  return addresses;
+  return routers;
 }
 
 auto PeerTable::LiveCount(Time now) const -> std::size_t {
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -15,6 +15,13 @@
   std::string peer_address;
 };
 
+// A router that callers may be sent to.
+struct ServingRouter {
+  std::string caller_address;
+  DataCenterId data_center;
+  bool should_be_spared = false;
+};
+
 // A router that was heard lately.
 struct LivePeer {
   RouterId router;
@@ -36,10 +43,8 @@
 
   // Everybody to report to.
   auto Addresses(Time now) -> std::vector<std::string>;
-  // Callers' addresses of the routers that were heard lately and serve.
-  auto ServingNear(const DataCenterId& data_center, Time now) const
-      -> std::vector<std::string>;
-  auto Serving(Time now) const -> std::vector<std::string>;
+  // The routers that were heard lately and serve.
+  auto Serving(Time now) const -> std::vector<ServingRouter>;
   // The routers that were heard lately.
   auto LivePeers(Time now) const -> std::vector<LivePeer>;
   auto LiveAddresses(Time now) const -> std::vector<std::string>;
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -51,6 +51,7 @@
   kNoTarget,         // No target serves the pool.
   kOverShare,        // The customer has had its share and room is short.
   kNoRoom,           // No target would answer in time.
+  kRouterBusy,       // The processor of the router is saturated.
   kLeaving,          // The router stops before the request could end.
   kDeadline,         // The time was up before it was sent.
   kNotExecuted,      // Targets refused it before it ran.
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -198,6 +198,8 @@
 auto RelayProcess::TickReports() -> void {
   const auto now = FleetClock::now();
   CheckPause(now);
+  core_.RecordLateness(std::max(Duration{}, now - last_tick_ - kReportPeriod),
+                       now);
   last_tick_ = now;
   peers_.SendReports(now);
   report_timer_.expires_after(kReportPeriod);
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -320,6 +320,54 @@
 
 // Replays a start of all routers at once: their readings must not stay in
 // step, or nobody reads the targets for a whole period.
+// Replays a flood that one customer's callers send to one small router: it
+// refuses new streams at once and names other routers, until it keeps up.
+TEST_F(GatewayCoreTest, ASaturatedRouterRefusesStreamsAndSendsCallersAway) {
+  Serve(1);
+  PeerReport report;
+  report.started_unix_ms = 1;
+  report.peer_address = "10.0.0.2:1";
+  report.caller_address = "c10.0.0.2:1";
+  report.data_center = DataCenterId("west");
+  report.is_ready = true;
+  for (int i = 0; i < 3; ++i) {
+    report.sequence = static_cast<std::uint64_t>(i) + 1;
+    report.peer_address = "10.0.0." + std::to_string(i + 2) + ":1";
+    report.caller_address = "c" + report.peer_address;
+    core_.TakeReport(report, kStart);
+  }
+  EXPECT_EQ(core_.CallerAddresses(DataCenterId("west"), kStart).size(), 4U);
+  for (int i = 0; i < 10; ++i) {
+    core_.RecordLateness(milliseconds(300), kStart);
+  }
+  const auto reason =
+      Reason(core_.Accept(Facts("/chat/1", "key-a", 100), kStart));
+  EXPECT_EQ(reason, RefusalReason::kRouterBusy);
+  EXPECT_EQ(RefusalStatus(reason), 503);
+  Accepted(Facts("/order/1", "key-a"));
+  EXPECT_EQ(core_.CallerAddresses(DataCenterId("west"), kStart).size(), 3U);
+  for (int i = 0; i < 10; ++i) core_.RecordLateness({}, kStart);
+  Accepted(Facts("/chat/1", "key-a", 100));
+}
+
+TEST(CallerSteeringTest, ALoadedFleetSparesNobody) {
+  const DataCenterId west("west");
+  std::vector<ServingRouter> serving;
+  for (int i = 0; i < 6; ++i) {
+    serving.push_back({"r" + std::to_string(i), west, i < 4});
+  }
+  EXPECT_EQ(ChooseCallerAddresses(serving, west).size(), 6U);
+  serving[2].should_be_spared = false;
+  serving[3].should_be_spared = false;
+  EXPECT_EQ(ChooseCallerAddresses(serving, west).size(), 4U);
+}
+
+TEST(CallerSteeringTest, OneRouterAloneIsNotEnough) {
+  const std::vector<ServingRouter> serving = {
+      {"w", DataCenterId("west"), false}, {"e", DataCenterId("east"), false}};
+  EXPECT_EQ(ChooseCallerAddresses(serving, DataCenterId("west")).size(), 2U);
+}
+
 TEST(ListingTest, ReadingsOfRoutersThatStartTogetherSpread) {
   constexpr int kRouters = 59;
   std::vector<Time> readings;
