--- a/admission/router_load.h
+++ b/admission/router_load.h
@@ -13,6 +13,8 @@
  public:
   auto RecordLateness(Duration lateness, Time now) -> void;
 
+  auto lateness_ms() const -> double { return lateness_ms_; }
+
   // New streams would make those in progress late.
   auto is_saturated() const -> bool;
   // Callers should be sent to other routers. Holds on for a while, so that
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -131,6 +131,7 @@
   auto live_peers(Time now) const -> std::size_t {
     return peers_.LiveCount(now);
   }
+  auto load() const -> const RouterLoad& { return load_; }
   auto counters() const -> const GatewayCounters& { return counters_; }
   // Connections that this router may hold to one target of the service.
   auto ConnectionShare(const PoolId& pool, Time now) const -> std::size_t;
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -36,7 +36,8 @@
       limits_(limits),
       on_request_(std::move(on_request)) {}
 
-auto HttpConnection::Start() -> void {
+auto HttpConnection::Start(Hook on_closed) -> void {
+  on_closed_ = std::move(on_closed);
   SetSocketOptions(socket_);
   last_activity_ = FleetClock::now();
   WaitReadable();
@@ -44,12 +45,16 @@
 
 auto HttpConnection::Close() -> void {
   if (!socket_.is_open()) return;
+  // The hooks may drop the last reference to the connection.
+  const auto self = shared_from_this();
   error_code ignored;  // The socket is given up whatever its state.
   socket_.close(ignored);
   is_answering_ = false;
   on_drained_ = nullptr;
   const auto on_left = std::exchange(on_caller_left_, nullptr);
   if (on_left) on_left();
+  const auto on_closed = std::exchange(on_closed_, nullptr);
+  if (on_closed) on_closed();
 }
 
 auto HttpConnection::WaitReadable() -> void {
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -33,7 +33,8 @@
   HttpConnection(tcp::socket socket, CallerLimits limits,
                  RequestHook on_request);
 
-  auto Start() -> void;
+  // `on_closed` is called once, when the connection has ended.
+  auto Start(Hook on_closed) -> void;
   auto Close() -> void;
 
   // The caller closed the connection before its answer was complete.
@@ -80,6 +81,7 @@
   tcp::socket socket_;
   CallerLimits limits_;
   RequestHook on_request_;
+  Hook on_closed_;
   Hook on_caller_left_;
   Hook on_drained_;
   std::optional<RequestReader> reader_;
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -1,8 +1,6 @@
 // Accepting and sweeping of connections.
 #include "relay/http_server.h"
 
-#include <vector>
-
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -58,30 +56,41 @@
     const auto connection = std::make_shared<HttpConnection>(
         std::move(socket), limits_(), on_request_);
     if (is_leaving_ || is_crowded()) connection->CloseAfterAnswer();
-    connections_.insert(connection);
-    connection->Start();
+    connections_[connection.get()] = connection;
+    connection->Start(
+        [this, key = connection.get()] { connections_.erase(key); });
   }
 }
 
+// Closing a connection takes it out of the map, so loops go over a copy.
+auto HttpServer::OpenConnections() const
+    -> std::vector<std::shared_ptr<HttpConnection>> {
+  std::vector<std::shared_ptr<HttpConnection>> connections;
+  connections.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  return connections;
+}
+
 auto HttpServer::CheckTimeouts(Time now) -> void {
-  for (auto it = connections_.begin(); it != connections_.end();) {
-    const auto connection = *it;
+  // A connection that is closed leaves the set.
+  for (const auto& connection : OpenConnections()) {
     connection->CheckTimeouts(now);
-    it = connection->is_open() ? std::next(it) : connections_.erase(it);
   }
 }
 
 auto HttpServer::CloseAfterAnswers() -> void {
   is_leaving_ = true;
-  for (const auto& connection : connections_) connection->CloseAfterAnswer();
+  for (const auto& [key, connection] : connections_) {
+    connection->CloseAfterAnswer();
+  }
 }
 
 auto HttpServer::CloseAll() -> void {
   error_code ignored;  // The listener is given up whatever its state.
   acceptor_.close(ignored);
-  const auto connections = std::move(connections_);
-  connections_.clear();
-  for (const auto& connection : connections) connection->Close();
+  for (const auto& connection : OpenConnections()) connection->Close();
 }
 
 }  // namespace papayaplank
--- a/relay/http_server.h
+++ b/relay/http_server.h
@@ -6,7 +6,8 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
+#include <vector>
 
 #include "relay/asio.h"
 #include "relay/http_connection.h"
@@ -40,6 +41,7 @@
   auto is_crowded() const -> bool {
     return connections_.size() > max_connections_ / 4;
   }
+  auto OpenConnections() const -> std::vector<std::shared_ptr<HttpConnection>>;
   auto WaitForCaller() -> void;
   auto AcceptAll() -> void;
 
@@ -47,7 +49,9 @@
   tcp::acceptor acceptor_;
   LimitsHook limits_;
   HttpConnection::RequestHook on_request_;
-  std::unordered_set<std::shared_ptr<HttpConnection>> connections_;
+  // Exactly the open connections.
+  std::unordered_map<const HttpConnection*, std::shared_ptr<HttpConnection>>
+      connections_;
   std::size_t max_connections_ = 3000;
   std::uint64_t refused_ = 0;
   bool is_leaving_ = false;
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -222,6 +222,9 @@
        {"open_requests", static_cast<std::int64_t>(context_.open_exchanges)},
        {"store_calls", static_cast<std::int64_t>(store_.calls())},
        {"is_watcher", core_.is_watcher(now)},
+       {"lateness_ms", core_.load().lateness_ms()},
+       {"requests", static_cast<std::int64_t>(core_.counters().requests)},
+       {"sends", static_cast<std::int64_t>(core_.counters().sends)},
        {"routers", static_cast<std::int64_t>(core_.live_peers(now) + 1)},
        {"key_age_ms", core_.key_age(now).count() / 1000}});
   sweep_timer_.expires_after(kSweepPeriod);
