Store: routers that the store fails do not watch

Cause: the two watchers are fixed by rank. Now reports say whether the store fails the router, and such routers rank last. ConfigWatchTest replays the outage; it fails without the change.

--- a/gateway/config_watch.cpp
+++ b/gateway/config_watch.cpp
@@ -1,7 +1,9 @@
 // Ranking of routers and bookkeeping of queries.
 #include "gateway/config_watch.h"
 
+#include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -12,29 +14,37 @@
 
 }  // namespace
 
-auto ConfigWatch::IsWatcher(const std::vector<LivePeer>& peers) const -> bool {
-  const auto own_rank = StableHash(self_.value());
-  std::size_t ahead = 0;
+auto ConfigWatch::Watchers(const std::vector<LivePeer>& peers,
+                           bool is_store_failing) const
+    -> std::vector<std::string> {
+  // Routers that reach the store come first, then the rank decides.
+  using Rank = std::pair<bool, std::uint64_t>;
+  std::multimap<Rank, std::string, std::greater<>> ranked;
+  ranked.emplace(Rank(!is_store_failing, StableHash(self_.value())), "");
   for (const auto& peer : peers) {
-    if (StableHash(peer.router.value()) > own_rank) ++ahead;
+    ranked.emplace(
+        Rank(!peer.is_store_failing, StableHash(peer.router.value())),
+        peer.peer_address);
+  }
+  std::vector<std::string> watchers;
+  for (const auto& [rank, address] : ranked) {
+    if (watchers.size() < kWatchers) watchers.push_back(address);
   }
-  return ahead < kWatchers;
+  return watchers;
+}
+
+auto ConfigWatch::IsWatcher(const std::vector<LivePeer>& peers,
+                            bool is_store_failing) const -> bool {
+  const auto watchers = Watchers(peers, is_store_failing);
+  return std::count(watchers.begin(), watchers.end(), "") != 0;
 }
 
-auto ConfigWatch::WatcherAddresses(const std::vector<LivePeer>& peers) const
+auto ConfigWatch::WatcherAddresses(const std::vector<LivePeer>& peers,
+                                   bool is_store_failing) const
     -> std::vector<std::string> {
-  std::multimap<std::uint64_t, std::string, std::greater<>> ranked;
-  ranked.emplace(StableHash(self_.value()), "");
-  for (const auto& peer : peers) {
-    ranked.emplace(StableHash(peer.router.value()), peer.peer_address);
-  }
-  std::vector<std::string> addresses;
-  std::size_t rank = 0;
-  for (const auto& [hash, address] : ranked) {
-    if (rank++ >= kWatchers) break;
-    if (!address.empty()) addresses.push_back(address);
-  }
-  return addresses;
+  auto watchers = Watchers(peers, is_store_failing);
+  std::erase(watchers, "");
+  return watchers;
 }
 
 auto ConfigWatch::MakeQuery(Time now) -> FreshnessQuery {
--- a/gateway/config_watch.h
+++ b/gateway/config_watch.h
@@ -23,10 +23,13 @@
  public:
   explicit ConfigWatch(RouterId self) : self_(std::move(self)) {}
 
-  // Whether this router is one of the watchers among the routers that live.
-  auto IsWatcher(const std::vector<LivePeer>& peers) const -> bool;
+  // Whether this router is one of the watchers. Routers that the store fails
+  // are left out while others are not.
+  auto IsWatcher(const std::vector<LivePeer>& peers,
+                 bool is_store_failing) const -> bool;
   // Peers that are watchers.
-  auto WatcherAddresses(const std::vector<LivePeer>& peers) const
+  auto WatcherAddresses(const std::vector<LivePeer>& peers,
+                        bool is_store_failing) const
       -> std::vector<std::string>;
 
   auto MakeQuery(Time now) -> FreshnessQuery;
@@ -35,6 +38,10 @@
   auto Take(const FreshnessReply& reply) -> std::optional<Time>;
 
  private:
+  // Peer addresses of the watchers; empty for this router.
+  auto Watchers(const std::vector<LivePeer>& peers, bool is_store_failing) const
+      -> std::vector<std::string>;
+
   RouterId self_;
   std::uint64_t next_nonce_ = 1;
   // When each query that may still be answered was sent.
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -74,6 +74,8 @@
                   Time now) -> DirectoryChange;
   // A call of the store was answered well.
   auto RecordStoreSuccess(Time now) -> void;
+  // A call of the store failed.
+  auto RecordStoreFailure() -> void { continuity_.RecordFailure(); }
   auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
   // What changed in the directory with the report's news.
   auto TakeReport(const PeerReport& report, Time now) -> DirectoryChange;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -130,7 +130,7 @@
 }
 
 auto GatewayCore::is_watcher(Time now) const -> bool {
-  return watch_.IsWatcher(peers_.LivePeers(now));
+  return watch_.IsWatcher(peers_.LivePeers(now), continuity_.is_failing());
 }
 
 auto GatewayCore::is_behind(Time now) const -> bool {
@@ -160,7 +160,8 @@
   auto live = peers_.LiveAddresses(now);
   std::vector<std::string> chosen;
   // Watchers know best.
-  auto watchers = watch_.WatcherAddresses(peers_.LivePeers(now));
+  auto watchers =
+      watch_.WatcherAddresses(peers_.LivePeers(now), continuity_.is_failing());
   if (!watchers.empty()) {
     chosen.push_back(watchers[random_.Index(watchers.size())]);
   }
@@ -193,6 +194,7 @@
     report.rates = shares_.OwnRates(now);
   }
   report.is_store_continuous = continuity_.IsContinuous(now);
+  report.is_store_failing = continuity_.is_failing();
   while (!news_.empty() && now - news_.front().first > kNewsLife) {
     news_.pop_front();
   }
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -10,10 +10,10 @@
 using Json = nlohmann::json;
 
 // First member of a message; raised when a layout changes.
-constexpr int kReport = 21;
+constexpr int kReport = 31;
 constexpr int kQuery = 12;
 constexpr int kReply = 13;
-constexpr std::size_t kReportMembers = 14;
+constexpr std::size_t kReportMembers = 15;
 
 auto Rounded(double value) -> std::int64_t { return std::lround(value); }
 
@@ -98,6 +98,7 @@
           report.is_ready,
           report.config_version,
           report.is_store_continuous,
+          report.is_store_failing,
           EncodeLoads(report),
           EncodeRates(report),
           EncodeNews(report)};
@@ -123,9 +124,10 @@
   report.is_ready = body.at(8).get<bool>();
   report.config_version = body.at(9).get<std::uint64_t>();
   report.is_store_continuous = body.at(10).get<bool>();
-  DecodeLoads(body.at(11), report);
-  DecodeRates(body.at(12), report);
-  DecodeNews(body.at(13), report);
+  report.is_store_failing = body.at(11).get<bool>();
+  DecodeLoads(body.at(12), report);
+  DecodeRates(body.at(13), report);
+  DecodeNews(body.at(14), report);
   return report;
 }
 
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -33,6 +33,8 @@
   std::uint64_t config_version = 0;
   // Whether its calls show that the store had no long outage lately.
   bool is_store_continuous = false;
+  // Whether its newest call of the store failed.
+  bool is_store_failing = false;
   // Targets are named by `TargetHash`, to keep reports small.
   std::vector<std::pair<std::uint32_t, LoadShare>> loads;
   // Left out of most reports, as it changes slowly.
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -82,7 +82,9 @@
 auto PeerTable::LivePeers(Time now) const -> std::vector<LivePeer> {
   std::vector<LivePeer> live;
   for (const auto& [address, peer] : peers_) {
-    if (IsLive(peer, now)) live.push_back({peer.report.router(), address});
+    if (!IsLive(peer, now)) continue;
+    live.push_back(
+        {peer.report.router(), address, peer.report.is_store_failing});
   }
   return live;
 }
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -26,6 +26,7 @@
 struct LivePeer {
   RouterId router;
   std::string peer_address;
+  bool is_store_failing = false;
 };
 
 // Routers by the address of their peer socket.
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -44,7 +44,11 @@
 
 auto StoreReader::NoteReachable(bool is_reachable, std::string_view call,
                                 std::string_view cause) -> void {
-  if (is_reachable) core_.RecordStoreSuccess(FleetClock::now());
+  if (is_reachable) {
+    core_.RecordStoreSuccess(FleetClock::now());
+  } else {
+    core_.RecordStoreFailure();
+  }
   if (is_reachable == is_reachable_) return;
   is_reachable_ = is_reachable;
   log_.Write(LogClass::kState, is_reachable ? "store_regained" : "store_lost",
@@ -136,7 +140,11 @@
   feed_timer_.expires_after(Duration(static_cast<Duration::rep>(
       static_cast<double>(feed_backoff_.count()) * jitter)));
   feed_timer_.async_wait([this](error_code error) {
-    if (!error) ReadConfiguration();
+    if (error) return;
+    if (core_.table() == nullptr || core_.is_watcher(FleetClock::now())) {
+      return ReadConfiguration();
+    }
+    CheckConfiguration();
   });
 }
 
--- a/routing/store_continuity.cpp
+++ b/routing/store_continuity.cpp
@@ -15,6 +15,7 @@
 auto StoreContinuity::RecordSuccess(Time now) -> void {
   if (!has_success_ || now - last_success_ > kMaxGap) continuous_since_ = now;
   has_success_ = true;
+  is_failing_ = false;
   last_success_ = now;
 }
 
--- a/routing/store_continuity.h
+++ b/routing/store_continuity.h
@@ -13,10 +13,15 @@
  public:
   // A call was answered well.
   auto RecordSuccess(Time now) -> void;
+  // A call failed.
+  auto RecordFailure() -> void { is_failing_ = true; }
+  // The newest call failed.
+  auto is_failing() const -> bool { return is_failing_; }
   // No outage that is long enough for rows to lapse can have ended lately.
   auto IsContinuous(Time now) const -> bool;
 
  private:
+  bool is_failing_ = false;
   bool has_success_ = false;
   Time last_success_{};
   // No gap between successes since then was long enough for rows to lapse.
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -411,12 +411,37 @@
       if (peer.router != self.router) peers.push_back(peer);
     }
     const ConfigWatch watch(self.router);
-    if (watch.IsWatcher(peers)) ++watchers;
-    EXPECT_LE(watch.WatcherAddresses(peers).size(), 2U);
+    if (watch.IsWatcher(peers, false)) ++watchers;
+    EXPECT_LE(watch.WatcherAddresses(peers, false).size(), 2U);
   }
   EXPECT_EQ(watchers, 2);
 }
 
+// Replays an outage of the store for exactly the routers that watch: others
+// take over, or nobody sees a new configuration in time.
+TEST(ConfigWatchTest, RoutersThatTheStoreFailsAreReplaced) {
+  const ConfigWatch watch(RouterId("10.0.0.9:1#1"));
+  std::vector<LivePeer> peers;
+  for (int i = 0; i < 6; ++i) {
+    const auto name = "10.0.0." + std::to_string(i) + ":1";
+    peers.push_back({RouterId(name + "#1"), name});
+  }
+  const auto before = watch.WatcherAddresses(peers, true);
+  ASSERT_EQ(before.size(), 2U);
+  for (auto& peer : peers) {
+    peer.is_store_failing =
+        std::count(before.begin(), before.end(), peer.peer_address) != 0;
+  }
+  const auto after = watch.WatcherAddresses(peers, true);
+  ASSERT_EQ(after.size(), 2U);
+  for (const auto& address : before) {
+    EXPECT_EQ(std::count(after.begin(), after.end(), address), 0);
+  }
+  // In an outage for all, somebody still tries.
+  for (auto& peer : peers) peer.is_store_failing = true;
+  EXPECT_EQ(watch.WatcherAddresses(peers, true).size(), 2U);
+}
+
 TEST(PeerMessagesTest, SurviveTheCodec) {
   PeerReport report;
   report.started_unix_ms = 1772707117173;
