--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -59,8 +59,8 @@
 auto Exchange::Start() -> void {
   RequestFacts facts;
   facts.host = request_.host;
-  facts.path =
-      std::string_view(request_.target).substr(0, request_.target.find('?'));
+  const std::string_view target = request_.target;
+  facts.path = target.substr(0, target.find('?'));
   facts.key = request_.key;
   facts.prompt = request_.prompt;
   facts.caller_wait = request_.wait;
