--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -135,7 +135,7 @@
   }
   auto load() const -> const RouterLoad& { return load_; }
   auto counters() const -> const GatewayCounters& { return counters_; }
-  // Connections that this router may hold to one target of the service.
+  // Idle connections that this router may keep to one target of the service.
   auto ConnectionShare(const PoolId& pool, Time now) const -> std::size_t;
 
  private:
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -200,6 +200,7 @@
   const auto connection = std::exchange(target_, nullptr);
   if (connection != nullptr) {
     context_.pool.Return(placement_.target, connection, answer_.keep_alive,
+                         context_.core.ConnectionShare(accepted_.pool, now),
                          now);
   }
   EndSend(outcome);
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -158,6 +158,7 @@
 auto StoreReader::NextListing() -> void {
   if (listing_.is_busy()) return;
   const auto now = FleetClock::now();
+  if (is_leaving_ && is_own_row_written_) return RemoveOwnRow();
   if (!is_own_row_written_ && !is_leaving_) return WriteOwnRow();
   if (routers_read_at_ == Time{} ||
       now - routers_read_at_ > core_.RouterListingPeriod(now)) {
@@ -269,6 +270,24 @@
                 });
 }
 
-auto StoreReader::Leave() -> void { is_leaving_ = true; }
+auto StoreReader::RemoveOwnRow() -> void {
+  listing_.Call(RemoveRow(kRouterTable, own_row_.key), kCallTimeout,
+                [this](const Outcome<StoreReply>& reply) {
+                  const auto is_removed =
+                      IsOk(reply) && ValueOf(reply).status == kOk;
+                  if (!is_removed) {
+                    NoteReachable(false, "own_row", "not removed");
+                    return ScheduleListing(kFirstBackoff * 2);
+                  }
+                  is_own_row_written_ = false;
+                  ScheduleListing(Duration{});
+                });
+}
+
+auto StoreReader::Leave() -> void {
+  is_leaving_ = true;
+  // A call that is under way is followed by the next one soon enough.
+  if (!listing_.is_busy()) ScheduleListing(Duration{});
+}
 
 }  // namespace papayaplank
--- a/relay/store_reader.h
+++ b/relay/store_reader.h
@@ -38,7 +38,7 @@
   }
   // Drops connections and logs, after a change of targets.
   auto TakeChange(const DirectoryChange& change) -> void;
-  // Removes the own row.
+  // Removes the own row, so that others no longer report to this router.
   auto Leave() -> void;
   auto calls() const -> std::uint64_t {
     return feed_.calls() + listing_.calls();
@@ -62,6 +62,7 @@
   auto ReadRouters() -> void;
   auto OnRouters(const Outcome<StoreReply>& reply) -> void;
   auto WriteOwnRow() -> void;
+  auto RemoveOwnRow() -> void;
   auto ScheduleListing(Duration delay) -> void;
 
   auto NoteReachable(bool is_reachable, std::string_view call,
--- a/relay/target_pool.cpp
+++ b/relay/target_pool.cpp
@@ -44,11 +44,12 @@
 
 auto TargetPool::Return(const TargetRow& target,
                         const std::shared_ptr<TargetConnection>& connection,
-                        std::optional<Duration> keep_alive, Time now) -> void {
+                        std::optional<Duration> keep_alive,
+                        std::size_t max_idle, Time now) -> void {
   const auto entry = targets_.find(target.id);
   if (!connection->is_reusable() || entry == targets_.end() ||
       entry->second.address != target.address ||
-      entry->second.idle.size() >= kMaxIdlePerTarget) {
+      entry->second.idle.size() >= std::min(max_idle, kMaxIdlePerTarget)) {
     connection->Close();
     return;
   }
--- a/relay/target_pool.h
+++ b/relay/target_pool.h
@@ -22,10 +22,11 @@
   auto Take(const TargetRow& target, Time now)
       -> std::shared_ptr<TargetConnection>;
   // Keeps a connection whose answer was complete, for as long as the target
-  // does; closes it if that is not known to last.
+  // does; closes it if that is not known to last, or if `max_idle` are kept.
   auto Return(const TargetRow& target,
               const std::shared_ptr<TargetConnection>& connection,
-              std::optional<Duration> keep_alive, Time now) -> void;
+              std::optional<Duration> keep_alive, std::size_t max_idle,
+              Time now) -> void;
   // Closes idle connections of a target that has left or started anew.
   auto Drop(const TargetId& target) -> void;
   auto CloseExpired(Time now) -> void;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -126,6 +126,8 @@
             for row in json.loads(body)["writes"]:
                 value = base64.b64decode(row["value"]).decode()
                 self.put(row["table"], row["key"], value)
+            for row in json.loads(body)["remove"]:
+                self.remove(row["table"], row["key"])
             return self.reply(connection, 200, {"ver": self.version})
         if path == "/v1/rows-get":
             with self.changed:
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -341,6 +341,13 @@
         self.edge.process.wait(timeout=WAIT_SECONDS)
         self.assertEqual(self.edge.process.returncode, 0)
 
+    def test_a_stopping_router_removes_its_row(self):
+        def row():
+            return self.store.rows.get(("routers", "e0"), (None, 0))[0]
+        wait_for(lambda: row() is not None, "the row is written")
+        self.edge.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: row() is None, "the row is removed")
+
     def test_a_request_in_progress_ends_while_the_router_stops(self):
         self.fault_all("slow")
         answers = []
