Gateway, relay: one copy of what stood twice

The refusal count, the service of a request in tokens and the read buffer stood twice each; a flag of TargetConnection and a second clearing of the pages had no use. Behaviour is unchanged.

--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -28,6 +28,11 @@
 // Share of a target's connections that the routers plan for.
 constexpr double kConnectionShare = 0.9;
 
+// Service that a request asks for, in units of a prompt token.
+auto ServiceTokens(const PromptFacts& prompt) -> double {
+  return prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
+}
+
 }  // namespace
 
 GatewayCore::GatewayCore(GatewayOptions options)
@@ -57,6 +62,12 @@
   leaving_since_ = now;
 }
 
+auto GatewayCore::Refuse(RefusalReason reason, Duration retry_after)
+    -> Refusal {
+  ++counters_.refused;
+  return Refusal{reason, retry_after};
+}
+
 auto GatewayCore::ChoosePool(const Route& route) -> PoolId {
   double total = 0;
   for (const auto& pool : route.pools) {
@@ -73,24 +84,20 @@
 
 auto GatewayCore::Accept(const RequestFacts& facts, Time now) -> Accepted {
   ++counters_.requests;
-  const auto refuse = [this](RefusalReason reason, Duration retry_after) {
-    ++counters_.refused;
-    return Refusal{reason, retry_after};
-  };
   if (table_ == nullptr) {
-    return refuse(RefusalReason::kNoConfiguration, kUnknownRetryAfter);
+    return Refuse(RefusalReason::kNoConfiguration, kUnknownRetryAfter);
   }
   const auto* route = table_->FindRoute(facts.host, facts.path);
-  if (route == nullptr) return refuse(RefusalReason::kNoRoute, {});
+  if (route == nullptr) return Refuse(RefusalReason::kNoRoute, {});
   GatewayRequest request;
   request.table = table_;
   request.route = route;
   if (table_->document().has_customers && !route->is_public) {
     if (!keys_.IsValid(now)) {
-      return refuse(RefusalReason::kKeyUnconfirmed, kUnknownRetryAfter);
+      return Refuse(RefusalReason::kKeyUnconfirmed, kUnknownRetryAfter);
     }
     const auto* customer = table_->FindCustomer(facts.key);
-    if (customer == nullptr) return refuse(RefusalReason::kUnknownKey, {});
+    if (customer == nullptr) return Refuse(RefusalReason::kUnknownKey, {});
     request.customer = *customer;
   }
   const auto is_stream = route->kind == RequestKind::kStream;
@@ -101,19 +108,17 @@
     const auto left = leaving_since_ + options_.stop_grace - kStopMargin - now;
     const auto is_too_long =
         is_stream ? now - leaving_since_ > kStreamsAfterStop : left < wait / 2;
-    if (is_too_long) return refuse(RefusalReason::kLeaving, milliseconds(1));
+    if (is_too_long) return Refuse(RefusalReason::kLeaving, milliseconds(1));
   }
   if (is_stream && load_.is_saturated()) {
-    return refuse(RefusalReason::kRouterBusy, kBusyRetryAfter);
+    return Refuse(RefusalReason::kRouterBusy, kBusyRetryAfter);
   }
   request.prompt = facts.prompt;
   request.arrived_at = now;
   request.deadline = now + wait;
   request.pool = ChoosePool(*route);
   retries_.RecordRequest(request.pool, now);
-  const auto& prompt = request.prompt;
-  const auto tokens =
-      prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
+  const auto tokens = ServiceTokens(request.prompt);
   if (tokens > 0) shares_.RecordAsked(request.customer, tokens, now);
   return request;
 }
@@ -178,10 +183,6 @@
 }
 
 auto GatewayCore::Place(GatewayRequest& request, Time now) -> PlacementResult {
-  const auto refuse = [this](RefusalReason reason, Duration retry_after) {
-    ++counters_.refused;
-    return Refusal{reason, retry_after};
-  };
   const auto options = FindOptions(request, now);
   AdmissionTerms terms;
   terms.objective = request.route->objective;
@@ -192,13 +193,13 @@
   }
   const auto* option = ChooseOption(options, terms);
   if (option == nullptr) {
-    return refuse(RefusalReason::kNoTarget, kUnknownRetryAfter);
+    return Refuse(RefusalReason::kNoTarget, kUnknownRetryAfter);
   }
   // A request that was sent before is admitted already.
   const auto check = CheckAdmission(*option, terms);
   if (request.sends == 0 && std::holds_alternative<Refusal>(check)) {
     const auto& refusal = std::get<Refusal>(check);
-    return refuse(refusal.reason, refusal.retry_after);
+    return Refuse(refusal.reason, refusal.retry_after);
   }
   Placement placement;
   placement.target = *option->target;
@@ -210,8 +211,7 @@
       .Start(placement.number, placement.tokens_to_read,
              placement.tokens_to_read + prompt.expected_output_tokens, now);
   if (request.sends == 0) {
-    const auto tokens =
-        prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
+    const auto tokens = ServiceTokens(prompt);
     if (tokens > 0) shares_.RecordServed(request.customer, tokens, now);
   }
   request.tried.insert(placement.target.id);
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -143,6 +143,8 @@
       -> std::vector<TargetOption>;
   auto HomeOf(const std::vector<TargetRow>& targets,
               const std::vector<PromptPart>& parts) const -> TargetId;
+  // Counts the refusal.
+  auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   auto ChoosePool(const Route& route) -> PoolId;
   auto LoadOf(const TargetRow& target) -> EngineLoad&;
   auto TakeLoads(const PeerReport& report, const RouterId& router, Time now)
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -11,16 +11,9 @@
 namespace papayaplank {
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 // Bytes of later requests that are kept while an answer is under way.
 constexpr std::size_t kMaxPipelined = 65536;
 
-// Connections share one buffer, as one task reads them all.
-auto ReadBuffer() -> std::array<char, kReadBytes>& {
-  static std::array<char, kReadBytes> buffer;
-  return buffer;
-}
-
 auto ExpectsContinue(const HttpFields& fields) -> bool {
   for (const auto& [name, value] : fields) {
     if (boost::iequals(name, "Expect")) return true;
--- a/relay/socket_options.cpp
+++ b/relay/socket_options.cpp
@@ -51,6 +51,11 @@
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+auto ReadBuffer() -> std::array<char, 16384>& {
+  static std::array<char, 16384> buffer;
+  return buffer;
+}
+
 auto ParseTcpEndpoint(const std::string& address)
     -> std::optional<tcp::endpoint> {
   const auto parts = ParseAddress(address);
--- a/relay/socket_options.h
+++ b/relay/socket_options.h
@@ -2,6 +2,7 @@
 #ifndef RELAY_SOCKET_OPTIONS_H_
 #define RELAY_SOCKET_OPTIONS_H_
 
+#include <array>
 #include <optional>
 #include <string>
 
@@ -13,6 +14,10 @@
 // the socket non-blocking.
 auto SetSocketOptions(tcp::socket& socket) -> void;
 
+// Buffer for one read; its bytes are copied out before the next read. All
+// connections share it, as one task reads them all.
+auto ReadBuffer() -> std::array<char, 16384>&;
+
 // "IP:PORT" as an endpoint; nothing if it is none.
 auto ParseTcpEndpoint(const std::string& address)
     -> std::optional<tcp::endpoint>;
--- a/relay/store_reader.cpp
+++ b/relay/store_reader.cpp
@@ -164,7 +164,6 @@
       now - routers_read_at_ > core_.RouterListingPeriod(now)) {
     return ReadRouters();
   }
-  pages_.clear();
   ReadTargets("");
 }
 
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -9,16 +9,10 @@
 namespace papayaplank {
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 constexpr std::size_t kMaxAnswerHeader = 32768;
 // A target that takes longer to accept a connection is treated as away.
 constexpr Duration kConnectTimeout = milliseconds(400);
 
-auto ReadBuffer() -> std::array<char, kReadBytes>& {
-  static std::array<char, kReadBytes> buffer;
-  return buffer;
-}
-
 }  // namespace
 
 TargetConnection::TargetConnection(asio::io_context& io)
@@ -170,7 +164,6 @@
 auto TargetConnection::End(TransferEnd end) -> void {
   if (!is_busy_) return Close();
   is_busy_ = false;
-  is_fresh_ = false;
   const auto hooks = std::exchange(hooks_, TransferHooks{});
   body_.reset();
   head_.clear();
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -50,7 +50,6 @@
   auto is_open() const -> bool { return socket_.is_open(); }
   // Whether another request may follow the complete answer.
   auto is_reusable() const -> bool { return is_reusable_; }
-  auto is_fresh() const -> bool { return is_fresh_; }
 
  private:
   auto OnConnected(error_code error) -> void;
@@ -73,7 +72,6 @@
   std::shared_ptr<const std::string> body_;
   std::size_t written_ = 0;
   bool is_connected_ = false;
-  bool is_fresh_ = true;
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_head_handled_ = false;
