Metrics: a lower library, with histograms of targets and of whole answers

Change: metrics moves below routing; a target's histogram; bounds on classes and targets shown (BoundedNames), beside the one on customers. Ruled out: a second registry for the platform's router.

--- a/metrics/metric_registry.cpp
+++ b/metrics/metric_registry.cpp
@@ -3,17 +3,20 @@
 
 #include <algorithm>
 #include <boost/histogram.hpp>
-#include <set>
 #include <sstream>
 #include <utility>
 
+#include "metrics/bounded_names.h"
+
 namespace papayaplank {
 namespace {
 
 namespace histogram = boost::histogram;
 
-// Customers with histograms of their own; the rest is shown as "other".
+// Label values with histograms of their own; the rest is shown as "other".
 constexpr std::size_t kMaxCustomersShown = 64;
+constexpr std::size_t kMaxClassesShown = 32;
+constexpr std::size_t kMaxTargetsShown = 256;
 constexpr unsigned kBinsPerHistogram = 48;
 constexpr double kSmallestSeconds = 0.0001;
 constexpr double kLargestSeconds = 1000;
@@ -38,6 +41,8 @@
       return "papayaplank_first_byte_seconds";
     case Measure::kChunkGap:
       return "papayaplank_chunk_gap_seconds";
+    case Measure::kAnswer:
+      return "papayaplank_answer_seconds";
     case Measure::kServiceCost:
       return "papayaplank_service_cost_units";
   }
@@ -99,10 +104,12 @@
 }  // namespace
 
 struct MetricRegistry::Histograms {
+  // Either a target, or a customer and a class.
   struct Key {
     Measure measure;
     CustomerId customer;
     ClassId request_class;
+    TargetId target;
     // NOLINTNEXTLINE: defaulted.
     auto operator<=>(const Key&) const = default;
   };
@@ -110,10 +117,37 @@
     Histogram bins;
     double sum = 0;
   };
+
+  auto Add(const Key& key, double value) -> void;
+  static auto Labels(const Key& key) -> std::string;
+
   std::map<Key, Entry> entries;
-  std::set<CustomerId> customers;
+  BoundedNames customers{kMaxCustomersShown};
+  BoundedNames classes{kMaxClassesShown};
+  BoundedNames targets{kMaxTargetsShown};
 };
 
+auto MetricRegistry::Histograms::Add(const Key& key, double value) -> void {
+  auto found = entries.find(key);
+  if (found == entries.end()) {
+    found =
+        entries
+            .emplace(key,
+                     Entry{histogram::make_histogram(MakeAxis(key.measure)), 0})
+            .first;
+  }
+  found->second.bins(value);
+  found->second.sum += value;
+}
+
+auto MetricRegistry::Histograms::Labels(const Key& key) -> std::string {
+  if (!key.target.is_empty()) {
+    return "target=\"" + EscapeLabel(key.target.value()) + "\"";
+  }
+  return "customer=\"" + EscapeLabel(key.customer.value()) + "\",class=\"" +
+         EscapeLabel(key.request_class.value()) + "\"";
+}
+
 MetricRegistry::MetricRegistry()
     : histograms_(std::make_unique<Histograms>()) {}
 MetricRegistry::~MetricRegistry() = default;
@@ -122,24 +156,17 @@
                              const ClassId& request_class, double value)
     -> void {
   const std::lock_guard lock(mutex_);
-  auto& shown = histograms_->customers;
-  auto name = customer;
-  if (shown.count(customer) == 0 && shown.size() >= kMaxCustomersShown) {
-    name = CustomerId("other");
-  } else {
-    shown.insert(customer);
-  }
-  const Histograms::Key key{measure, name, request_class};
-  auto found = histograms_->entries.find(key);
-  if (found == histograms_->entries.end()) {
-    found = histograms_->entries
-                .emplace(key,
-                         Histograms::Entry{
-                             histogram::make_histogram(MakeAxis(measure)), 0})
-                .first;
-  }
-  found->second.bins(value);
-  found->second.sum += value;
+  auto& shown = *histograms_;
+  const CustomerId customer_shown(shown.customers.Shown(customer.value()));
+  const ClassId class_shown(shown.classes.Shown(request_class.value()));
+  shown.Add({measure, customer_shown, class_shown, {}}, value);
+}
+
+auto MetricRegistry::Observe(Measure measure, const TargetId& target,
+                             double value) -> void {
+  const std::lock_guard lock(mutex_);
+  const TargetId target_shown(histograms_->targets.Shown(target.value()));
+  histograms_->Add({measure, {}, {}, target_shown}, value);
 }
 
 auto MetricRegistry::Count(const std::string& name,
@@ -163,9 +190,7 @@
   for (const auto& [name, value] : values_) out << name << ' ' << value << '\n';
   for (const auto& [key, entry] : histograms_->entries) {
     const auto name = MeasureName(key.measure);
-    const std::string labels =
-        "customer=\"" + EscapeLabel(key.customer.value()) + "\",class=\"" +
-        EscapeLabel(key.request_class.value()) + "\"";
+    const auto labels = Histograms::Labels(key);
     double below = 0;
     const auto bins = BinsOf(entry.bins);
     for (const auto& bin : bins) {
@@ -188,7 +213,7 @@
   const std::lock_guard lock(mutex_);
   auto sum = histogram::make_histogram(MakeAxis(measure));
   for (const auto& [key, entry] : histograms_->entries) {
-    if (key.measure != measure) continue;
+    if (key.measure != measure || !key.target.is_empty()) continue;
     if (!customer.is_empty() && key.customer != customer) continue;
     if (!request_class.is_empty() && key.request_class != request_class) {
       continue;
@@ -206,7 +231,7 @@
   const std::lock_guard lock(mutex_);
   std::vector<std::pair<CustomerId, ClassId>> result;
   for (const auto& [key, entry] : histograms_->entries) {
-    if (key.measure == measure) {
+    if (key.measure == measure && key.target.is_empty()) {
       result.emplace_back(key.customer, key.request_class);
     }
   }
--- a/metrics/metric_registry.h
+++ b/metrics/metric_registry.h
@@ -18,6 +18,7 @@
   kQueueWait,    // Seconds from arrival to the start of the first attempt.
   kFirstByte,    // Seconds from arrival to the first byte of the answer.
   kChunkGap,     // Seconds between two chunks of a stream.
+  kAnswer,       // Seconds from arrival to the end of the answer.
   kServiceCost,  // Cost units of a request.
 };
 
@@ -43,10 +44,13 @@
   MetricRegistry(const MetricRegistry&) = delete;
   auto operator=(const MetricRegistry&) -> MetricRegistry& = delete;
 
-  // Adds an observation in seconds or cost units. Beyond the bound on
-  // customers shown, it counts for the customer "other".
+  // Adds an observation in seconds or cost units. Beyond the bounds
+  // on customers and classes shown, it counts for "other".
   auto Observe(Measure measure, const CustomerId& customer,
                const ClassId& request_class, double value) -> void;
+  // The same for one target; beyond the bound on targets shown, it counts for
+  // the target "other".
+  auto Observe(Measure measure, const TargetId& target, double value) -> void;
 
   // Adds to a counter.
   auto Count(const std::string& name, const std::vector<MetricLabel>& labels,
@@ -63,7 +67,8 @@
   auto QuantilesOf(Measure measure, const CustomerId& customer,
                    const ClassId& request_class) const -> Quantiles;
 
-  // Customers and classes that have observations.
+  // Customers and classes that have observations; those of targets are left
+  // out.
   auto Observed(Measure measure) const
       -> std::vector<std::pair<CustomerId, ClassId>>;
 
--- a/scripts/check_layout.py
+++ b/scripts/check_layout.py
@@ -7,8 +7,8 @@
 import sys
 
 # Lower libraries first. A library includes only libraries before it.
-LIBRARIES = ["base", "routing", "admission", "gateway", "platform", "relay",
-             "config", "metrics", "membership", "placement", "fairness",
+LIBRARIES = ["base", "metrics", "routing", "admission", "gateway", "platform",
+             "relay", "config", "membership", "placement", "fairness",
              "capacity", "dispatch", "router", "storage", "transport", "tasks",
              "apps"]
 # Internal headers that others may include, with the reason.
