Ctl: explain ID tells the story of a request from the routers' logs

Change: papayaplankctl explain ID [LOG..] orders the lines of a request, adds the changes of its routers and targets in the ten seconds before, and says in a sentence what each line means. Words that a collector puts before a line are skipped. Ruled out: a service that collects logs; nothing may be run beside the routers.

--- a/apps/ctl_main.cpp
+++ b/apps/ctl_main.cpp
@@ -7,6 +7,7 @@
 
 #include "apps/ctl_commands.h"
 #include "apps/environment.h"
+#include "apps/explain_command.h"
 #include "apps/load_command.h"
 
 DEFINE_string(router, "127.0.0.1:9100", "Operator address of any router.");
@@ -40,6 +41,8 @@
   history [AFTER]            accepted changes after a version
   status                     routers and pools
   targets                    targets and their owners
+  explain ID [LOG..]         story of a request from the routers' logs;
+                             standard input if no file is given
   explain --customer=C --path=P   class, pool, limits, home routers
   hash-key KEY               hash of an API key for key_hashes
   load --plan=F              bounded load with checked answers
@@ -60,6 +63,11 @@
   if (command == "targets") return ListTargets(context);
   if (command == "hash-key") return HashKey(context);
   if (command == "load") return RunLoad(FLAGS_plan, context.is_json);
+  if (command == "explain" && !context.arguments.empty()) {
+    const auto& words = context.arguments;
+    return ExplainRequest(words.front(), {words.begin() + 1, words.end()},
+                          context.is_json);
+  }
   if (command == "explain") {
     return Explain(context, {FLAGS_customer, FLAGS_method, FLAGS_path,
                              FLAGS_class_header, FLAGS_data_center});
--- /dev/null
+++ b/apps/explain_command.h
@@ -0,0 +1,17 @@
+// `papayaplankctl explain ID`: the story of a request from log files.
+#ifndef APPS_EXPLAIN_COMMAND_H_
+#define APPS_EXPLAIN_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+namespace papayaplank {
+
+// Reads `files`, or standard input if there are none or a file is "-".
+// Returns an exit code of papayaplankctl.
+auto ExplainRequest(const std::string& request,
+                    const std::vector<std::string>& files, bool is_json) -> int;
+
+}  // namespace papayaplank
+
+#endif  // APPS_EXPLAIN_COMMAND_H_
--- /dev/null
+++ b/tests/apps/test_request_story.cpp
@@ -0,0 +1,81 @@
+// The story of a request from mixed log lines.
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+#include "apps/request_story.h"
+
+namespace papayaplank {
+namespace {
+
+auto Tell(const std::string& log) -> RequestStory {
+  std::istringstream in(log);
+  StoryReader reader("r1");
+  reader.Read(in);
+  return reader.Tell();
+}
+
+TEST(RequestStoryTest, LinesOfAllRoutersComeInOrderOfTime) {
+  const auto story = Tell(
+      R"({"time_ms":30,"router":"b","event":"request_refused","request":"r1",)"
+      R"("outcome":"target_failed"})"
+      "\n"
+      R"({"time_ms":10,"router":"a","event":"send_failed","request":"r1",)"
+      R"("outcome":"broken","target":"t7","target_status":0,"events":0})"
+      "\n"
+      R"({"time_ms":20,"router":"a","event":"request_done","request":"r2"})"
+      "\n");
+  ASSERT_EQ(story.lines.size(), 2U);
+  EXPECT_EQ(story.lines[0].router, "a");
+  EXPECT_EQ(story.lines[1].router, "b");
+  ASSERT_EQ(story.causes.size(), 2U);
+  EXPECT_NE(story.causes[0].find("target t7 broke off"), std::string::npos);
+}
+
+TEST(RequestStoryTest, ARefusalNamesWhatItRestedOn) {
+  const auto story = Tell(
+      R"({"time_ms":1,"router":"a","event":"request_refused","request":"r1",)"
+      R"("outcome":"over_share","target":"t1","share_used":1.25,)"
+      R"("queue_wait_ms":900,"longest_wait_ms":320,"batch_share":0.5,)"
+      R"("has_memory":true})"
+      "\n");
+  ASSERT_EQ(story.causes.size(), 1U);
+  EXPECT_NE(story.causes[0].find("1.25 of its even share"), std::string::npos);
+  EXPECT_NE(story.causes[0].find("900 ms of waiting"), std::string::npos);
+  EXPECT_NE(story.causes[0].find("320 ms were allowed"), std::string::npos);
+}
+
+TEST(RequestStoryTest, BackgroundIsOfTheSameRouterOrTarget) {
+  const auto story = Tell(
+      R"({"time_ms":100,"router":"a","event":"store_lost","call":"targets"})"
+      "\n"
+      R"({"time_ms":110,"router":"b","event":"store_lost","call":"targets"})"
+      "\n"
+      R"({"time_ms":120,"router":"b","event":"target_left","target":"t1"})"
+      "\n"
+      R"({"time_ms":130,"router":"a","event":"target_left","target":"t2"})"
+      "\n"
+      R"({"time_ms":200,"router":"a","event":"request_refused",)"
+      R"("request":"r1","outcome":"no_target","target":"t1"})"
+      "\n"
+      R"({"time_ms":300,"router":"a","event":"store_regained"})"
+      "\n");
+  ASSERT_EQ(story.background.size(), 2U);
+  EXPECT_EQ(story.background[0].event, "store_lost");
+  EXPECT_EQ(story.background[0].router, "a");
+  EXPECT_EQ(story.background[1].event, "target_left");
+}
+
+TEST(RequestStoryTest, WordsOfACollectorAndForeignLinesAreSkipped) {
+  const auto story = Tell(
+      "12.5 edge-1 | {\"time_ms\":1,\"router\":\"a\",\"event\":\"caller_left\","
+      "\"request\":\"r1\",\"elapsed_ms\":7}\n"
+      "Segmentation fault\n"
+      "{\"time_ms\":2,\n");
+  ASSERT_EQ(story.lines.size(), 1U);
+  EXPECT_EQ(story.unreadable_lines, 2U);
+  EXPECT_TRUE(Tell("").lines.empty());
+}
+
+}  // namespace
+}  // namespace papayaplank
