--- a/admission/engine_load.h
+++ b/admission/engine_load.h
@@ -66,6 +66,8 @@
   // This router's share, for its peers.
   auto OwnShare() const -> LoadShare { return own_; }
   auto is_idle() const -> bool { return own_.requests == 0; }
+  // Requests there, of this router and its peers.
+  auto requests(Time now) const -> int { return Total(now).requests; }
 
   // Prompt tokens read in a millisecond, as learnt from first tokens.
   auto prefill_rate() const -> double { return prefill_rate_; }
--- a/admission/retry_window.cpp
+++ b/admission/retry_window.cpp
@@ -32,14 +32,18 @@
   Trim(counts, now);
 }
 
-auto RetryWindow::TrySpend(const PoolId& pool, Time now) -> bool {
+auto RetryWindow::Left(const PoolId& pool, Time now) -> double {
   auto& counts = pools_[pool];
   Trim(counts, now);
   const auto allowed =
       kUsedShare * (bound_.ratio * static_cast<double>(counts.requests.size()) +
                     bound_.slack / routers_);
-  if (static_cast<double>(counts.repeats.size()) + 1 > allowed) return false;
-  counts.repeats.push_back(now);
+  return std::max(0.0, allowed - static_cast<double>(counts.repeats.size()));
+}
+
+auto RetryWindow::TrySpend(const PoolId& pool, Time now) -> bool {
+  if (Left(pool, now) < 1) return false;
+  pools_[pool].repeats.push_back(now);
   return true;
 }
 
--- a/admission/retry_window.h
+++ b/admission/retry_window.h
@@ -28,6 +28,8 @@
   auto RecordRequest(const PoolId& pool, Time now) -> void;
   // Whether one more send is within the bound; counts it if so.
   auto TrySpend(const PoolId& pool, Time now) -> bool;
+  // Further sends that the bound allows now.
+  auto Left(const PoolId& pool, Time now) -> double;
 
  private:
   struct Counts {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
+#include "gateway/report_schedule.h"
 #include "gateway/request.h"
 
 #endif  // GATEWAY_GATEWAY_H_
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -196,15 +196,19 @@
     return Refuse(RefusalReason::kNoTarget, kUnknownRetryAfter);
   }
   // A request that was sent before is admitted already.
-  const auto check = CheckAdmission(*option, terms);
-  if (request.sends == 0 && std::holds_alternative<Refusal>(check)) {
-    const auto& refusal = std::get<Refusal>(check);
-    return Refuse(refusal.reason, refusal.retry_after);
-  }
+  auto check = CheckAdmission(*option, terms);
   Placement placement;
+  if (auto* refusal = std::get_if<Refusal>(&check)) {
+    if (request.sends == 0) {
+      ++counters_.refused;
+      return std::move(*refusal);
+    }
+    placement.facts = *refusal->facts;
+  } else {
+    placement.facts = std::move(std::get<AdmissionFacts>(check));
+  }
   placement.target = *option->target;
   placement.number = RequestNumber(next_number_++);
-  placement.forecast = option->forecast;
   placement.tokens_to_read = option->to_read.total();
   const auto& prompt = request.prompt;
   LoadOf(placement.target)
@@ -294,4 +298,22 @@
   return std::max<std::size_t>(2, static_cast<std::size_t>(share));
 }
 
+auto GatewayCore::PoolStates(Time now) -> std::vector<PoolState> {
+  std::vector<PoolState> states;
+  if (table_ == nullptr) return states;
+  for (const auto& service : table_->document().services) {
+    PoolState state;
+    state.pool = service.id;
+    for (const auto& target : directory_.Serving(service.id)) {
+      ++state.targets;
+      state.slots += target.slots;
+      const auto load = loads_.find(target.id);
+      if (load != loads_.end()) state.requests += load->second.requests(now);
+    }
+    state.repeats_left = retries_.Left(service.id, now);
+    states.push_back(std::move(state));
+  }
+  return states;
+}
+
 }  // namespace papayaplank
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -58,6 +58,18 @@
   std::uint64_t failed_sends = 0;
 };
 
+// A service as this router sees it, for metrics.
+struct PoolState {
+  PoolId pool;
+  // Targets that take new requests.
+  std::size_t targets = 0;
+  int slots = 0;
+  // Requests at these targets, of this router and its peers.
+  int requests = 0;
+  // Further sends that this router's part of the retry budget allows.
+  double repeats_left = 0;
+};
+
 // The decisions of one router.
 class GatewayCore {
  public:
@@ -107,6 +119,13 @@
   auto is_watcher(Time now) const -> bool;
   // Whether it lacks a version that a peer has.
   auto is_behind(Time now) const -> bool;
+  // Peer to take a newer version from, as the store fails this router; empty
+  // if the store does not, or if no peer has one.
+  auto SnapshotSource(Time now) -> std::string;
+  // Nothing as long as no version is known.
+  auto MakeSnapshot() const -> std::optional<PeerSnapshot>;
+  // What changed in the directory.
+  auto TakeNews(const std::vector<TargetNews>& news) -> DirectoryChange;
   // Time until its next reading of the targets. It is random, so that the
   // readings of the routers spread over time whenever they started.
   auto NextListingDelay(Time now) -> Duration;
@@ -117,8 +136,10 @@
   auto MakeQuery(Time now) -> FreshnessQuery { return watch_.MakeQuery(now); }
 
   // Peers and callers that look for a router.
+  // Called once a tick.
   auto MakeReport(Time now) -> PeerReport;
-  auto ReportAddresses(Time now) -> std::vector<std::string>;
+  // Peers that get the report made last.
+  auto ReportRecipients(Time now) -> DueReports;
   auto CallerAddresses(const DataCenterId& near, Time now) const
       -> std::vector<std::string>;
 
@@ -133,6 +154,11 @@
   auto live_peers(Time now) const -> std::size_t {
     return peers_.LiveCount(now);
   }
+  // Peers that were heard lately and serve.
+  auto serving_peers(Time now) const -> std::size_t {
+    return peers_.Serving(now).size();
+  }
+  auto PoolStates(Time now) -> std::vector<PoolState>;
   auto load() const -> const RouterLoad& { return load_; }
   auto counters() const -> const GatewayCounters& { return counters_; }
   // Idle connections that this router may keep to one target of the service.
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -51,10 +51,11 @@
   prefixes_.Forget(target);
   outcomes_.Forget(target);
   const auto load = loads_.find(target);
-  if (load == loads_.end()) return;
-  load->second.Reset();
-  if (directory_.Find(target) != nullptr) return;
-  loads_.erase(load);
+  if (directory_.Find(target) != nullptr) {
+    if (load != loads_.end()) load->second.Reset();
+    return;
+  }
+  if (load != loads_.end()) loads_.erase(load);
   by_hash_.erase(TargetHash(target));
 }
 
@@ -79,17 +80,24 @@
   const auto router = report.router();
   retries_.SetRouters(peers_.LiveCount(now) + 1);
   if (report.rates) shares_.SetPeer(router, *report.rates, now);
-  for (const auto& news : report.news) {
-    const auto change = directory_.Apply(news);
+  changes = TakeNews(report.news);
+  TakeLoads(report, router, now);
+  return changes;
+}
+
+auto GatewayCore::TakeNews(const std::vector<TargetNews>& news)
+    -> DirectoryChange {
+  DirectoryChange changes;
+  const auto append = [](auto& to, const auto& from) {
+    to.insert(to.end(), from.begin(), from.end());
+  };
+  for (const auto& one : news) {
+    const auto change = directory_.Apply(one);
     TakeChange(change);
-    const auto append = [](auto& to, const auto& from) {
-      to.insert(to.end(), from.begin(), from.end());
-    };
     append(changes.left, change.left);
     append(changes.restarted, change.restarted);
     append(changes.joined, change.joined);
   }
-  TakeLoads(report, router, now);
   return changes;
 }
 
@@ -135,7 +143,19 @@
 
 auto GatewayCore::is_behind(Time now) const -> bool {
   if (table_ == nullptr) return true;
-  return peers_.NewestVersion(now) > table_->version();
+  return !peers_.NewerThan(table_->version(), now).empty();
+}
+
+auto GatewayCore::SnapshotSource(Time now) -> std::string {
+  if (!continuity_.is_failing()) return "";
+  const auto version = table_ == nullptr ? 0 : table_->version();
+  const auto peers = peers_.NewerThan(version, now);
+  return peers.empty() ? "" : peers[random_.Index(peers.size())];
+}
+
+auto GatewayCore::MakeSnapshot() const -> std::optional<PeerSnapshot> {
+  if (table_ == nullptr) return std::nullopt;
+  return PeerSnapshot{table_->document().source, directory_.AsNews()};
 }
 
 auto GatewayCore::NextListingDelay(Time now) -> Duration {
@@ -189,10 +209,7 @@
       report.loads.emplace_back(TargetHash(target), load.OwnShare());
     }
   }
-  constexpr std::uint64_t kReportsPerRates = 3;
-  if (report.sequence % kReportsPerRates == 0) {
-    report.rates = shares_.OwnRates(now);
-  }
+  report.rates = shares_.OwnRates(now);
   report.is_store_continuous = continuity_.IsContinuous(now);
   report.is_store_failing = continuity_.is_failing();
   while (!news_.empty() && now - news_.front().first > kNewsLife) {
@@ -204,8 +221,17 @@
   return report;
 }
 
-auto GatewayCore::ReportAddresses(Time now) -> std::vector<std::string> {
-  return peers_.Addresses(now);
+auto GatewayCore::ReportRecipients(Time now) -> DueReports {
+  const auto peers = peers_.ReportPeers(options_.data_center, now);
+  // That it leaves is told to everybody at once.
+  if (is_leaving_ && now - leaving_since_ < kNewsLife) {
+    DueReports everybody;
+    for (const auto& peer : peers) {
+      everybody.without_rates.push_back(peer.address);
+    }
+    return everybody;
+  }
+  return DuePeers(peers, report_sequence_);
 }
 
 auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -13,6 +13,7 @@
 constexpr int kReport = 31;
 constexpr int kQuery = 12;
 constexpr int kReply = 13;
+constexpr int kSnapshot = 14;
 constexpr std::size_t kReportMembers = 15;
 
 auto Rounded(double value) -> std::int64_t { return std::lround(value); }
@@ -57,9 +58,9 @@
   }
 }
 
-auto EncodeNews(const PeerReport& report) -> Json {
+auto EncodeNews(const std::vector<TargetNews>& changes) -> Json {
   auto all = Json::array();
-  for (const auto& news : report.news) {
+  for (const auto& news : changes) {
     const auto& row = news.row;
     all.push_back({news.version, news.is_gone, row.id.value(), row.address,
                    row.pool.value(), row.data_center.value(), row.slots,
@@ -68,7 +69,8 @@
   return all;
 }
 
-auto DecodeNews(const Json& json, PeerReport& report) -> void {
+auto DecodeNews(const Json& json) -> std::vector<TargetNews> {
+  std::vector<TargetNews> changes;
   for (const auto& entry : json) {
     TargetNews news;
     auto& row = news.row;
@@ -82,8 +84,9 @@
     row.is_draining = entry.at(7).get<bool>();
     row.started_unix_ms = entry.at(8).get<std::int64_t>();
     row.reports = entry.at(9).get<std::int64_t>();
-    report.news.push_back(std::move(news));
+    changes.push_back(std::move(news));
   }
+  return changes;
 }
 
 auto ToJson(const PeerReport& report) -> Json {
@@ -101,7 +104,7 @@
           report.is_store_failing,
           EncodeLoads(report),
           EncodeRates(report),
-          EncodeNews(report)};
+          EncodeNews(report.news)};
 }
 
 auto ToJson(const FreshnessQuery& query) -> Json {
@@ -112,6 +115,10 @@
   return {kReply, reply.nonce, reply.config_version, reply.age.count()};
 }
 
+auto ToJson(const PeerSnapshot& snapshot) -> Json {
+  return {kSnapshot, snapshot.configuration, EncodeNews(snapshot.targets)};
+}
+
 auto ReportFrom(const Json& body) -> PeerReport {
   PeerReport report;
   report.started_unix_ms = body.at(1).get<std::int64_t>();
@@ -127,7 +134,7 @@
   report.is_store_failing = body.at(11).get<bool>();
   DecodeLoads(body.at(12), report);
   DecodeRates(body.at(13), report);
-  DecodeNews(body.at(14), report);
+  report.news = DecodeNews(body.at(14));
   return report;
 }
 
@@ -142,6 +149,9 @@
                           body.at(2).get<std::uint64_t>(),
                           Duration(body.at(3).get<std::int64_t>())};
   }
+  if (kind == kSnapshot) {
+    return PeerSnapshot{body.at(1).get<std::string>(), DecodeNews(body.at(2))};
+  }
   return std::nullopt;
 }
 
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -37,7 +37,7 @@
   bool is_store_failing = false;
   // Targets are named by `TargetHash`, to keep reports small.
   std::vector<std::pair<std::uint32_t, LoadShare>> loads;
-  // Left out of most reports, as it changes slowly.
+  // Left out of most reports, as they change slowly.
   std::optional<FairShare::Rates> rates;
   // Changes of targets that this router has read lately.
   std::vector<TargetNews> news;
@@ -62,7 +62,15 @@
   Duration age{};
 };
 
-using PeerMessage = std::variant<PeerReport, FreshnessQuery, FreshnessReply>;
+// What a router knows from the store, for one that the store fails.
+struct PeerSnapshot {
+  // The operator's document in force.
+  std::string configuration;
+  std::vector<TargetNews> targets;
+};
+
+using PeerMessage =
+    std::variant<PeerReport, FreshnessQuery, FreshnessReply, PeerSnapshot>;
 
 // Short name of a target in reports.
 auto TargetHash(const TargetId& target) -> std::uint32_t;
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -6,8 +6,8 @@
 namespace papayaplank {
 namespace {
 
-// A router that is silent for longer is not named to callers; source: ten
-// report periods.
+// A router that is silent for longer is not named to callers; source: three
+// of the longest report periods.
 constexpr Duration kLiveFor = milliseconds(1200);
 // A silent address is reported to for this long, so that a healed partition
 // is noticed.
@@ -43,17 +43,18 @@
   return true;
 }
 
-auto PeerTable::Addresses(Time now) -> std::vector<std::string> {
-  std::vector<std::string> addresses;
-  for (auto it = peers_.begin(); it != peers_.end();) {
-    if (now - it->second.added_at > kForgetAfter) {
-      it = peers_.erase(it);
-      continue;
-    }
-    addresses.push_back(it->first);
-    ++it;
+auto PeerTable::ReportPeers(const DataCenterId& data_center, Time now)
+    -> std::vector<ReportPeer> {
+  std::erase_if(peers_, [now](const auto& entry) {
+    return now - entry.second.added_at > kForgetAfter;
+  });
+  std::vector<ReportPeer> all;
+  for (const auto& [address, peer] : peers_) {
+    const auto is_near =
+        peer.is_heard && peer.report.data_center == data_center;
+    all.push_back(ReportPeer{address, is_near});
   }
-  return addresses;
+  return all;
 }
 
 auto PeerTable::IsLive(const Peer& peer, Time now) const -> bool {
@@ -104,14 +105,15 @@
   return addresses;
 }
 
-auto PeerTable::NewestVersion(Time now) const -> std::uint64_t {
-  std::uint64_t newest = 0;
+auto PeerTable::NewerThan(std::uint64_t version, Time now) const
+    -> std::vector<std::string> {
+  std::vector<std::string> addresses;
   for (const auto& [address, peer] : peers_) {
-    if (IsLive(peer, now)) {
-      newest = std::max(newest, peer.report.config_version);
+    if (IsLive(peer, now) && peer.report.config_version > version) {
+      addresses.push_back(address);
     }
   }
-  return newest;
+  return addresses;
 }
 
 }  // namespace papayaplank
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gateway/peer_messages.h"
+#include "gateway/report_schedule.h"
 
 namespace papayaplank {
 
@@ -42,15 +43,17 @@
   // Whether the report is newer than what is known.
   auto Take(const PeerReport& report, Time now) -> bool;
 
-  // Everybody to report to.
-  auto Addresses(Time now) -> std::vector<std::string>;
+  // Everybody to report to; `data_center` tells who is near.
+  auto ReportPeers(const DataCenterId& data_center, Time now)
+      -> std::vector<ReportPeer>;
   // The routers that were heard lately and serve.
   auto Serving(Time now) const -> std::vector<ServingRouter>;
   // The routers that were heard lately.
   auto LivePeers(Time now) const -> std::vector<LivePeer>;
   auto LiveAddresses(Time now) const -> std::vector<std::string>;
-  // Newest version that a live router has in force.
-  auto NewestVersion(Time now) const -> std::uint64_t;
+  // Live routers that have a newer version than `version` in force.
+  auto NewerThan(std::uint64_t version, Time now) const
+      -> std::vector<std::string>;
   // Whether a live router has seen the store without a break.
   auto HasContinuousPeer(Time now) const -> bool;
   // Routers heard lately.
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -82,7 +82,7 @@
 }
 
 auto CheckAdmission(const TargetOption& option, const AdmissionTerms& terms)
-    -> std::variant<Done, Refusal> {
+    -> std::variant<AdmissionFacts, Refusal> {
   const auto& forecast = option.forecast;
   const auto is_over = terms.share_used >= 1;
   const auto reason =
@@ -94,10 +94,12 @@
       forecast.batch_share >= std::max(kLeastBatch, RoomOf(terms));
   const auto is_late =
       excess > Duration{} || forecast.first_token() >= terms.time_left;
-  if (!is_late && !is_batch_full && forecast.has_memory) return Done{};
+  const AdmissionFacts facts{option.target->id, forecast, limit,
+                             terms.share_used};
+  if (!is_late && !is_batch_full && forecast.has_memory) return facts;
   const auto comeback =
       std::clamp(std::max(excess, limit), kMinRetryAfter, kMaxRetryAfter);
-  return Refusal{reason, comeback};
+  return Refusal{reason, comeback, facts};
 }
 
 }  // namespace papayaplank
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -33,9 +33,9 @@
 auto ChooseOption(const std::vector<TargetOption>& options,
                   const AdmissionTerms& terms) -> const TargetOption*;
 
-// Whether the request is served at the option, and why not.
+// Whether the request is served at the option, and why or why not.
 auto CheckAdmission(const TargetOption& option, const AdmissionTerms& terms)
-    -> std::variant<Done, Refusal>;
+    -> std::variant<AdmissionFacts, Refusal>;
 
 }  // namespace papayaplank
 
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -3,6 +3,7 @@
 #define GATEWAY_REQUEST_H_
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -64,18 +65,32 @@
 // HTTP status of an answer. 429 and 503 say that the request has not run.
 auto RefusalStatus(RefusalReason reason) -> int;
 
+// What a decision about admission rested on, for the log.
+struct AdmissionFacts {
+  // The target that would answer first.
+  TargetId target;
+  // What the request would meet there.
+  LoadForecast forecast;
+  // Longest wait that the objective and the use of the share allow.
+  Duration longest_wait{};
+  // 1 and above: the customer has had its even share.
+  double share_used = 0;
+};
+
 // An answer of the router's own.
 struct Refusal {
   RefusalReason reason = RefusalReason::kNoRoom;
   // When to come back; zero means that no time is named.
   Duration retry_after{};
+  // Set if targets were weighed.
+  std::optional<AdmissionFacts> facts{};
 };
 
 // A target that the request goes to.
 struct Placement {
   TargetRow target;
   RequestNumber number;
-  LoadForecast forecast;
+  AdmissionFacts facts;
   // Prompt tokens that the target probably has to read.
   double tokens_to_read = 0;
 };
--- a/relay/event_log.cpp
+++ b/relay/event_log.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <nlohmann/json.hpp>
 
@@ -13,8 +14,8 @@
 
 // Lines a second of one event, and the burst; bounds the processor time of
 // logging on small instances.
-constexpr double kFailureLinesPerSecond = 20;
-constexpr double kRoutineLinesPerSecond = 1;
+constexpr double kFailureLinesPerSecond = 100;
+constexpr double kRoutineLinesPerSecond = 4;
 constexpr double kBurstSeconds = 2;
 
 auto RateOf(LogClass log_class) -> double {
@@ -22,6 +23,21 @@
                                          : kRoutineLinesPerSecond;
 }
 
+// Ratios and times need no more than three decimals.
+auto Rounded(double value) -> double {
+  constexpr double kDecimals = 1000;
+  return std::round(value * kDecimals) / kDecimals;
+}
+
+auto SetField(nlohmann::ordered_json& line, const char* name,
+              const LogValue& value) -> void {
+  if (const auto* number = std::get_if<double>(&value)) {
+    line[name] = Rounded(*number);
+    return;
+  }
+  std::visit([&line, name](const auto& v) { line[name] = v; }, value);
+}
+
 auto UnixMilliseconds() -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -64,7 +80,7 @@
   line["router"] = router_;
   line["event"] = event;
   for (const auto& [name, value] : fields) {
-    std::visit([&line, name = name](const auto& v) { line[name] = v; }, value);
+    SetField(line, name, value);
   }
   if (dropped_ != reported_dropped_) {
     line["lines_dropped"] = dropped_;
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -68,6 +68,7 @@
   if (const auto* refusal = std::get_if<Refusal>(&accepted)) {
     return Refuse(*refusal);
   }
+  if (caller_->HasCallerLeft()) return caller_->Close();
   accepted_ = std::move(std::get<GatewayRequest>(accepted));
   is_stream_ = accepted_.route->kind == RequestKind::kStream;
   caller_->SetCallerLeftHook(
@@ -93,12 +94,14 @@
     return Refuse(Refusal{RefusalReason::kTargetFailed, {}});
   }
   placement_ = std::move(std::get<Placement>(result));
+  facts_ = placement_.facts;
   is_placed_ = true;
   Send();
 }
 
 auto Exchange::Send() -> void {
   const auto now = FleetClock::now();
+  sent_at_ = now;
   target_ = context_.pool.Take(placement_.target, now);
   if (target_ == nullptr) {
     EndSend(SendOutcome::kNotReached);
@@ -152,7 +155,10 @@
     return FailAfter(SendOutcome::kBroken);
   }
   if (whole.empty()) return;
-  if (relayed_before == 0) BeginAnswer();
+  if (relayed_before == 0) {
+    BeginAnswer();
+    RecordFirstByte();
+  }
   context_.core.RecordFirstToken(placement_, FleetClock::now());
   caller_->Append(whole);
   if (caller_->pending_bytes() < kMaxPendingBytes || target_ == nullptr) return;
@@ -214,6 +220,7 @@
   if (!SurelyNotRun(outcome)) may_have_run_ = true;
   const auto now = FleetClock::now();
   context_.core.RecordEnd(accepted_, placement_, outcome, now);
+  context_.metrics.RecordSend(placement_.target.id, outcome);
   if (outcome != SendOutcome::kComplete && outcome != SendOutcome::kCancelled) {
     Log(LogClass::kFailure, "send_failed", SendOutcomeName(outcome), now);
   }
@@ -229,9 +236,11 @@
   if (stage_ == Stage::kBegun) {
     caller_->FinishAnswer();
   } else {
+    RecordFirstByte();
     caller_->Answer(answer_.status, HeaderLines(answer_.forwarded), held_);
   }
   Log(LogClass::kRoutine, "request_done", "complete", now);
+  RecordAnswer("complete", now);
   Finish();
 }
 
@@ -245,12 +254,14 @@
   }
   if (stage_ == Stage::kBegun) {
     Log(LogClass::kFailure, "answer_cut", SendOutcomeName(outcome), now);
+    RecordAnswer("cut", now);
     caller_->SetCallerLeftHook(nullptr);
     caller_->AbortAnswer();
     return Finish();
   }
   if (outcome == SendOutcome::kServerError) {
     // The target's own failure is its answer.
+    RecordAnswer(SendOutcomeName(outcome), now);
     caller_->Answer(answer_.status, HeaderLines(answer_.forwarded), held_);
     return Finish();
   }
@@ -260,7 +271,10 @@
 
 auto Exchange::Refuse(const Refusal& refusal) -> void {
   const auto now = FleetClock::now();
+  if (refusal.facts) facts_ = *refusal.facts;
+  retry_after_ = refusal.retry_after;
   Log(LogClass::kFailure, "request_refused", RefusalName(refusal.reason), now);
+  RecordAnswer(RefusalName(refusal.reason), now);
   caller_->SetCallerLeftHook(nullptr);
   caller_->Answer(
       RefusalStatus(refusal.reason),
@@ -281,7 +295,9 @@
   const auto self = shared_from_this();
   DropTarget();
   EndSend(SendOutcome::kCancelled);
-  Log(LogClass::kRoutine, "caller_left", "cancelled", FleetClock::now());
+  const auto now = FleetClock::now();
+  Log(LogClass::kRoutine, "caller_left", "cancelled", now);
+  RecordAnswer("caller_left", now);
   Finish();
 }
 
@@ -291,7 +307,9 @@
   DropTarget();
   EndSend(SendOutcome::kCancelled);
   if (stage_ == Stage::kBegun) {
-    Log(LogClass::kFailure, "answer_cut", "timeout", FleetClock::now());
+    const auto now = FleetClock::now();
+    Log(LogClass::kFailure, "answer_cut", "timeout", now);
+    RecordAnswer("cut", now);
     caller_->SetCallerLeftHook(nullptr);
     caller_->AbortAnswer();
     return Finish();
@@ -301,23 +319,51 @@
   Refuse(Refusal{reason, {}});
 }
 
+auto Exchange::Labels() const -> RequestLabels {
+  const auto* route = accepted_.route;
+  return {accepted_.customer, ClassId(route == nullptr ? "" : route->name)};
+}
+
+auto Exchange::RecordFirstByte() -> void {
+  const auto now = FleetClock::now();
+  first_byte_after_ = now - arrived_at_;
+  context_.metrics.RecordFirstByte(Labels(), placement_.target.id,
+                                   first_byte_after_, now - sent_at_);
+}
+
+auto Exchange::RecordAnswer(std::string_view outcome, Time now) -> void {
+  context_.metrics.RecordAnswer(Labels(), outcome, now - arrived_at_);
+}
+
 auto Exchange::Log(LogClass log_class, std::string_view event,
                    std::string_view outcome, Time now) -> void {
-  const auto* route = accepted_.route;
+  const auto labels = Labels();
   const auto version =
       context_.core.table() == nullptr ? 0 : context_.core.table()->version();
+  const auto& forecast = facts_.forecast;
   context_.log.Write(
       log_class, event,
       {{"request", request_.request_id},
+       {"caller", caller_->caller_address()},
        {"outcome", outcome},
-       {"route", route == nullptr ? "" : route->name},
-       {"customer", accepted_.customer.value()},
-       {"target", placement_.target.id.value()},
+       {"route", labels.request_class.value()},
+       {"customer", labels.customer.value()},
+       {"target", facts_.target.value()},
        {"sends", static_cast<std::int64_t>(accepted_.sends)},
        {"target_status", static_cast<std::int64_t>(answer_.status)},
-       {"elapsed_ms", ToMs(now - arrived_at_)},
-       {"forecast_ms", ToMs(placement_.forecast.first_token())},
        {"events", events_relayed_},
+       {"elapsed_ms", ToMs(now - arrived_at_)},
+       {"first_byte_ms", ToMs(first_byte_after_)},
+       {"caller_wait_ms", ToMs(request_.wait)},
+       {"retry_after_ms", ToMs(retry_after_)},
+       {"queue_wait_ms", ToMs(forecast.queue_wait)},
+       {"own_prefill_ms", ToMs(forecast.own_prefill)},
+       {"longest_wait_ms", ToMs(facts_.longest_wait)},
+       {"batch_share", forecast.batch_share},
+       {"has_memory", forecast.has_memory},
+       {"share_used", facts_.share_used},
+       {"routers",
+        static_cast<std::int64_t>(context_.core.live_peers(now) + 1)},
        {"configuration", static_cast<std::int64_t>(version)},
        {"key_age_ms", ToMs(context_.core.key_age(now))}});
 }
--- a/relay/exchange.h
+++ b/relay/exchange.h
@@ -49,6 +49,10 @@
   auto OnCallerLeft() -> void;
   auto OnDeadline() -> void;
   auto ArmDeadline() -> void;
+  auto RecordFirstByte() -> void;
+  // The only answer of the request has ended with this outcome.
+  auto RecordAnswer(std::string_view outcome, Time now) -> void;
+  auto Labels() const -> RequestLabels;
   auto Log(LogClass log_class, std::string_view event, std::string_view outcome,
            Time now) -> void;
 
@@ -61,6 +65,13 @@
   std::shared_ptr<TargetConnection> target_;
   asio::steady_timer deadline_timer_;
   Time arrived_at_{};
+  Time sent_at_{};
+  // Since arrival; zero if no answer has begun.
+  Duration first_byte_after_{};
+  // What the newest decision about admission rested on.
+  AdmissionFacts facts_;
+  // What the caller was told; zero if nothing.
+  Duration retry_after_{};
   Stage stage_ = Stage::kWaiting;
   // Whether a send is counted at the target.
   bool is_placed_ = false;
--- a/relay/store_link.cpp
+++ b/relay/http_client.cpp
@@ -1,15 +1,19 @@
 // Calls over a kept connection.
-#include "relay/store_link.h"
+#include "relay/http_client.h"
 
 #include "relay/socket_options.h"
 
 namespace papayaplank {
 
-StoreLink::StoreLink(asio::io_context& io, std::string address)
+HttpClient::HttpClient(asio::io_context& io, std::string address)
     : io_(io), address_(std::move(address)), timer_(io) {}
 
-auto StoreLink::Call(const StoreCall& call, Duration timeout,
-                     ReplyHook on_reply) -> void {
+HttpClient::~HttpClient() {
+  if (connection_ != nullptr) connection_->Close();
+}
+
+auto HttpClient::Call(const HttpCall& call, Duration timeout,
+                      ReplyHook on_reply) -> void {
   on_reply_ = std::move(on_reply);
   reply_ = {};
   ++calls_;
@@ -17,14 +21,13 @@
   timer_.async_wait([this](error_code error) {
     if (error || !on_reply_) return;
     Finish(
-        Error{ErrorCode::kUnknownEffect, "the store did not answer in time"});
+        Error{ErrorCode::kUnknownEffect, address_ + " did not answer in time"});
   });
   if (connection_ == nullptr || !connection_->is_open()) {
     const auto endpoint = ParseTcpEndpoint(address_);
     if (!endpoint) {
-      return Finish(
-          Error{ErrorCode::kInvalidArgument,
-                "the store's address '" + address_ + "' is no IP:port"});
+      return Finish(Error{ErrorCode::kInvalidArgument,
+                          "the address '" + address_ + "' is no IP:port"});
     }
     connection_ = std::make_shared<TargetConnection>(io_);
     connection_->Connect(*endpoint);
@@ -47,11 +50,11 @@
             Finish(Error{end == TransferEnd::kNotConnected
                              ? ErrorCode::kUnavailable
                              : ErrorCode::kUnknownEffect,
-                         "the store's connection broke"});
+                         "the connection to " + address_ + " broke"});
           }});
 }
 
-auto StoreLink::Finish(Outcome<StoreReply> reply) -> void {
+auto HttpClient::Finish(Outcome<HttpReply> reply) -> void {
   if (!on_reply_) return;
   timer_.cancel();
   if (connection_ != nullptr) {
--- a/relay/store_link.h
+++ b/relay/http_client.h
@@ -1,6 +1,7 @@
-// One kept connection to the platform's store, one call at a time.
-#ifndef RELAY_STORE_LINK_H_
-#define RELAY_STORE_LINK_H_
+// One kept connection to a server of the router's own needs: the platform's
+// store, or a peer. One call at a time.
+#ifndef RELAY_HTTP_CLIENT_H_
+#define RELAY_HTTP_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -11,38 +12,40 @@
 
 namespace papayaplank {
 
-// Answer of the store.
-struct StoreReply {
+// A complete answer.
+struct HttpReply {
   int status = 0;
   std::string body;
 };
 
 // Makes calls; the hook of a call is called once.
-class StoreLink {
+class HttpClient {
  public:
-  using ReplyHook = std::function<void(Outcome<StoreReply>)>;
+  using ReplyHook = std::function<void(Outcome<HttpReply>)>;
 
-  StoreLink(asio::io_context& io, std::string address);
+  HttpClient(asio::io_context& io, std::string address);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  auto operator=(const HttpClient&) -> HttpClient& = delete;
 
   // `timeout` counts from now to the complete answer. Must not be called
   // while a call is under way.
-  auto Call(const StoreCall& call, Duration timeout, ReplyHook on_reply)
-      -> void;
+  auto Call(const HttpCall& call, Duration timeout, ReplyHook on_reply) -> void;
   auto is_busy() const -> bool { return static_cast<bool>(on_reply_); }
   auto calls() const -> std::uint64_t { return calls_; }
 
  private:
-  auto Finish(Outcome<StoreReply> reply) -> void;
+  auto Finish(Outcome<HttpReply> reply) -> void;
 
   asio::io_context& io_;
   std::string address_;
   asio::steady_timer timer_;
   std::shared_ptr<TargetConnection> connection_;
   ReplyHook on_reply_;
-  StoreReply reply_;
+  HttpReply reply_;
   std::uint64_t calls_ = 0;
 };
 
 }  // namespace papayaplank
 
-#endif  // RELAY_STORE_LINK_H_
+#endif  // RELAY_HTTP_CLIENT_H_
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -2,7 +2,7 @@
 #include "relay/http_connection.h"
 
 #include <array>
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
 
@@ -16,26 +16,35 @@
 
 auto ExpectsContinue(const HttpFields& fields) -> bool {
   for (const auto& [name, value] : fields) {
-    if (boost::iequals(name, "Expect")) return true;
+    if (boost::beast::iequals(name, "Expect")) return true;
   }
   return false;
 }
 
 }  // namespace
 
-HttpConnection::HttpConnection(tcp::socket socket, CallerLimits limits,
-                               RequestHook on_request)
+HttpConnection::HttpConnection(tcp::socket socket, const tcp::endpoint& caller,
+                               CallerLimits limits, RequestHook on_request)
     : socket_(std::move(socket)),
+      caller_(caller),
       limits_(limits),
       on_request_(std::move(on_request)) {}
 
 auto HttpConnection::Start(Hook on_closed) -> void {
   on_closed_ = std::move(on_closed);
-  SetSocketOptions(socket_);
+  error_code ignored;  // A socket that has failed shows it at its next use.
+  socket_.non_blocking(true, ignored);
   last_activity_ = FleetClock::now();
   WaitReadable();
 }
 
+auto HttpConnection::SetCallerLeftHook(Hook hook) -> void {
+  on_caller_left_ = std::move(hook);
+  if (!on_caller_left_ || has_probes_) return;
+  has_probes_ = true;
+  SetLongLivedOptions(socket_);
+}
+
 auto HttpConnection::Close() -> void {
   if (!socket_.is_open()) return;
   // The hooks may drop the last reference to the connection.
@@ -125,8 +134,6 @@
 }
 
 auto HttpConnection::Dispatch() -> void {
-  // A router that is late may read a request whose caller has given up.
-  if (HasCallerLeft()) return Close();
   HttpServerRequest request;
   request.method = reader_->method();
   request.target = reader_->target();
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -30,17 +30,19 @@
       std::function<void(std::shared_ptr<HttpConnection>, HttpServerRequest)>;
   using Hook = std::function<void()>;
 
-  HttpConnection(tcp::socket socket, CallerLimits limits,
-                 RequestHook on_request);
+  HttpConnection(tcp::socket socket, const tcp::endpoint& caller,
+                 CallerLimits limits, RequestHook on_request);
 
   // `on_closed` is called once, when the connection has ended.
   auto Start(Hook on_closed) -> void;
   auto Close() -> void;
 
-  // The caller closed the connection before its answer was complete.
-  auto SetCallerLeftHook(Hook hook) -> void {
-    on_caller_left_ = std::move(hook);
-  }
+  // The caller closed the connection, or was lost, before its answer was
+  // complete.
+  auto SetCallerLeftHook(Hook hook) -> void;
+  // Reads on; whether the caller has closed the connection. A router that is
+  // late may read a request whose caller has given up.
+  auto HasCallerLeft() -> bool;
   // The caller has taken what was written.
   auto SetDrainedHook(Hook hook) -> void { on_drained_ = std::move(hook); }
 
@@ -62,6 +64,9 @@
   auto CheckTimeouts(Time now) -> void;
 
   auto is_open() const -> bool { return socket_.is_open(); }
+  auto caller_address() const -> std::string {
+    return caller_.address().to_string();
+  }
   auto is_answering() const -> bool { return is_answering_; }
   auto pending_bytes() const -> std::size_t { return out_.size(); }
 
@@ -71,8 +76,6 @@
   auto HandleInput() -> void;
   auto Reject(int status) -> void;
   auto Dispatch() -> void;
-  // Reads on; whether the caller has closed the connection.
-  auto HasCallerLeft() -> bool;
   auto EndAnswer() -> void;
   auto CloseInOrder() -> void;
   auto Write(std::string_view bytes) -> void;
@@ -81,6 +84,7 @@
   auto AnswerHead(int status, std::string_view headers) const -> std::string;
 
   tcp::socket socket_;
+  tcp::endpoint caller_;
   CallerLimits limits_;
   RequestHook on_request_;
   Hook on_closed_;
@@ -104,6 +108,8 @@
   bool is_writing_ = false;
   bool is_head_request_ = false;
   bool has_continued_ = false;
+  // Probes show whether the caller is still there.
+  bool has_probes_ = false;
 };
 
 }  // namespace papayaplank
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -42,19 +42,21 @@
 }
 
 auto HttpServer::AcceptAll() -> void {
-  // Bounded, so that open exchanges get their turn.
-  constexpr int kMaxAccepts = 16;
+  // Bounded, so that open exchanges get their turn, but not by less than what
+  // a flood brings in a round: connections that wait here are answered late.
+  constexpr int kMaxAccepts = 256;
   for (int i = 0; i < kMaxAccepts; ++i) {
     tcp::socket socket(io_);
+    tcp::endpoint caller;
     error_code error;
-    acceptor_.accept(socket, error);
+    acceptor_.accept(socket, caller, error);
     if (error) return;
     if (connections_.size() >= max_connections_) {
       ++refused_;
       continue;
     }
     const auto connection = std::make_shared<HttpConnection>(
-        std::move(socket), limits_(), on_request_);
+        std::move(socket), caller, limits_(), on_request_);
     if (is_leaving_ || is_crowded()) connection->CloseAfterAnswer();
     connections_[connection.get()] = connection;
     connection->Start(
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -1,7 +1,8 @@
-// Readiness, addresses and metrics.
+// Readiness, addresses, metrics and snapshots.
 #include "relay/info_service.h"
 
 #include "platform/platform.h"
+#include "relay/configuration_reader.h"
 
 namespace papayaplank {
 namespace {
@@ -9,50 +10,83 @@
 // How long callers may keep an answer with addresses.
 constexpr Duration kAddressLifetime = seconds(2);
 constexpr char kJsonHeader[] = "Content-Type: application/json\r\n";
+constexpr char kCborHeader[] = "Content-Type: application/cbor\r\n";
 constexpr char kTextHeader[] = "Content-Type: text/plain\r\n";
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kNotReady = 503;
 
-auto AppendMetric(std::string& text, const char* name, double value) -> void {
-  text.append("papayaplank_").append(name).append(" ");
-  text.append(std::to_string(value)).append("\n");
+auto SetGauge(MetricRegistry& metrics, const std::string& name, double value)
+    -> void {
+  metrics.Set("papayaplank_" + name, {}, value);
 }
 
-auto RenderMetrics(const RelayContext& context, Time now) -> std::string {
-  const auto& core = context.core;
-  const auto& counters = core.counters();
-  std::string text;
-  AppendMetric(text, "requests_total", static_cast<double>(counters.requests));
-  AppendMetric(text, "refused_total", static_cast<double>(counters.refused));
-  AppendMetric(text, "sends_total", static_cast<double>(counters.sends));
-  AppendMetric(text, "repeats_total", static_cast<double>(counters.repeats));
-  AppendMetric(text, "completed_total",
-               static_cast<double>(counters.completed));
-  AppendMetric(text, "failed_sends_total",
-               static_cast<double>(counters.failed_sends));
-  AppendMetric(text, "target_connections_total",
-               static_cast<double>(context.pool.opened()));
-  AppendMetric(text, "open_requests",
-               static_cast<double>(context.open_exchanges));
-  AppendMetric(text, "log_lines_dropped_total",
-               static_cast<double>(context.log.dropped()));
-  AppendMetric(text, "key_age_seconds",
-               std::chrono::duration<double>(core.key_age(now)).count());
-  AppendMetric(text, "targets", static_cast<double>(core.directory().size()));
-  AppendMetric(text, "configuration_version",
-               core.table() == nullptr
-                   ? 0
-                   : static_cast<double>(core.table()->version()));
-  return text;
+auto SetPoolGauges(MetricRegistry& metrics, const PoolState& state) -> void {
+  const std::vector<MetricLabel> labels = {{"pool", state.pool.value()}};
+  metrics.Set("papayaplank_pool_targets", labels,
+              static_cast<double>(state.targets));
+  metrics.Set("papayaplank_pool_slots", labels, state.slots);
+  metrics.Set("papayaplank_pool_requests", labels, state.requests);
+  metrics.Set("papayaplank_pool_repeats_left", labels, state.repeats_left);
+}
+
+auto SetRequestGauges(const InfoSources& sources, MetricRegistry& metrics)
+    -> void {
+  const auto& counters = sources.context.core.counters();
+  SetGauge(metrics, "requests_total", static_cast<double>(counters.requests));
+  SetGauge(metrics, "refused_total", static_cast<double>(counters.refused));
+  SetGauge(metrics, "sends_total", static_cast<double>(counters.sends));
+  SetGauge(metrics, "repeats_total", static_cast<double>(counters.repeats));
+  SetGauge(metrics, "completed_total", static_cast<double>(counters.completed));
+  SetGauge(metrics, "failed_sends_total",
+           static_cast<double>(counters.failed_sends));
+  SetGauge(metrics, "target_connections_total",
+           static_cast<double>(sources.context.pool.opened()));
+  SetGauge(metrics, "open_requests",
+           static_cast<double>(sources.context.open_exchanges));
+}
+
+auto SetRouterGauges(const InfoSources& sources, MetricRegistry& metrics,
+                     Time now) -> void {
+  const auto& core = sources.context.core;
+  SetGauge(metrics, "log_lines_dropped_total",
+           static_cast<double>(sources.context.log.dropped()));
+  SetGauge(metrics, "key_age_seconds",
+           std::chrono::duration<double>(core.key_age(now)).count());
+  SetGauge(metrics, "configuration_version",
+           core.table() == nullptr
+               ? 0
+               : static_cast<double>(core.table()->version()));
+  SetGauge(metrics, "targets", static_cast<double>(core.directory().size()));
+  SetGauge(metrics, "routers_live",
+           static_cast<double>(core.live_peers(now) + 1));
+  SetGauge(metrics, "routers_serving",
+           static_cast<double>(core.serving_peers(now) +
+                               (core.is_ready(now) ? 1 : 0)));
+  SetGauge(metrics, "store_calls_total",
+           static_cast<double>(sources.store_calls()));
+  SetGauge(metrics, "is_ready", core.is_ready(now) ? 1 : 0);
+  SetGauge(metrics, "is_watcher", core.is_watcher(now) ? 1 : 0);
+  SetGauge(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
+}
+
+auto RenderMetrics(const InfoSources& sources, Time now) -> std::string {
+  auto& metrics = sources.context.metrics.registry();
+  SetRequestGauges(sources, metrics);
+  SetRouterGauges(sources, metrics, now);
+  for (const auto& state : sources.context.core.PoolStates(now)) {
+    SetPoolGauges(metrics, state);
+  }
+  return metrics.Exposition();
 }
 
 }  // namespace
 
-auto AnswerInfoRequest(const RelayContext& context,
+auto AnswerInfoRequest(const InfoSources& sources,
                        const std::shared_ptr<HttpConnection>& caller,
                        const HttpServerRequest& request) -> void {
   const auto now = FleetClock::now();
+  const auto& context = sources.context;
   if (IsReadinessQuery(request.target)) {
     const auto is_ready =
         context.core.is_ready(now) && !context.core.is_leaving();
@@ -63,13 +97,19 @@
         context.core.CallerAddresses(CallerDataCenter(request.target), now);
     context.log.Write(LogClass::kRoutine, "addresses_answered",
                       {{"count", static_cast<std::int64_t>(addresses.size())},
-                       {"query", request.target}});
+                       {"query", request.target},
+                       {"caller", caller->caller_address()}});
     if (addresses.empty()) return caller->Answer(kNotReady, "", "");
     return caller->Answer(kOk, kJsonHeader,
                           EncodeAddresses(addresses, kAddressLifetime));
   }
   if (request.target == "/metrics") {
-    return caller->Answer(kOk, kTextHeader, RenderMetrics(context, now));
+    return caller->Answer(kOk, kTextHeader, RenderMetrics(sources, now));
+  }
+  if (request.target == kSnapshotPath) {
+    const auto snapshot = context.core.MakeSnapshot();
+    if (!snapshot) return caller->Answer(kNotReady, "", "");
+    return caller->Answer(kOk, kCborHeader, EncodePeerMessage(*snapshot));
   }
   caller->Answer(kNotFound, "", "");
 }
--- a/relay/info_service.h
+++ b/relay/info_service.h
@@ -1,8 +1,10 @@
 // Answers to questions about the router itself: readiness, addresses for
-// callers, metrics.
+// callers, metrics, and what it knows for a peer.
 #ifndef RELAY_INFO_SERVICE_H_
 #define RELAY_INFO_SERVICE_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,8 +13,15 @@
 
 namespace papayaplank {
 
+// What the answers are made of.
+struct InfoSources {
+  RelayContext& context;
+  // Calls of the store since the start.
+  std::function<std::uint64_t()> store_calls;
+};
+
 // Answers one such request.
-auto AnswerInfoRequest(const RelayContext& context,
+auto AnswerInfoRequest(const InfoSources& sources,
                        const std::shared_ptr<HttpConnection>& caller,
                        const HttpServerRequest& request) -> void;
 
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -41,9 +41,19 @@
 }
 
 auto PeerLink::SendReports(Time now) -> void {
-  const auto addresses = core_.ReportAddresses(now);
-  if (addresses.empty()) return;
-  const auto bytes = EncodePeerMessage(core_.MakeReport(now));
+  auto report = core_.MakeReport(now);
+  const auto due = core_.ReportRecipients(now);
+  if (!due.with_rates.empty()) {
+    SendToAll(EncodePeerMessage(report), due.with_rates);
+  }
+  report.rates.reset();
+  if (!due.without_rates.empty()) {
+    SendToAll(EncodePeerMessage(report), due.without_rates);
+  }
+}
+
+auto PeerLink::SendToAll(const std::string& bytes,
+                         const std::vector<std::string>& addresses) -> void {
   for (const auto& address : addresses) {
     const auto endpoint = ParseUdpEndpoint(address);
     if (endpoint) Send(bytes, *endpoint);
--- a/relay/peer_link.h
+++ b/relay/peer_link.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "relay/asio.h"
@@ -21,7 +22,7 @@
            ChangeHook on_change);
 
   auto Listen(const std::string& address) -> Outcome<Done>;
-  // Sends one report to each peer.
+  // Sends this tick's report to the peers that are due.
   auto SendReports(Time now) -> void;
   // Asks a few peers how fresh their configuration is.
   auto SendQueries(Time now) -> void;
@@ -30,6 +31,8 @@
   auto WaitForReport() -> void;
   auto ReceiveAll() -> void;
   auto Send(const std::string& bytes, const udp::endpoint& to) -> void;
+  auto SendToAll(const std::string& bytes,
+                 const std::vector<std::string>& addresses) -> void;
   auto Take(const PeerMessage& message, const udp::endpoint& from) -> void;
 
   udp::socket socket_;
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "relay/asio.h"
 #include "relay/event_log.h"
+#include "relay/request_metrics.h"
 #include "relay/target_pool.h"
 
 namespace papayaplank {
@@ -15,6 +16,7 @@
   GatewayCore& core;
   EventLog& log;
   TargetPool& pool;
+  RequestMetrics& metrics;
   // Requests whose answer is not complete.
   std::size_t open_exchanges = 0;
 };
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -7,12 +7,14 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include "relay/configuration_reader.h"
 #include "relay/exchange.h"
 #include "relay/http_server.h"
 #include "relay/info_service.h"
+#include "relay/listing_reader.h"
 #include "relay/peer_link.h"
 #include "relay/relay_context.h"
-#include "relay/store_reader.h"
+#include "relay/store_contact.h"
 
 namespace papayaplank {
 namespace {
@@ -72,7 +74,7 @@
         log_(STDOUT_FILENO, settings.name),
         core_(CoreOptions(settings)),
         pool_(io_),
-        context_{io_, core_, log_, pool_},
+        context_{io_, core_, log_, pool_, request_metrics_},
         callers_(
             io_, [this] { return Limits(); },
             [this](auto caller, auto request) {
@@ -81,13 +83,17 @@
         ready_(MakeInfoServer()),
         directory_(MakeInfoServer()),
         metrics_(MakeInfoServer()),
+        snapshots_(MakeInfoServer()),
         peers_(io_, core_, log_,
                [this](const DirectoryChange& change) {
-                 store_.TakeChange(change);
+                 listings_.TakeChange(change);
                }),
-        store_(io_, settings.store_address,
-               OwnRow{settings.name, RouterRow{settings.peer_listen}}, core_,
-               pool_, log_),
+        contact_(core_, log_),
+        configuration_(io_, settings.store_address, settings.name, core_,
+                       contact_, log_),
+        listings_(io_, settings.store_address,
+                  OwnRow{settings.name, RouterRow{settings.peer_listen}}, core_,
+                  contact_, pool_, log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         report_timer_(io_),
         sweep_timer_(io_),
@@ -100,9 +106,14 @@
     return std::make_unique<HttpServer>(
         io_, [] { return CallerLimits{}; },
         [this](const auto& caller, const auto& request) {
-          AnswerInfoRequest(context_, caller, request);
+          AnswerInfoRequest(
+              InfoSources{context_, [this] { return StoreCalls(); }}, caller,
+              request);
         });
   }
+  auto StoreCalls() const -> std::uint64_t {
+    return configuration_.calls() + listings_.calls();
+  }
   auto Limits() const -> CallerLimits {
     return core_.table() == nullptr ? CallerLimits{} : core_.table()->limits();
   }
@@ -123,13 +134,17 @@
   EventLog log_;
   GatewayCore core_;
   TargetPool pool_;
+  RequestMetrics request_metrics_;
   RelayContext context_;
   HttpServer callers_;
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> directory_;
   std::unique_ptr<HttpServer> metrics_;
+  std::unique_ptr<HttpServer> snapshots_;
   PeerLink peers_;
-  StoreReader store_;
+  StoreContact contact_;
+  ConfigurationReader configuration_;
+  ListingReader listings_;
   asio::signal_set signals_;
   asio::steady_timer report_timer_;
   asio::steady_timer sweep_timer_;
@@ -144,7 +159,9 @@
       {&callers_, &settings_.caller_listen},
       {ready_.get(), &settings_.ready_listen},
       {directory_.get(), &settings_.directory_listen},
-      {metrics_.get(), &settings_.metrics_listen}};
+      {metrics_.get(), &settings_.metrics_listen},
+      // Reports use the same address with datagrams.
+      {snapshots_.get(), &settings_.peer_listen}};
   for (const auto& [server, address] : servers) {
     if (address->empty()) continue;
     auto listening = server->Listen(*address);
@@ -162,8 +179,12 @@
   last_tick_ = FleetClock::now();
   last_boot_offset_ = BootTime() - last_tick_.time_since_epoch();
   WaitForSignal();
-  store_.SetQueryHook([this] { peers_.SendQueries(FleetClock::now()); });
-  store_.Start();
+  configuration_.SetQueryHook(
+      [this] { peers_.SendQueries(FleetClock::now()); });
+  configuration_.SetChangeHook(
+      [this](const DirectoryChange& change) { listings_.TakeChange(change); });
+  configuration_.Start();
+  listings_.Start();
   TickReports();
   TickSweep();
   log_.Write(LogClass::kState, "started",
@@ -214,13 +235,14 @@
   ready_->CheckTimeouts(now);
   directory_->CheckTimeouts(now);
   metrics_->CheckTimeouts(now);
+  snapshots_->CheckTimeouts(now);
   pool_.CloseExpired(now);
   log_.Write(
       LogClass::kRoutine, "load",
       {{"callers", static_cast<std::int64_t>(callers_.connections())},
        {"callers_refused", static_cast<std::int64_t>(callers_.refused())},
        {"open_requests", static_cast<std::int64_t>(context_.open_exchanges)},
-       {"store_calls", static_cast<std::int64_t>(store_.calls())},
+       {"store_calls", static_cast<std::int64_t>(StoreCalls())},
        {"is_watcher", core_.is_watcher(now)},
        {"lateness_ms", core_.load().lateness_ms()},
        {"requests", static_cast<std::int64_t>(core_.counters().requests)},
@@ -250,7 +272,7 @@
   if (core_.is_leaving()) return;
   stop_began_at_ = FleetClock::now();
   core_.BeginStop(stop_began_at_);
-  store_.Leave();
+  listings_.Leave();
   callers_.CloseAfterAnswers();
   peers_.SendReports(stop_began_at_);
   log_.Write(
--- /dev/null
+++ b/relay/request_metrics.cpp
@@ -0,0 +1,39 @@
+// Names and labels of the request metrics.
+#include "relay/request_metrics.h"
+
+namespace papayaplank {
+namespace {
+
+auto ToSeconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+auto RequestMetrics::RecordSend(const TargetId& target, SendOutcome outcome)
+    -> void {
+  registry_.Count("papayaplank_target_sends_total",
+                  {{"target", targets_.Shown(target.value())},
+                   {"outcome", std::string(SendOutcomeName(outcome))}});
+}
+
+auto RequestMetrics::RecordFirstByte(const RequestLabels& labels,
+                                     const TargetId& target,
+                                     Duration since_arrival,
+                                     Duration since_send) -> void {
+  registry_.Observe(Measure::kFirstByte, labels.customer, labels.request_class,
+                    ToSeconds(since_arrival));
+  registry_.Observe(Measure::kFirstByte, target, ToSeconds(since_send));
+}
+
+auto RequestMetrics::RecordAnswer(const RequestLabels& labels,
+                                  std::string_view outcome,
+                                  Duration since_arrival) -> void {
+  registry_.Count("papayaplank_answers_total",
+                  {{"class", classes_.Shown(labels.request_class.value())},
+                   {"outcome", std::string(outcome)}});
+  registry_.Observe(Measure::kAnswer, labels.customer, labels.request_class,
+                    ToSeconds(since_arrival));
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/relay/request_metrics.h
@@ -0,0 +1,49 @@
+// Counters and latency histograms of requests, by class, customer, target and
+// outcome. A class is a route of the configuration.
+#ifndef RELAY_REQUEST_METRICS_H_
+#define RELAY_REQUEST_METRICS_H_
+
+#include <string>
+#include <string_view>
+
+#include "gateway/gateway.h"
+#include "metrics/metrics.h"
+
+namespace papayaplank {
+
+// Whose request it is.
+struct RequestLabels {
+  // Empty on public routes and for unknown keys.
+  CustomerId customer;
+  // Empty if no route matched.
+  ClassId request_class;
+};
+
+// All metrics of one router.
+class RequestMetrics {
+ public:
+  // A send to a target has ended.
+  auto RecordSend(const TargetId& target, SendOutcome outcome) -> void;
+  // The first event has arrived, or the whole of an answer without events.
+  auto RecordFirstByte(const RequestLabels& labels, const TargetId& target,
+                       Duration since_arrival, Duration since_send) -> void;
+  // The request has ended; `outcome` is the reason of a refusal, or how the
+  // last send ended.
+  auto RecordAnswer(const RequestLabels& labels, std::string_view outcome,
+                    Duration since_arrival) -> void;
+
+  auto registry() -> MetricRegistry& { return registry_; }
+
+ private:
+  // Label values of counters; bounds the size of a scrape.
+  static constexpr std::size_t kMaxClasses = 32;
+  static constexpr std::size_t kMaxTargets = 256;
+
+  MetricRegistry registry_;
+  BoundedNames classes_{kMaxClasses};
+  BoundedNames targets_{kMaxTargets};
+};
+
+}  // namespace papayaplank
+
+#endif  // RELAY_REQUEST_METRICS_H_
--- a/relay/socket_options.cpp
+++ b/relay/socket_options.cpp
@@ -39,9 +39,7 @@
 
 }  // namespace
 
-auto SetSocketOptions(tcp::socket& socket) -> void {
-  error_code ignored;  // A socket that has failed shows it at its next use.
-  socket.non_blocking(true, ignored);
+auto SetLongLivedOptions(tcp::socket& socket) -> void {
   const auto handle = socket.native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
--- a/relay/socket_options.h
+++ b/relay/socket_options.h
@@ -10,9 +10,10 @@
 
 namespace papayaplank {
 
-// Sends small writes at once, notices silent peers within seconds, and makes
-// the socket non-blocking.
-auto SetSocketOptions(tcp::socket& socket) -> void;
+// For a socket that waits for its peer: small writes are sent at once, and a
+// silent peer is noticed within seconds. A connection that is answered at once
+// does without these six system calls.
+auto SetLongLivedOptions(tcp::socket& socket) -> void;
 
 // Buffer for one read; its bytes are copied out before the next read. All
 // connections share it, as one task reads them all.
--- /dev/null
+++ b/relay/store_contact.cpp
@@ -0,0 +1,48 @@
+// Logging of lost and regained contact.
+#include "relay/store_contact.h"
+
+namespace papayaplank {
+namespace {
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+auto StoreContact::RecordSuccess(std::string_view call) -> void {
+  core_.RecordStoreSuccess(FleetClock::now());
+  if (is_reachable_) return;
+  is_reachable_ = true;
+  log_.Write(LogClass::kState, "store_regained", {{"call", call}});
+}
+
+auto StoreContact::RecordFailure(std::string_view call, std::string_view cause)
+    -> void {
+  core_.RecordStoreFailure();
+  if (!is_reachable_) return;
+  is_reachable_ = false;
+  log_.Write(LogClass::kState, "store_lost",
+             {{"call", call}, {"cause", cause}});
+}
+
+auto StoreContact::TakeRows(std::string_view call,
+                            const Outcome<HttpReply>& reply)
+    -> std::optional<StoreRows> {
+  if (!IsOk(reply)) {
+    RecordFailure(call, ErrorOf(reply).message);
+    return std::nullopt;
+  }
+  const auto& answer = ValueOf(reply);
+  if (answer.status != kOk) {
+    RecordFailure(call, "status " + std::to_string(answer.status));
+    return std::nullopt;
+  }
+  auto rows = DecodeStoreRows(answer.body);
+  if (!IsOk(rows)) {
+    RecordFailure(call, ErrorOf(rows).message);
+    return std::nullopt;
+  }
+  RecordSuccess(call);
+  return std::move(ValueOf(rows));
+}
+
+}  // namespace papayaplank
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -21,7 +21,8 @@
 auto TargetConnection::Connect(const tcp::endpoint& endpoint) -> void {
   error_code error;
   socket_.open(endpoint.protocol(), error);
-  if (!error) SetSocketOptions(socket_);
+  if (!error) socket_.non_blocking(true, error);
+  if (!error) SetLongLivedOptions(socket_);
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait([self = shared_from_this()](error_code e) {
     if (!e && !self->is_connected_) self->End(TransferEnd::kNotConnected);
--- a/routing/routing_table.h
+++ b/routing/routing_table.h
@@ -75,6 +75,8 @@
 // What a table is made of; `RoutingTable` adds the indexes.
 struct RoutingDocument {
   std::uint64_t version = 0;
+  // The document as the operator wrote it, for routers that the store fails.
+  std::string source;
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -98,6 +98,16 @@
   return change;
 }
 
+auto TargetDirectory::AsNews() const -> std::vector<TargetNews> {
+  std::vector<TargetNews> all;
+  for (const auto& [id, news] : newer_) all.push_back(news);
+  for (const auto& [id, row] : targets_) {
+    if (newer_.count(id) != 0) continue;
+    all.push_back(TargetNews{listed_version_, false, row});
+  }
+  return all;
+}
+
 auto TargetDirectory::RebuildPools() -> void {
   by_pool_.clear();
   for (const auto& [id, target] : targets_) {
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -70,6 +70,8 @@
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
   auto size() const -> std::size_t { return targets_.size(); }
+  // All that is known, as news for a router that knows less.
+  auto AsNews() const -> std::vector<TargetNews>;
 
  private:
   auto Upsert(TargetRow row, DirectoryChange& change) -> void;
--- /dev/null
+++ b/tests/gateway/test_snapshot.cpp
@@ -0,0 +1,90 @@
+// A router that the store fails takes what a peer knows.
+#include <gtest/gtest.h>
+
+#include "gateway/gateway.h"
+
+namespace papayaplank {
+namespace {
+
+const Time kStart(seconds(1000));
+
+auto MakeOptions(const std::string& address) -> GatewayOptions {
+  GatewayOptions options;
+  options.router = RouterId(address + "#1");
+  options.peer_address = address;
+  options.caller_address = "c" + address;
+  return options;
+}
+
+auto MakeTable(std::uint64_t version) -> std::shared_ptr<const RoutingTable> {
+  RoutingDocument document;
+  document.version = version;
+  document.source = "version " + std::to_string(version);
+  return std::make_shared<const RoutingTable>(document);
+}
+
+auto MakeTarget(const std::string& id) -> TargetRow {
+  TargetRow row;
+  row.id = TargetId(id);
+  row.address = "127.0.0.1:9000";
+  row.pool = PoolId("engines");
+  row.started_unix_ms = 1;
+  return row;
+}
+
+class SnapshotTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    peer_.SetTable(MakeTable(5));
+    peer_.SetTargets({MakeTarget("t1"), MakeTarget("t2")}, 40, kStart);
+    // The news that it carried were lost.
+    auto report = peer_.MakeReport(kStart);
+    report.news.clear();
+    core_.TakeReport(report, kStart);
+  }
+
+  GatewayCore core_{MakeOptions("a")};
+  GatewayCore peer_{MakeOptions("b")};
+};
+
+TEST_F(SnapshotTest, OnlyARouterThatTheStoreFailsAsksAPeer) {
+  EXPECT_EQ(core_.SnapshotSource(kStart), "");
+  core_.RecordStoreFailure();
+  EXPECT_EQ(core_.SnapshotSource(kStart), "b");
+  core_.SetTable(MakeTable(5));
+  EXPECT_EQ(core_.SnapshotSource(kStart), "") << "the peer has nothing newer";
+}
+
+TEST_F(SnapshotTest, BringsTheDocumentAndTheTargets) {
+  const auto snapshot = peer_.MakeSnapshot();
+  ASSERT_TRUE(snapshot.has_value());
+  const auto message = DecodePeerMessage(EncodePeerMessage(*snapshot));
+  ASSERT_TRUE(message.has_value());
+  const auto& copy = std::get<PeerSnapshot>(*message);
+  EXPECT_EQ(copy.configuration, "version 5");
+  const auto change = core_.TakeNews(copy.targets);
+  EXPECT_EQ(change.joined.size(), 2U);
+  EXPECT_EQ(core_.directory().Serving(PoolId("engines")).size(), 2U);
+}
+
+TEST_F(SnapshotTest, AnOlderSnapshotRevivesNoTarget) {
+  const auto snapshot = peer_.MakeSnapshot();
+  // The router itself has read later that t2 is gone, from a store that was
+  // there long enough for all rows to be back.
+  auto now = kStart;
+  for (; now < kStart + seconds(4); now += seconds(1)) {
+    core_.RecordStoreSuccess(now);
+  }
+  core_.RecordStoreSuccess(now);
+  core_.SetTargets({MakeTarget("t1"), MakeTarget("t2")}, 45, now);
+  core_.SetTargets({MakeTarget("t1")}, 50, now);
+  core_.TakeNews(snapshot->targets);
+  EXPECT_EQ(core_.directory().Find(TargetId("t2")), nullptr);
+}
+
+TEST_F(SnapshotTest, WithoutAConfigurationThereIsNone) {
+  EXPECT_FALSE(core_.MakeSnapshot().has_value());
+}
+
+}  // namespace
+}  // namespace papayaplank
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -11,10 +11,18 @@
 import urllib.parse
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port():
+    """A port that is free for streams and for datagrams."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as second:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # A datagram socket has it.
+            return port
 
 
 def read_message(stream):
@@ -157,6 +165,20 @@
         return True
 
 
+class Door(Server):
+    """Another address of a store, so that some routers are turned away."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_shut = False
+        super().__init__()
+
+    def serve(self, connection, start, headers, body):
+        if self.is_shut:
+            return Store.reply(connection, 503, {})
+        return self.store.serve(connection, start, headers, body)
+
+
 class Target(Server):
     """A target: plain answers, or streams of numbered events.
 
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -42,22 +42,30 @@
 class Edge:
     """One router process."""
 
-    def __init__(self, store, name):
-        self.caller, self.ready, self.directory, self.metrics = (
-            standin.free_port() for _ in range(4))
-        peer = standin.free_port(socket.SOCK_DGRAM)
+    def __init__(self, store, name, reads_log=True):
+        self.name = name
+        self.caller, self.ready, self.directory, self.metrics, self.peer = (
+            standin.free_port() for _ in range(5))
+        self.start(store, reads_log)
+
+    def restart(self, store):
+        self.stop()
+        self.start(store)
+
+    def start(self, store, reads_log=True):
         self.process = subprocess.Popen(
-            [EDGE, f"--name={name}", "--data_center=west", "--region=r",
+            [EDGE, f"--name={self.name}", "--data_center=west", "--region=r",
              f"--caller_listen=127.0.0.1:{self.caller}",
              f"--ready_listen=127.0.0.1:{self.ready}",
              f"--directory_listen=127.0.0.1:{self.directory}",
              f"--metrics_listen=127.0.0.1:{self.metrics}",
-             f"--peer_listen=127.0.0.1:{peer}",
+             f"--peer_listen=127.0.0.1:{self.peer}",
              f"--store_address={store.address}", "--retry_slack=1000",
              "--stop_grace_seconds=8"],
             stdout=subprocess.PIPE, text=True)
         self.lines = []
-        threading.Thread(target=self.read_log, daemon=True).start()
+        if reads_log:
+            threading.Thread(target=self.read_log, daemon=True).start()
 
     def read_log(self):
         for line in self.process.stdout:
@@ -399,6 +407,144 @@
         connection.close()
 
 
+class TurnedAwayTest(EdgeTest):
+    """Two routers, one of which the store turns away."""
+
+    def setUp(self):
+        super().setUp()
+        self.door = standin.Door(self.store)
+        self.other = Edge(self.door, "other")
+        self.edges.append(self.other)
+        wait_for(self.other.is_ready, "the other router is ready")
+        wait_for(lambda: self.joined(self.other) == 2, "targets are known")
+        wait_for(lambda: self.hears_peers(self.edge), "it is known")
+
+    def tearDown(self):
+        super().tearDown()
+        self.door.stop()
+
+    def hears_peers(self, edge):
+        return any(line["event"] == "load" and line["routers"] > 1
+                   for line in edge.lines)
+
+    def ask_other(self, path, **headers):
+        connection = self.connect(self.other)
+        status = self.ask(path, connection=connection, **headers)[0]
+        connection.close()
+        return status
+
+    def test_it_takes_the_configuration_of_a_peer(self):
+        self.door.is_shut = True
+        wait_for(lambda: any(line["event"] == "store_lost"
+                             for line in self.other.lines), "it is noticed")
+        time.sleep(1.0)  # A call that waits for changes may still be open.
+        self.store.put("op", "config", configuration(
+            3, keys=("key-2",), extra=[route("/new/", "idempotent")]))
+        wait_for(lambda: self.ask_other("/new/1", key="key-2") == 200,
+                 "the new version is in force there")
+        self.assertEqual(self.ask_other("/read/1", key="key-1"), 401)
+        line = [line for line in self.other.lines
+                if line["event"] == "configuration_in_force"][-1]
+        self.assertNotEqual(line["source"], "store")
+
+    def test_it_starts_anew_with_what_a_peer_knows(self):
+        self.door.is_shut = True
+        self.other.restart(self.door)
+        wait_for(self.other.is_ready, "it is ready again")
+        wait_for(lambda: self.joined(self.other) == 2, "targets are known")
+        self.assertEqual(self.ask_other("/read/1"), 200)
+
+
+class ObservationTest(EdgeTest):
+    """Logs and metrics."""
+
+    def scrape(self):
+        status, body = get(self.edge.metrics, "/metrics")
+        self.assertEqual(status, 200)
+        return body.decode()
+
+    def line_of(self, request):
+        wait_for(lambda: any(line.get("request") == request
+                             for line in self.edge.lines), "a line")
+        return [line for line in self.edge.lines
+                if line.get("request") == request][-1]
+
+    def test_metrics_tell_class_customer_target_and_outcome(self):
+        self.assertEqual(self.ask("/read/1")[0], 200)
+        self.assertEqual(self.ask("/read/1", key="stolen")[0], 401)
+        text = self.scrape()
+        for part in ('papayaplank_answers_total{class="/read/",'
+                     'outcome="complete"} 1',
+                     'papayaplank_answers_total{class="",'
+                     'outcome="unknown_key"} 1',
+                     'papayaplank_answer_seconds_count{customer="guild",'
+                     'class="/read/"} 1',
+                     'papayaplank_pool_targets{pool="s"} 2',
+                     'papayaplank_configuration_version 1',
+                     'papayaplank_store_calls_total'):
+            self.assertIn(part, text)
+        self.assertRegex(text, r'target_sends_total\{target="t\d",'
+                               r'outcome="complete"\} 1')
+
+    def test_scrapes_during_a_storm_are_whole(self):
+        def storm():
+            for _ in range(200):
+                self.ask("/read/1", key="stolen")
+        threads = [threading.Thread(target=storm) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        while any(thread.is_alive() for thread in threads):
+            self.assertTrue(self.scrape().endswith("\n"))
+        self.assertIn('outcome="unknown_key"} 800', self.scrape())
+
+    def test_a_failed_send_and_its_answer_have_lines(self):
+        self.fault_all("lost", "lost")
+        status, request, _, _ = self.ask("/write/1")
+        self.assertEqual(status, 502)
+        last = self.line_of(request)
+        self.assertEqual((last["event"], last["outcome"]),
+                         ("request_refused", "target_failed"))
+        events = [line["event"] for line in self.edge.lines
+                  if line.get("request") == request]
+        self.assertEqual(events, ["send_failed", "request_refused"])
+        self.assertEqual(last["customer"], "guild")
+        self.assertEqual(last["caller"], "127.0.0.1")
+        self.assertNotIn("key-1", json.dumps(self.edge.lines))
+
+    def test_a_reader_of_the_log_that_stalls_harms_no_request(self):
+        edge = Edge(self.store, "stalled", reads_log=False)
+        self.edges.append(edge)
+        wait_for(edge.is_ready, "the router is ready")
+        connection = self.connect(edge)
+        for _ in range(1500):
+            self.ask("/read/1", key="stolen", connection=connection)
+        wait_for(lambda: self.ask("/read/1", connection=connection)[0] == 200,
+                 "it serves")
+        connection.close()
+
+    def test_a_closed_log_harms_no_request(self):
+        edge = Edge(self.store, "closed", reads_log=False)
+        self.edges.append(edge)
+        edge.process.stdout.close()
+        wait_for(edge.is_ready, "the router is ready")
+        connection = self.connect(edge)
+        wait_for(lambda: self.ask("/read/1", connection=connection)[0] == 200,
+                 "it serves")
+        connection.close()
+
+    def test_hostile_bytes_stay_within_their_field(self):
+        raw = socket.create_connection(("127.0.0.1", self.edge.caller))
+        raw.sendall(b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"Attempt-Id: \"}{\xff\xfe\r\nCredential: stolen\r\n"
+                    b"\r\n")
+        self.assertTrue(raw.recv(4096).startswith(b"HTTP/1.1 401"))
+        raw.close()
+        # Lines that are no JSON would have ended the reader of the log.
+        self.assertEqual(self.ask("/read/1", key="stolen")[0], 401)
+        wait_for(lambda: any("}{" in line.get("request", "")
+                             for line in self.edge.lines), "the line")
+
+
 class SettingsTest(unittest.TestCase):
     def test_a_wrong_setting_is_named(self):
         result = subprocess.run([EDGE, "--name=e", "--caller_listen=nowhere"],
@@ -410,7 +556,8 @@
 
 # The cases of one router are not repeated with several.
 for case in [name for name in dir(EdgeTest) if name.startswith("test_")]:
-    setattr(FleetTest, case, None)
+    for subclass in (FleetTest, TurnedAwayTest, ObservationTest):
+        setattr(subclass, case, None)
 
 if __name__ == "__main__":
     unittest.main()
