Gateway: homes of shared parts; a loaded router closes its listener

A request that found no room at its part's home went to any target, another one for each router. - On the grown site a large tenant keeps to one instance of 0.12 core. Changes: a part has three homes by rendezvous; reading it again costs 12 times its time at the next homes and 48 elsewhere.

--- a/gateway/caller_steering.cpp
+++ b/gateway/caller_steering.cpp
@@ -1,6 +1,8 @@
 // Choice by data centre and load.
 #include "gateway/caller_steering.h"
 
+#include <algorithm>
+
 namespace papayaplank {
 namespace {
 
@@ -24,16 +26,18 @@
 
 }  // namespace
 
+auto IsFleetLoaded(const std::vector<ServingRouter>& serving) -> bool {
+  const auto spared = std::count_if(
+      serving.begin(), serving.end(),
+      [](const ServingRouter& router) { return router.should_be_spared; });
+  return static_cast<double>(spared) >
+         kMaxSparedShare * static_cast<double>(serving.size());
+}
+
 auto ChooseCallerAddresses(const std::vector<ServingRouter>& serving,
                            const DataCenterId& near)
     -> std::vector<std::string> {
-  std::size_t spared = 0;
-  for (const auto& router : serving) {
-    if (router.should_be_spared) ++spared;
-  }
-  const auto with_spared =
-      static_cast<double>(spared) >
-      kMaxSparedShare * static_cast<double>(serving.size());
+  const auto with_spared = IsFleetLoaded(serving);
   auto addresses = Addresses(serving, &near, with_spared);
   if (addresses.size() < kMinRouters) {
     addresses = Addresses(serving, nullptr, with_spared);
--- a/gateway/caller_steering.h
+++ b/gateway/caller_steering.h
@@ -16,6 +16,10 @@
                            const DataCenterId& near)
     -> std::vector<std::string>;
 
+// Whether so many routers should be spared that the fleet as a whole is
+// loaded: then sparing some would only overload the others.
+auto IsFleetLoaded(const std::vector<ServingRouter>& serving) -> bool;
+
 }  // namespace papayaplank
 
 #endif  // GATEWAY_CALLER_STEERING_H_
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway_core.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace papayaplank {
 namespace {
@@ -137,19 +138,23 @@
   return entry->second;
 }
 
-auto GatewayCore::HomeOf(const std::vector<TargetRow>& targets,
-                         const std::vector<PromptPart>& parts) const
-    -> TargetId {
-  TargetId home;
-  std::uint64_t best = 0;
-  if (parts.empty()) return home;
+auto GatewayCore::HomesOf(const std::vector<TargetRow>& targets,
+                          const std::vector<PromptPart>& parts)
+    -> std::vector<const TargetRow*> {
+  if (parts.empty()) return {};
+  using Ranked = std::pair<std::uint64_t, const TargetRow*>;
+  std::vector<Ranked> ranked;
+  ranked.reserve(targets.size());
   for (const auto& target : targets) {
-    const auto rank = PrefixHomes::Rank(target.id, parts);
-    if (!home.is_empty() && rank <= best) continue;
-    home = target.id;
-    best = rank;
+    ranked.emplace_back(PrefixHomes::Rank(target.id, parts), &target);
   }
-  return home;
+  const auto count = std::min<std::size_t>(kHomes, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), std::greater<>());
+  std::vector<const TargetRow*> homes;
+  for (std::size_t i = 0; i < count; ++i) homes.push_back(ranked[i].second);
+  return homes;
 }
 
 auto GatewayCore::FindOptions(const GatewayRequest& request, Time now)
@@ -158,7 +163,7 @@
   const auto& targets = directory_.Serving(request.pool);
   options.reserve(targets.size());
   const auto& prompt = request.prompt;
-  const auto home = HomeOf(targets, prompt.parts);
+  const auto homes = HomesOf(targets, prompt.parts);
   // The scan starts at a random target, so that equal ones share the load.
   const auto first = targets.empty() ? 0 : random_.Index(targets.size());
   for (std::size_t i = 0; i < targets.size(); ++i) {
@@ -166,11 +171,13 @@
     if (request.tried.count(target.id) != 0) continue;
     TargetOption option;
     option.target = &target;
-    option.is_home = target.id == home;
+    option.home_rank = static_cast<int>(
+        std::find(homes.begin(), homes.end(), &target) - homes.begin());
+    if (homes.empty()) option.home_rank = kStray;
     option.is_near = target.data_center == options_.data_center;
     if (!prompt.parts.empty()) {
-      option.to_read =
-          prefixes_.Missing(target.id, prompt.parts, option.is_home, now);
+      option.to_read = prefixes_.Missing(target.id, prompt.parts,
+                                         option.home_rank == 0, now);
     }
     option.forecast = LoadOf(target).Forecast(
         option.to_read.total(),
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -142,6 +142,8 @@
   auto ReportRecipients(Time now) -> DueReports;
   auto CallerAddresses(const DataCenterId& near, Time now) const
       -> std::vector<std::string>;
+  // Whether new connections of callers are let in.
+  auto is_gate_open(Time now) const -> bool;
 
   // State.
   auto is_ready(Time now) const -> bool;
@@ -165,10 +167,14 @@
   auto ConnectionShare(const PoolId& pool, Time now) const -> std::size_t;
 
  private:
+  // All routers that callers may be sent to, this one too.
+  auto ServingRouters(Time now) const -> std::vector<ServingRouter>;
   auto FindOptions(const GatewayRequest& request, Time now)
       -> std::vector<TargetOption>;
-  auto HomeOf(const std::vector<TargetRow>& targets,
-              const std::vector<PromptPart>& parts) const -> TargetId;
+  // The homes of the shared parts among the targets, the first one first.
+  static auto HomesOf(const std::vector<TargetRow>& targets,
+                      const std::vector<PromptPart>& parts)
+      -> std::vector<const TargetRow*>;
   // Counts the refusal.
   auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   auto ChoosePool(const Route& route) -> PoolId;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -234,14 +234,24 @@
   return DuePeers(peers, report_sequence_);
 }
 
-auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
-    -> std::vector<std::string> {
+auto GatewayCore::ServingRouters(Time now) const -> std::vector<ServingRouter> {
   auto serving = peers_.Serving(now);
   if (!is_leaving_ && is_ready(now)) {
     serving.push_back({options_.caller_address, options_.data_center,
                        load_.ShouldBeSpared(now)});
   }
-  return ChooseCallerAddresses(serving, near);
+  return serving;
+}
+
+auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
+    -> std::vector<std::string> {
+  return ChooseCallerAddresses(ServingRouters(now), near);
+}
+
+auto GatewayCore::is_gate_open(Time now) const -> bool {
+  if (is_leaving_ || !load_.is_gate_closed()) return true;
+  const auto serving = ServingRouters(now);
+  return serving.size() < 2 || IsFleetLoaded(serving);
 }
 
 }  // namespace papayaplank
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -21,7 +21,9 @@
 constexpr double kLeastBatch = 0.75;
 // What reading a shared part again costs, in times of that reading: it delays
 // all requests at the target, and it drives other parts out of its memory.
-constexpr double kRereadPenalty = 4;
+constexpr double kRereadPenalty = 12;
+// The same at a target that is none of the part's homes.
+constexpr double kStrayPenalty = 48;
 // What a failure costs, in objectives.
 constexpr double kFailurePenalty = 3;
 // A target in another data centre is used if it is faster by this much.
@@ -39,9 +41,11 @@
   const auto& to_read = option.to_read;
   const auto shared_share =
       to_read.total() > 0 ? to_read.shared / to_read.total() : 0;
+  const auto reread_penalty =
+      option.home_rank < kStray ? kRereadPenalty : kStrayPenalty;
   auto time =
       option.forecast.first_token() +
-      Scale(option.forecast.own_prefill, shared_share * kRereadPenalty) +
+      Scale(option.forecast.own_prefill, shared_share * reread_penalty) +
       Scale(terms.objective, option.failure_rate * kFailurePenalty);
   // A batch that is nearly full decodes slowly.
   time += Scale(terms.objective, 0.1 * option.forecast.batch_share);
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -8,13 +8,21 @@
 
 namespace papayaplank {
 
+// Homes of a shared part: requests that find no room at the first one go to
+// the next, so that the routers read the part again at the same targets.
+inline constexpr int kHomes = 3;
+// Rank of a target that is none of the homes.
+inline constexpr int kStray = kHomes;
+
 // A target with what the request would meet there.
 struct TargetOption {
   const TargetRow* target = nullptr;
   LoadForecast forecast;
   TokensToRead to_read;
   bool is_near = false;
-  bool is_home = false;
+  // 0 for the home of the prompt's shared parts, 1 for the second one, and so
+  // on up to `kStray`.
+  int home_rank = kStray;
   bool is_resting = false;
   double failure_rate = 0;
 };
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -18,6 +18,7 @@
     return Error{ErrorCode::kInvalidArgument,
                  "'" + address + "' is no IP:port"};
   }
+  address_ = address;
   error_code error;
   acceptor_.open(endpoint->protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
@@ -26,6 +27,8 @@
   if (!error) acceptor_.listen(kBacklog, error);
   if (!error) acceptor_.non_blocking(true, error);
   if (error) {
+    error_code ignored;  // It is not listening anyway.
+    acceptor_.close(ignored);
     return Error{ErrorCode::kUnavailable,
                  "cannot listen on " + address + ": " + error.message()};
   }
@@ -33,6 +36,16 @@
   return Done{};
 }
 
+auto HttpServer::SetAccepting(bool is_accepting) -> Outcome<Done> {
+  if (is_accepting == acceptor_.is_open()) return Done{};
+  if (is_accepting) return Listen(address_);
+  // Connections that wait are let in; closing the socket would reset them.
+  AcceptAll();
+  error_code ignored;  // The listener is given up whatever its state.
+  acceptor_.close(ignored);
+  return Done{};
+}
+
 auto HttpServer::WaitForCaller() -> void {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
     if (error) return;
--- a/relay/http_server.h
+++ b/relay/http_server.h
@@ -24,6 +24,9 @@
 
   // Binds and listens; an error names the address.
   auto Listen(const std::string& address) -> Outcome<Done>;
+  // While false, new connections are refused by the system at no cost to the
+  // process. An error names the address that could not be taken again.
+  auto SetAccepting(bool is_accepting) -> Outcome<Done>;
   // Closes connections that were idle for too long.
   auto CheckTimeouts(Time now) -> void;
   // Ends each connection with its next answer.
@@ -46,6 +49,7 @@
   auto AcceptAll() -> void;
 
   asio::io_context& io_;
+  std::string address_;
   tcp::acceptor acceptor_;
   LimitsHook limits_;
   HttpConnection::RequestHook on_request_;
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -124,6 +124,7 @@
   auto CheckPause(Time now) -> void;
   auto TickReports() -> void;
   auto TickSweep() -> void;
+  auto UpdateGate(Time now) -> void;
   auto WaitForSignal() -> void;
   auto BeginStop() -> void;
   auto CheckStopped() -> void;
@@ -150,6 +151,7 @@
   asio::steady_timer sweep_timer_;
   asio::steady_timer stop_timer_;
   Time stop_began_at_{};
+  bool is_gate_open_ = true;
   Time last_tick_{};
   Duration last_boot_offset_{};
 };
@@ -222,6 +224,7 @@
   core_.RecordLateness(std::max(Duration{}, now - last_tick_ - kReportPeriod),
                        now);
   last_tick_ = now;
+  UpdateGate(now);
   peers_.SendReports(now);
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
@@ -229,6 +232,19 @@
   });
 }
 
+auto RelayProcess::UpdateGate(Time now) -> void {
+  const auto is_open = core_.is_gate_open(now);
+  const auto accepting = callers_.SetAccepting(is_open);
+  if (!IsOk(accepting)) {
+    log_.Write(LogClass::kState, "gate_failed",
+               {{"cause", ErrorOf(accepting).message}});
+  }
+  if (is_open == is_gate_open_) return;
+  is_gate_open_ = is_open;
+  log_.Write(LogClass::kFailure, is_open ? "gate_opened" : "gate_closed",
+             {{"lateness_ms", core_.load().lateness_ms()}});
+}
+
 auto RelayProcess::TickSweep() -> void {
   const auto now = FleetClock::now();
   callers_.CheckTimeouts(now);
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -318,8 +318,6 @@
       core_.Accept(Facts("/status/1", "key-a"), kStart)));
 }
 
-// Replays a start of all routers at once: their readings must not stay in
-// step, or nobody reads the targets for a whole period.
 // Replays a flood that one customer's callers send to one small router: it
 // refuses new streams at once and names other routers, until it keeps up.
 TEST_F(GatewayCoreTest, ASaturatedRouterRefusesStreamsAndSendsCallersAway) {
@@ -346,8 +344,31 @@
   EXPECT_EQ(RefusalStatus(reason), 503);
   Accepted(Facts("/order/1", "key-a"));
   EXPECT_EQ(core_.CallerAddresses(DataCenterId("west"), kStart).size(), 3U);
+  EXPECT_FALSE(core_.is_gate_open(kStart));
   for (int i = 0; i < 10; ++i) core_.RecordLateness({}, kStart);
   Accepted(Facts("/chat/1", "key-a", 100));
+  EXPECT_TRUE(core_.is_gate_open(kStart));
+}
+
+// Replays a burst that loads the whole fleet: a gate that closed would send
+// the callers to routers that are as loaded.
+TEST_F(GatewayCoreTest, InALoadedFleetNoGateCloses) {
+  Serve(1);
+  PeerReport report;
+  report.started_unix_ms = 1;
+  report.sequence = 1;
+  report.data_center = DataCenterId("west");
+  report.is_ready = true;
+  report.should_be_spared = true;
+  for (int i = 0; i < 3; ++i) {
+    report.peer_address = "10.0.0." + std::to_string(i + 2) + ":1";
+    report.caller_address = "c" + report.peer_address;
+    core_.TakeReport(report, kStart);
+  }
+  for (int i = 0; i < 10; ++i) {
+    core_.RecordLateness(milliseconds(300), kStart);
+  }
+  EXPECT_TRUE(core_.is_gate_open(kStart));
 }
 
 TEST(CallerSteeringTest, ALoadedFleetSparesNobody) {
@@ -368,6 +389,8 @@
   EXPECT_EQ(ChooseCallerAddresses(serving, DataCenterId("west")).size(), 2U);
 }
 
+// Replays a start of all routers at once: their readings must not stay in
+// step, or nobody reads the targets for a whole period.
 TEST(ListingTest, ReadingsOfRoutersThatStartTogetherSpread) {
   constexpr int kRouters = 59;
   std::vector<Time> readings;
