Logs: a line for each caller that left and each failure relayed; explain names restarts

Change: caller_left counts as a failure, failure_relayed is new, and explain says which routers started when no line names a request.

--- a/apps/explain_command.cpp
+++ b/apps/explain_command.cpp
@@ -41,6 +41,21 @@
   for (const auto& cause : story.causes) std::cout << "- " << cause << '\n';
 }
 
+auto ReportUnknown(const std::string& request, const RequestStory& story)
+    -> int {
+  std::cerr << "no line names the request '" << request << "' ("
+            << story.unreadable_lines
+            << " lines were no log lines); give the logs of all routers, and "
+               "look at lines_dropped in them\n";
+  if (!story.starts.empty()) {
+    std::cerr << "These routers started; what they had before left no line:\n";
+    for (const auto& line : story.starts) {
+      std::cerr << line.time_ms << "  " << line.router << '\n';
+    }
+  }
+  return kExitNotFound;
+}
+
 }  // namespace
 
 auto ExplainRequest(const std::string& request,
@@ -62,13 +77,7 @@
   }
   if (files.empty()) reader.Read(std::cin);
   const auto story = reader.Tell();
-  if (story.lines.empty()) {
-    std::cerr << "no line names the request '" << request << "' ("
-              << story.unreadable_lines
-              << " lines were no log lines); give the logs of all routers, and "
-                 "look at lines_dropped in them\n";
-    return kExitNotFound;
-  }
+  if (story.lines.empty()) return ReportUnknown(request, story);
   if (is_json) {
     std::cout << nlohmann::ordered_json(
                      {{"request", request},
--- a/apps/request_story.cpp
+++ b/apps/request_story.cpp
@@ -103,16 +103,31 @@
          " events relayed)";
 }
 
+auto ExplainCut(const Json& line) -> std::string {
+  const auto begin = "the answer was cut after " + Shown(line, "events") +
+                     " events and " + Shown(line, "elapsed_ms") + " ms: ";
+  if (Text(line, "outcome") == "timeout") {
+    return begin + "the caller's " + Shown(line, "caller_wait_ms") +
+           " ms or the route's timeout were over";
+  }
+  return begin + "target " + Shown(line, "target") +
+         " failed it and no other could go on with it";
+}
+
 auto Explain(const Json& line) -> std::string {
   const auto event = Text(line, "event");
   if (event == "request_refused") return ExplainRefusal(line);
   if (event == "send_failed") return ExplainSend(line);
-  if (event == "answer_cut") {
-    return "the answer was cut after " + Shown(line, "events") +
-           " events: " + Text(line, "outcome");
-  }
+  if (event == "answer_cut") return ExplainCut(line);
   if (event == "caller_left") {
-    return "the caller left after " + Shown(line, "elapsed_ms") + " ms";
+    return "the caller left after " + Shown(line, "elapsed_ms") + " of " +
+           Shown(line, "caller_wait_ms") + " ms, with " +
+           Shown(line, "events") + " events; target " + Shown(line, "target") +
+           " was still at work";
+  }
+  if (event == "failure_relayed") {
+    return "the caller got the failure that target " + Shown(line, "target") +
+           " answered, after " + Shown(line, "sends") + " sends";
   }
   if (event == "request_done") {
     return "the answer was complete after " + Shown(line, "elapsed_ms") +
@@ -175,6 +190,9 @@
 auto StoryReader::Tell() const -> RequestStory {
   RequestStory story;
   story.unreadable_lines = unreadable_;
+  for (const auto& line : state_) {
+    if (line.shown.event == "started") story.starts.push_back(line.shown);
+  }
   if (own_.empty()) return story;
   auto own = own_;
   std::stable_sort(own.begin(), own.end(), [](const Line& a, const Line& b) {
--- a/apps/request_story.h
+++ b/apps/request_story.h
@@ -26,6 +26,9 @@
   std::vector<StoryLine> background;
   // One sentence for each line of the request that explains something.
   std::vector<std::string> causes;
+  // Starts of routers. A router that was killed or lost power wrote nothing
+  // about the requests that it had.
+  std::vector<StoryLine> starts;
   // Lines that are no log lines; they are left out.
   std::size_t unreadable_lines = 0;
 };
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -261,6 +261,7 @@
   }
   if (outcome == SendOutcome::kServerError) {
     // The target's own failure is its answer.
+    Log(LogClass::kFailure, "failure_relayed", SendOutcomeName(outcome), now);
     RecordAnswer(SendOutcomeName(outcome), now);
     caller_->Answer(answer_.status, HeaderLines(answer_.forwarded), held_);
     return Finish();
@@ -296,7 +297,7 @@
   DropTarget();
   EndSend(SendOutcome::kCancelled);
   const auto now = FleetClock::now();
-  Log(LogClass::kRoutine, "caller_left", "cancelled", now);
+  Log(LogClass::kFailure, "caller_left", "cancelled", now);
   RecordAnswer("caller_left", now);
   Finish();
 }
--- a/tests/apps/test_request_story.cpp
+++ b/tests/apps/test_request_story.cpp
@@ -66,6 +66,28 @@
   EXPECT_EQ(story.background[1].event, "target_left");
 }
 
+TEST(RequestStoryTest, AnswersThatWereCutNameTheTimeOrTheTarget) {
+  const auto story =
+      Tell(R"({"time_ms":1,"router":"a","event":"answer_cut","request":"r1",)"
+           R"("outcome":"timeout","events":12,"elapsed_ms":2746,)"
+           R"("caller_wait_ms":2766})"
+           "\n"
+           R"({"time_ms":2,"router":"a","event":"answer_cut","request":"r1",)"
+           R"("outcome":"broken","target":"t3","events":4})"
+           "\n");
+  ASSERT_EQ(story.causes.size(), 2U);
+  EXPECT_NE(story.causes[0].find("2766 ms"), std::string::npos);
+  EXPECT_NE(story.causes[1].find("target t3 failed it"), std::string::npos);
+}
+
+TEST(RequestStoryTest, ARouterThatStartedAnewTellsWhyThereIsNoLine) {
+  const auto story = Tell(R"({"time_ms":1,"router":"a","event":"started"})"
+                          "\n");
+  EXPECT_TRUE(story.lines.empty());
+  ASSERT_EQ(story.starts.size(), 1U);
+  EXPECT_EQ(story.starts[0].router, "a");
+}
+
 TEST(RequestStoryTest, WordsOfACollectorAndForeignLinesAreSkipped) {
   const auto story = Tell(
       "12.5 edge-1 | {\"time_ms\":1,\"router\":\"a\",\"event\":\"caller_left\","
