--- /dev/null
+++ b/bench/log_bench.cpp
@@ -0,0 +1,52 @@
+// Cost of a log line: written, and left out by the bound on volume.
+#include <benchmark/benchmark.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "relay/event_log.h"
+
+namespace papayaplank {
+namespace {
+
+auto WriteRequestLine(EventLog& log, LogClass log_class) -> void {
+  log.Write(log_class, "request_refused",
+            {{"request", "119e685fa91f6130"},
+             {"caller", "100.66.0.9"},
+             {"outcome", "over_share"},
+             {"route", "r-az7tmt4"},
+             {"customer", "jebo90"},
+             {"target", "i-d43d829094"},
+             {"sends", std::int64_t{1}},
+             {"target_status", std::int64_t{200}},
+             {"events", std::int64_t{12}},
+             {"elapsed_ms", std::int64_t{2746}},
+             {"first_byte_ms", std::int64_t{69}},
+             {"caller_wait_ms", std::int64_t{2766}},
+             {"retry_after_ms", std::int64_t{0}},
+             {"queue_wait_ms", std::int64_t{105}},
+             {"own_prefill_ms", std::int64_t{26}},
+             {"longest_wait_ms", std::int64_t{293}},
+             {"batch_share", 0.219},
+             {"has_memory", true},
+             {"share_used", 1.291},
+             {"routers", std::int64_t{7}},
+             {"configuration", std::int64_t{2}},
+             {"key_age_ms", std::int64_t{1403}}});
+}
+
+auto Written(benchmark::State& state) -> void {
+  EventLog log(open("/dev/null", O_WRONLY), "edge-krk-a-1");
+  for (auto _ : state) WriteRequestLine(log, LogClass::kState);
+}
+BENCHMARK(Written);
+
+auto LeftOut(benchmark::State& state) -> void {
+  EventLog log(open("/dev/null", O_WRONLY), "edge-krk-a-1");
+  for (auto _ : state) WriteRequestLine(log, LogClass::kRoutine);
+}
+BENCHMARK(LeftOut);
+
+}  // namespace
+}  // namespace papayaplank
+
+BENCHMARK_MAIN();
