Relay: a failing store is pressed less and less

In an outage each router listed five times a second and, once its keys were old, read the configuration up to twice a second. Change: the pause after a failed listing doubles up to 1.6 s, with jitter (0.4 s without targets); a router that is no watcher leaves a failing store alone for 1.6 s and goes on asking peers; routers that the store fails watch only if it fails all. Ruled out: a pause while the store answers other calls, as a version could then be late for its bound.

--- a/gateway/config_watch.cpp
+++ b/gateway/config_watch.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -17,17 +16,17 @@
 auto ConfigWatch::Watchers(const std::vector<LivePeer>& peers,
                            bool is_store_failing) const
     -> std::vector<std::string> {
-  // Routers that reach the store come first, then the rank decides.
-  using Rank = std::pair<bool, std::uint64_t>;
-  std::multimap<Rank, std::string, std::greater<>> ranked;
-  ranked.emplace(Rank(!is_store_failing, StableHash(self_.value())), "");
+  using Ranked = std::multimap<std::uint64_t, std::string, std::greater<>>;
+  Ranked reaching;
+  Ranked failing;
+  (is_store_failing ? failing : reaching)
+      .emplace(StableHash(self_.value()), "");
   for (const auto& peer : peers) {
-    ranked.emplace(
-        Rank(!peer.is_store_failing, StableHash(peer.router.value())),
-        peer.peer_address);
+    (peer.is_store_failing ? failing : reaching)
+        .emplace(StableHash(peer.router.value()), peer.peer_address);
   }
   std::vector<std::string> watchers;
-  for (const auto& [rank, address] : ranked) {
+  for (const auto& [rank, address] : reaching.empty() ? failing : reaching) {
     if (watchers.size() < kWatchers) watchers.push_back(address);
   }
   return watchers;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -119,6 +119,8 @@
   auto is_watcher(Time now) const -> bool;
   // Whether it lacks a version that a peer has.
   auto is_behind(Time now) const -> bool;
+  // Whether the newest call of the store failed.
+  auto is_store_failing() const -> bool { return continuity_.is_failing(); }
   // Peer to take a newer version from, as the store fails this router; empty
   // if the store does not, or if no peer has one.
   auto SnapshotSource(Time now) -> std::string;
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kReadAge = milliseconds(2800);
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(600);
+// A router that is no watcher leaves a failing store alone for this long, and
+// goes on asking peers.
+constexpr Duration kStorePause = milliseconds(1600);
 
 constexpr int kOk = 200;
 constexpr char kCallName[] = "configuration";
@@ -66,7 +69,10 @@
                                        Time sent_at) -> void {
   if (IsOk(reply) && IsHistoryLost(ValueOf(reply).status)) return ReadStore();
   const auto rows = contact_.TakeRows(kCallName, reply);
-  if (!rows) return ScheduleRetry();
+  if (!rows) {
+    store_failed_at_ = FleetClock::now();
+    return ScheduleRetry();
+  }
   backoff_ = {};
   TakeRows(*rows);
   store_version_ = std::max(store_version_, rows->version);
@@ -154,8 +160,12 @@
   const auto now = FleetClock::now();
   const auto age = core_.key_age(now);
   if (age > kQueryAge && on_query_) on_query_();
+  if (core_.is_watcher(now)) return ReadNewest();
   const auto must_read = core_.is_behind(now) || age > kReadAge;
-  if (must_read || core_.is_watcher(now)) return ReadNewest();
+  const auto may_read = !core_.is_store_failing() ||
+                        now - store_failed_at_ >= kStorePause ||
+                        !core_.SnapshotSource(now).empty();
+  if (must_read && may_read) return ReadNewest();
   ScheduleCheck(kCheckPeriod);
 }
 
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -68,6 +68,7 @@
   // Version of the store up to which the document is known; 0 if unknown.
   std::uint64_t store_version_ = 0;
   Duration backoff_{};
+  Time store_failed_at_{};
 };
 
 }  // namespace papayaplank
--- a/relay/listing_reader.cpp
+++ b/relay/listing_reader.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr Duration kCallTimeout = milliseconds(1000);
-// Pause after a call that failed.
-constexpr Duration kRetryDelay = milliseconds(200);
+// Pause after a call that failed; it doubles. A router without targets serves
+// nobody and asks more often.
+constexpr Duration kFirstRetry = milliseconds(200);
+constexpr Duration kLongestRetry = milliseconds(1600);
+constexpr Duration kLongestRetryWithoutTargets = milliseconds(400);
 constexpr std::size_t kMaxMalformedRemembered = 256;
 constexpr int kOk = 200;
 
@@ -28,7 +31,8 @@
       log_(log),
       own_row_(std::move(own_row)),
       store_(io, store_address),
-      timer_(io) {}
+      timer_(io),
+      random_(StableHash(own_row_.key)) {}
 
 auto ListingReader::Schedule(Duration delay) -> void {
   timer_.expires_after(delay);
@@ -37,6 +41,17 @@
   });
 }
 
+auto ListingReader::ScheduleRetry() -> void {
+  const auto longest = core_.directory().size() == 0
+                           ? kLongestRetryWithoutTargets
+                           : kLongestRetry;
+  retry_ = std::clamp(retry_ * 2, kFirstRetry, longest);
+  // Jitter keeps the routers apart when the store returns.
+  const auto jitter = 0.5 + random_.Uniform();
+  Schedule(Duration(static_cast<Duration::rep>(
+      static_cast<double>(retry_.count()) * jitter)));
+}
+
 auto ListingReader::MakeNextCall() -> void {
   if (store_.is_busy()) return;
   const auto now = FleetClock::now();
@@ -60,7 +75,8 @@
 
 auto ListingReader::OnTargets(const Outcome<HttpReply>& reply) -> void {
   const auto rows = contact_.TakeRows("targets", reply);
-  if (!rows) return Schedule(kRetryDelay);
+  if (!rows) return ScheduleRetry();
+  retry_ = {};
   for (const auto& row : rows->rows) TakeTargetRow(row);
   if (rows->is_truncated && !rows->rows.empty()) {
     return ReadTargets(rows->rows.back().key);
@@ -106,7 +122,7 @@
 
 auto ListingReader::OnRouters(const Outcome<HttpReply>& reply) -> void {
   const auto rows = contact_.TakeRows("routers", reply);
-  if (!rows) return Schedule(kRetryDelay);
+  if (!rows) return ScheduleRetry();
   routers_read_at_ = FleetClock::now();
   std::vector<PeerSeed> seeds;
   for (const auto& row : rows->rows) {
@@ -130,7 +146,7 @@
               [this](const Outcome<HttpReply>& reply) {
                 if (!IsDone(reply)) {
                   contact_.RecordFailure("own_row", "not written");
-                  return Schedule(kRetryDelay);
+                  return ScheduleRetry();
                 }
                 is_own_row_written_ = true;
                 Schedule(Duration{});
@@ -142,7 +158,7 @@
               [this](const Outcome<HttpReply>& reply) {
                 if (!IsDone(reply)) {
                   contact_.RecordFailure("own_row", "not removed");
-                  return Schedule(kRetryDelay);
+                  return ScheduleRetry();
                 }
                 is_own_row_written_ = false;
                 Schedule(Duration{});
--- a/relay/listing_reader.h
+++ b/relay/listing_reader.h
@@ -46,6 +46,7 @@
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
   auto Schedule(Duration delay) -> void;
+  auto ScheduleRetry() -> void;
 
   GatewayCore& core_;
   StoreContact& contact_;
@@ -54,6 +55,9 @@
   OwnRow own_row_;
   HttpClient store_;
   asio::steady_timer timer_;
+  Random random_;
+  // The newest pause after a failure; zero after a good listing.
+  Duration retry_{};
   // Pages of a listing that is under way.
   std::vector<TargetRow> pages_;
   // Keys that were logged.
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -171,10 +171,12 @@
     def __init__(self, store):
         self.store = store
         self.is_shut = False
+        self.calls_while_shut = 0
         super().__init__()
 
     def serve(self, connection, start, headers, body):
         if self.is_shut:
+            self.calls_while_shut += 1
             return Store.reply(connection, 503, {})
         return self.store.serve(connection, start, headers, body)
 
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -365,6 +365,16 @@
                 if line["event"] == "configuration_in_force"][-1]
         self.assertNotEqual(line["source"], "store")
 
+    def test_it_presses_the_store_less_and_less(self):
+        self.door.is_shut = True
+        time.sleep(6)
+        # Five calls a second would be thirty.
+        self.assertLessEqual(self.door.calls_while_shut, 15)
+        self.assertEqual(self.ask_other("/read/1"), 200)
+        self.door.is_shut = False
+        wait_for(lambda: any(line["event"] == "store_regained"
+                             for line in self.other.lines), "it returns")
+
     def test_it_starts_anew_with_what_a_peer_knows(self):
         self.door.is_shut = True
         self.other.restart(self.door)
