Relay: only the peers' address gives the configuration; a caller that left early has a line

Cause: found in review of the diff. A request whose caller had left before it was sent had no line and no count. Change: one answer function for each address; the request counts as caller_left. Test: test_edge, only the peers' address gives the configuration. The test of failed sends read the log before its second line was there; it waits for that line now (seen once, traced).

--- a/apps/request_story.cpp
+++ b/apps/request_story.cpp
@@ -119,6 +119,9 @@
   if (event == "request_refused") return ExplainRefusal(line);
   if (event == "send_failed") return ExplainSend(line);
   if (event == "answer_cut") return ExplainCut(line);
+  if (event == "caller_left" && Number(line, "sends") == 0) {
+    return "the caller had left before the request was sent";
+  }
   if (event == "caller_left") {
     return "the caller left after " + Shown(line, "elapsed_ms") + " of " +
            Shown(line, "caller_wait_ms") + " ms, with " +
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -96,11 +96,10 @@
   const auto* snapshot =
       message ? std::get_if<PeerSnapshot>(&*message) : nullptr;
   if (snapshot == nullptr) {
-    log_.Write(
-        LogClass::kRoutine, "snapshot_failed",
-        {{"peer", address},
-         {"cause", IsOk(reply) ? "no snapshot in the answer"
-                               : std::string_view(ErrorOf(reply).message)}});
+    const std::string cause =
+        IsOk(reply) ? "no snapshot in the answer" : ErrorOf(reply).message;
+    log_.Write(LogClass::kRoutine, "snapshot_failed",
+               {{"peer", address}, {"cause", cause}});
     return ReadStore();
   }
   TakeDocument(snapshot->configuration, address);
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -68,8 +68,11 @@
   if (const auto* refusal = std::get_if<Refusal>(&accepted)) {
     return Refuse(*refusal);
   }
-  if (caller_->HasCallerLeft()) return caller_->Close();
   accepted_ = std::move(std::get<GatewayRequest>(accepted));
+  if (caller_->HasCallerLeft()) {
+    OnCallerLeft();
+    return caller_->Close();
+  }
   is_stream_ = accepted_.route->kind == RequestKind::kStream;
   caller_->SetCallerLeftHook(
       [self = shared_from_this()] { self->OnCallerLeft(); });
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -82,9 +82,9 @@
 
 }  // namespace
 
-auto AnswerInfoRequest(const InfoSources& sources,
-                       const std::shared_ptr<HttpConnection>& caller,
-                       const HttpServerRequest& request) -> void {
+auto AnswerEntryRequest(const InfoSources& sources,
+                        const std::shared_ptr<HttpConnection>& caller,
+                        const HttpServerRequest& request) -> void {
   const auto now = FleetClock::now();
   const auto& context = sources.context;
   if (IsReadinessQuery(request.target)) {
@@ -92,26 +92,32 @@
         context.core.is_ready(now) && !context.core.is_leaving();
     return caller->Answer(is_ready ? kOk : kNotReady, "", "");
   }
-  if (IsAddressQuery(request.target)) {
-    const auto addresses =
-        context.core.CallerAddresses(CallerDataCenter(request.target), now);
-    context.log.Write(LogClass::kRoutine, "addresses_answered",
-                      {{"count", static_cast<std::int64_t>(addresses.size())},
-                       {"query", request.target},
-                       {"caller", caller->caller_address()}});
-    if (addresses.empty()) return caller->Answer(kNotReady, "", "");
-    return caller->Answer(kOk, kJsonHeader,
-                          EncodeAddresses(addresses, kAddressLifetime));
-  }
-  if (request.target == "/metrics") {
-    return caller->Answer(kOk, kTextHeader, RenderMetrics(sources, now));
-  }
-  if (request.target == kSnapshotPath) {
-    const auto snapshot = context.core.MakeSnapshot();
-    if (!snapshot) return caller->Answer(kNotReady, "", "");
-    return caller->Answer(kOk, kCborHeader, EncodePeerMessage(*snapshot));
-  }
-  caller->Answer(kNotFound, "", "");
+  if (!IsAddressQuery(request.target)) return caller->Answer(kNotFound, "", "");
+  const auto addresses =
+      context.core.CallerAddresses(CallerDataCenter(request.target), now);
+  context.log.Write(LogClass::kRoutine, "addresses_answered",
+                    {{"count", static_cast<std::int64_t>(addresses.size())},
+                     {"query", request.target},
+                     {"caller", caller->caller_address()}});
+  if (addresses.empty()) return caller->Answer(kNotReady, "", "");
+  caller->Answer(kOk, kJsonHeader,
+                 EncodeAddresses(addresses, kAddressLifetime));
+}
+
+auto AnswerMetricsRequest(const InfoSources& sources,
+                          const std::shared_ptr<HttpConnection>& caller,
+                          const HttpServerRequest& request) -> void {
+  if (request.target != "/metrics") return caller->Answer(kNotFound, "", "");
+  caller->Answer(kOk, kTextHeader, RenderMetrics(sources, FleetClock::now()));
+}
+
+auto AnswerSnapshotRequest(const InfoSources& sources,
+                           const std::shared_ptr<HttpConnection>& caller,
+                           const HttpServerRequest& request) -> void {
+  if (request.target != kSnapshotPath) return caller->Answer(kNotFound, "", "");
+  const auto snapshot = sources.context.core.MakeSnapshot();
+  if (!snapshot) return caller->Answer(kNotReady, "", "");
+  caller->Answer(kOk, kCborHeader, EncodePeerMessage(*snapshot));
 }
 
 }  // namespace papayaplank
--- a/relay/info_service.h
+++ b/relay/info_service.h
@@ -20,10 +20,20 @@
   std::function<std::uint64_t()> store_calls;
 };
 
-// Answers one such request.
-auto AnswerInfoRequest(const InfoSources& sources,
-                       const std::shared_ptr<HttpConnection>& caller,
-                       const HttpServerRequest& request) -> void;
+// Readiness and addresses, for callers and the platform.
+auto AnswerEntryRequest(const InfoSources& sources,
+                        const std::shared_ptr<HttpConnection>& caller,
+                        const HttpServerRequest& request) -> void;
+
+// Metrics, for the operators.
+auto AnswerMetricsRequest(const InfoSources& sources,
+                          const std::shared_ptr<HttpConnection>& caller,
+                          const HttpServerRequest& request) -> void;
+
+// What this router knows, for peers only: the configuration holds keys.
+auto AnswerSnapshotRequest(const InfoSources& sources,
+                           const std::shared_ptr<HttpConnection>& caller,
+                           const HttpServerRequest& request) -> void;
 
 }  // namespace papayaplank
 
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -80,10 +80,10 @@
             [this](auto caller, auto request) {
               TakeRequest(std::move(caller), std::move(request));
             }),
-        ready_(MakeInfoServer()),
-        directory_(MakeInfoServer()),
-        metrics_(MakeInfoServer()),
-        snapshots_(MakeInfoServer()),
+        ready_(MakeInfoServer(AnswerEntryRequest)),
+        directory_(MakeInfoServer(AnswerEntryRequest)),
+        metrics_(MakeInfoServer(AnswerMetricsRequest)),
+        snapshots_(MakeInfoServer(AnswerSnapshotRequest)),
         peers_(io_, core_, log_,
                [this](const DirectoryChange& change) {
                  listings_.TakeChange(change);
@@ -102,13 +102,16 @@
   auto Run() -> Outcome<Done>;
 
  private:
-  auto MakeInfoServer() -> std::unique_ptr<HttpServer> {
+  using InfoAnswer = void (*)(const InfoSources&,
+                              const std::shared_ptr<HttpConnection>&,
+                              const HttpServerRequest&);
+
+  auto MakeInfoServer(InfoAnswer answer) -> std::unique_ptr<HttpServer> {
     return std::make_unique<HttpServer>(
         io_, [] { return CallerLimits{}; },
-        [this](const auto& caller, const auto& request) {
-          AnswerInfoRequest(
-              InfoSources{context_, [this] { return StoreCalls(); }}, caller,
-              request);
+        [this, answer](const auto& caller, const auto& request) {
+          answer(InfoSources{context_, [this] { return StoreCalls(); }}, caller,
+                 request);
         });
   }
   auto StoreCalls() const -> std::uint64_t {
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -391,11 +391,13 @@
         self.assertEqual(status, 200)
         return body.decode()
 
-    def line_of(self, request):
-        wait_for(lambda: any(line.get("request") == request
-                             for line in self.edge.lines), "a line")
-        return [line for line in self.edge.lines
-                if line.get("request") == request][-1]
+    def line_of(self, request, event):
+        def found():
+            return [line for line in self.edge.lines
+                    if line.get("request") == request and
+                    line["event"] == event]
+        wait_for(found, "a line " + event)
+        return found()[0]
 
     def test_metrics_tell_class_customer_target_and_outcome(self):
         self.assertEqual(self.ask("/read/1")[0], 200)
@@ -414,6 +416,12 @@
         self.assertRegex(text, r'target_sends_total\{target="t\d",'
                                r'outcome="complete"\} 1')
 
+    def test_only_the_peers_address_gives_the_configuration(self):
+        for port in (self.edge.ready, self.edge.directory, self.edge.metrics):
+            self.assertEqual(get(port, "/snapshot")[0], 404)
+        self.assertIn(b"key-1", get(self.edge.peer, "/snapshot")[1])
+        self.assertEqual(get(self.edge.directory, "/metrics")[0], 404)
+
     def test_scrapes_during_a_storm_are_whole(self):
         def storm():
             for _ in range(200):
@@ -429,9 +437,8 @@
         self.fault_all("lost", "lost")
         status, request, _, _ = self.ask("/write/1")
         self.assertEqual(status, 502)
-        last = self.line_of(request)
-        self.assertEqual((last["event"], last["outcome"]),
-                         ("request_refused", "target_failed"))
+        last = self.line_of(request, "request_refused")
+        self.assertEqual(last["outcome"], "target_failed")
         events = [line["event"] for line in self.edge.lines
                   if line.get("request") == request]
         self.assertEqual(events, ["send_failed", "request_refused"])
