--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -3,7 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "relay/event_log.h"
+#include "relay/relay.h"
 
 namespace papayaplank {
 namespace {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -4,6 +4,7 @@
 #ifndef RELAY_RELAY_H_
 #define RELAY_RELAY_H_
 
+#include "relay/event_log.h"
 #include "relay/relay_process.h"
 
 #endif  // RELAY_RELAY_H_
