--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -21,6 +21,7 @@
 constexpr double kLeastBatch = 0.75;
 // What reading a shared part again costs, in times of that reading: it delays
 // all requests at the target, and it drives other parts out of its memory.
+// Source: docs/MEASUREMENTS.md.
 constexpr double kRereadPenalty = 12;
 // The same at a target that is none of the part's homes.
 constexpr double kStrayPenalty = 48;
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -55,8 +55,8 @@
 }
 
 auto HttpServer::AcceptAll() -> void {
-  // Bounded, so that open exchanges get their turn, but not by less than what
-  // a flood brings in a round: connections that wait here are answered late.
+  // Bounded, so that open exchanges get their turn; above what a flood brings
+  // in a round, as connections that wait at the listener are answered late.
   constexpr int kMaxAccepts = 256;
   for (int i = 0; i < kMaxAccepts; ++i) {
     tcp::socket socket(io_);
