Base, metrics, relay: one copy of what stood several times

Found in reading the whole change. A duration times a factor stood six times (Scale in base/units.h serves them all); the bounds on classes and targets shown stood in the registry and beside it; the answers' sources were built anew for each question; the soak's proxy had its own copy of the stand-ins' accepting loop; TakeReport held a value only to overwrite it. No change of behaviour; no test, check or bound changed.

--- a/base/units.h
+++ b/base/units.h
@@ -29,6 +29,12 @@
 
 using Time = FleetClock::time_point;
 
+// A part or a multiple of a duration.
+inline auto Scale(Duration duration, double factor) -> Duration {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 // Service received, in cost units: one unit is one generated token.
 struct Cost {
   double units = 0;
--- a/dispatch/retry_policy.cpp
+++ b/dispatch/retry_policy.cpp
@@ -75,8 +75,7 @@
 auto RetryDelay(int attempts, Random& random) -> Duration {
   const auto doublings = std::clamp(attempts - 1, 0, kMaxDoublings);
   const auto bound = std::min(kLongestDelay, kFirstDelay * (1 << doublings));
-  return Duration(static_cast<Duration::rep>(
-      random.Uniform() * static_cast<double>(bound.count())));
+  return Scale(bound, random.Uniform());
 }
 
 RetryBudget::RetryBudget(double share, double reserve)
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -75,12 +75,11 @@
 
 auto GatewayCore::TakeReport(const PeerReport& report, Time now)
     -> DirectoryChange {
-  DirectoryChange changes;
-  if (!peers_.Take(report, now)) return changes;
+  if (!peers_.Take(report, now)) return {};
   const auto router = report.router();
   retries_.SetRouters(peers_.LiveCount(now) + 1);
   if (report.rates) shares_.SetPeer(router, *report.rates, now);
-  changes = TakeNews(report.news);
+  auto changes = TakeNews(report.news);
   TakeLoads(report, router, now);
   return changes;
 }
@@ -166,8 +165,7 @@
       std::clamp(kFleetListing * routers, kShortestListing, longest);
   const auto spread =
       1 - kListingSpread + 2 * kListingSpread * random_.Uniform();
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(mean.count()) * spread));
+  return Scale(mean, spread);
 }
 
 auto GatewayCore::RouterListingPeriod(Time now) const -> Duration {
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -32,11 +32,6 @@
 constexpr Duration kMinRetryAfter = milliseconds(50);
 constexpr Duration kMaxRetryAfter = seconds(4);
 
-auto Scale(Duration duration, double factor) -> Duration {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 auto ExpectedTime(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
   const auto& to_read = option.to_read;
--- a/metrics/bounded_names.h
+++ b/metrics/bounded_names.h
@@ -8,6 +8,10 @@
 
 namespace papayaplank {
 
+// Classes and targets that a scrape shows by name.
+inline constexpr std::size_t kMaxClassesShown = 32;
+inline constexpr std::size_t kMaxTargetsShown = 256;
+
 // The first `limit` names are shown as they are, all later ones as "other".
 class BoundedNames {
  public:
--- a/metrics/metric_registry.cpp
+++ b/metrics/metric_registry.cpp
@@ -13,10 +13,8 @@
 
 namespace histogram = boost::histogram;
 
-// Label values with histograms of their own; the rest is shown as "other".
+// Customers with histograms of their own; the rest is shown as "other".
 constexpr std::size_t kMaxCustomersShown = 64;
-constexpr std::size_t kMaxClassesShown = 32;
-constexpr std::size_t kMaxTargetsShown = 256;
 constexpr unsigned kBinsPerHistogram = 48;
 constexpr double kSmallestSeconds = 0.0001;
 constexpr double kLargestSeconds = 1000;
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -144,8 +144,7 @@
 auto ConfigurationReader::ScheduleRetry() -> void {
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
   const auto jitter = 0.5 + random_.Uniform();
-  ScheduleCheck(Duration(static_cast<Duration::rep>(
-      static_cast<double>(backoff_.count()) * jitter)));
+  ScheduleCheck(Scale(backoff_, jitter));
 }
 
 auto ConfigurationReader::ScheduleCheck(Duration delay) -> void {
--- a/relay/listing_reader.cpp
+++ b/relay/listing_reader.cpp
@@ -48,8 +48,7 @@
   retry_ = std::clamp(retry_ * 2, kFirstRetry, longest);
   // Jitter keeps the routers apart when the store returns.
   const auto jitter = 0.5 + random_.Uniform();
-  Schedule(Duration(static_cast<Duration::rep>(
-      static_cast<double>(retry_.count()) * jitter)));
+  Schedule(Scale(retry_, jitter));
 }
 
 auto ListingReader::MakeNextCall() -> void {
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -110,8 +110,7 @@
     return std::make_unique<HttpServer>(
         io_, [] { return CallerLimits{}; },
         [this, answer](const auto& caller, const auto& request) {
-          answer(InfoSources{context_, [this] { return StoreCalls(); }}, caller,
-                 request);
+          answer(info_sources_, caller, request);
         });
   }
   auto StoreCalls() const -> std::uint64_t {
@@ -140,6 +139,7 @@
   TargetPool pool_;
   RequestMetrics request_metrics_;
   RelayContext context_;
+  InfoSources info_sources_{context_, [this] { return StoreCalls(); }};
   HttpServer callers_;
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> directory_;
--- a/relay/request_metrics.h
+++ b/relay/request_metrics.h
@@ -35,13 +35,9 @@
   auto registry() -> MetricRegistry& { return registry_; }
 
  private:
-  // Label values of counters; bounds the size of a scrape.
-  static constexpr std::size_t kMaxClasses = 32;
-  static constexpr std::size_t kMaxTargets = 256;
-
   MetricRegistry registry_;
-  BoundedNames classes_{kMaxClasses};
-  BoundedNames targets_{kMaxTargets};
+  BoundedNames classes_{kMaxClassesShown};
+  BoundedNames targets_{kMaxTargetsShown};
 };
 
 }  // namespace papayaplank
--- a/relay/target_pool.cpp
+++ b/relay/target_pool.cpp
@@ -54,8 +54,7 @@
     return;
   }
   const auto stated = keep_alive.value_or(kUnstatedKeepAlive);
-  const auto usable = Duration(static_cast<Duration::rep>(
-      static_cast<double>(stated.count()) * kUsableShare));
+  const auto usable = Scale(stated, kUsableShare);
   auto& idle = entry->second.idle;
   idle.push_back(Idle{connection, now + usable});
   connection->SetIdle([] {});
--- a/tests/process/fault_link.py
+++ b/tests/process/fault_link.py
@@ -5,8 +5,10 @@
 import threading
 import time
 
+from platform_standin import Server
 
-class FaultLink:
+
+class FaultLink(Server):
     """Forwards connections to `upstream` ("IP:PORT").
 
     `mode` is "open", "delay", "silent" (no byte passes either way), "up" or
@@ -18,30 +20,20 @@
         self.upstream = (host, int(port))
         self.mode = "open"
         self.delay = 0.0
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        self.open = set()
-        threading.Thread(target=self.accept, daemon=True).start()
+        super().__init__()
 
-    def accept(self):
-        while True:
-            try:
-                near, _ = self.listener.accept()
-            except OSError:
-                return
-            if self.mode == "refuse":
-                self.close_hard(near)
-                continue
-            try:
-                far = socket.create_connection(self.upstream, timeout=5)
-            except OSError:
-                self.close_hard(near)
-                continue
-            far.settimeout(None)
-            self.open |= {near, far}
-            for source, sink, way in ((near, far, "up"), (far, near, "down")):
-                threading.Thread(target=self.forward, daemon=True,
-                                 args=(source, sink, way)).start()
+    def run(self, connection):
+        if self.mode == "refuse":
+            return self.close_hard(connection)
+        try:
+            far = socket.create_connection(self.upstream, timeout=5)
+        except OSError:
+            return self.close_hard(connection)
+        far.settimeout(None)
+        self.open.add(far)
+        threading.Thread(target=self.forward, daemon=True,
+                         args=(far, connection, "down")).start()
+        self.forward(connection, far, "up")
 
     def forward(self, source, sink, way):
         try:
