Gateway: hubs sum the reports of a data centre in place of a report to every peer

Cause: each router reported to every peer, at 195 routers about 550 datagrams a second each way.

Ruled out: longer report periods (loads would be staler than the time to the first token that they forecast) and a terser encoding alone (bytes and messages still grow with the square of the fleet).

Change: in a fleet of 24 known routers or more, a router reports to two hubs of its data centre, which all choose alike, large instances first. A hub sends the sums over its data centre to the hubs of the others and the sums over the fleet to its own members, each 200 ms; a member subtracts its own part by the sequence of the report that the sum contains. Lists of live routers go the same way, each second and on a change; routers that fell silent are named. Loads of others are kept as one sum a target. Smaller fleets keep the mesh.

--- a/admission/engine_load.cpp
+++ b/admission/engine_load.cpp
@@ -6,9 +6,6 @@
 namespace papayaplank {
 namespace {
 
-// A peer's share is ignored if no report confirmed it for this long: more than
-// three of the longest report periods.
-constexpr Duration kPeerShareTimeout = milliseconds(1500);
 // Weight of a new sample in the moving averages.
 constexpr double kSampleWeight = 0.1;
 // A sample with at least this many queued tokens serves to estimate the prefill
@@ -39,7 +36,7 @@
 auto EngineLoad::Reset() -> void {
   own_ = {};
   open_attempts_.clear();
-  peers_.clear();
+  others_ = {};
   without_first_token_.clear();
 }
 
@@ -50,7 +47,7 @@
   open_attempt.prompt_tokens = prompt_tokens;
   open_attempt.memory_tokens = memory_tokens;
   open_attempt.started_at = now;
-  open_attempt.tokens_before = TotalLoad(now).queued_tokens;
+  open_attempt.tokens_before = TotalLoad().queued_tokens;
   open_attempt.expected = forecast.first_token();
   open_attempts_[attempt] = open_attempt;
   without_first_token_.push_back(attempt);
@@ -99,23 +96,11 @@
   open_attempts_.erase(found);
 }
 
-auto EngineLoad::SetPeerShare(const RouterId& peer, const LoadShare& share,
-                              Time now) -> void {
-  if (share.requests == 0 && share.queued_tokens == 0) {
-    peers_.erase(peer);
-    return;
-  }
-  peers_[peer] = PeerShare{share, now};
-}
-
-auto EngineLoad::TotalLoad(Time now) const -> LoadShare {
+auto EngineLoad::TotalLoad() const -> LoadShare {
   auto total = own_;
-  for (const auto& [peer, peer_share] : peers_) {
-    if (now - peer_share.received_at > kPeerShareTimeout) continue;
-    total.queued_tokens += peer_share.share.queued_tokens;
-    total.memory_tokens += peer_share.share.memory_tokens;
-    total.requests += peer_share.share.requests;
-  }
+  total.queued_tokens += others_.queued_tokens;
+  total.memory_tokens += others_.memory_tokens;
+  total.requests += others_.requests;
   return total;
 }
 
@@ -132,7 +117,7 @@
 
 auto EngineLoad::Forecast(double prompt_tokens, double memory_tokens,
                           Time now) const -> LoadForecast {
-  const auto total = TotalLoad(now);
+  const auto total = TotalLoad();
   LoadForecast forecast;
   const auto slots = std::max(1, size_.slots);
   forecast.batch_share = static_cast<double>(total.requests) / slots;
--- a/admission/engine_load.h
+++ b/admission/engine_load.h
@@ -61,9 +61,8 @@
   auto RecordFirstToken(AttemptId attempt, Time now) -> void;
   auto End(AttemptId attempt, Time now) -> void;
 
-  // The requests of a peer, as in its newest report.
-  auto SetPeerShare(const RouterId& peer, const LoadShare& share, Time now)
-      -> void;
+  // The requests of all other routers.
+  auto SetOthers(const LoadShare& others) -> void { others_ = others; }
 
   // Conditions for a new request with these tokens, counted as in `Start`.
   auto Forecast(double prompt_tokens, double memory_tokens, Time now) const
@@ -73,7 +72,7 @@
   // Whether this router has no requests there.
   auto is_idle() const -> bool { return own_.requests == 0; }
   // Requests of this router and its peers.
-  auto requests(Time now) const -> int { return TotalLoad(now).requests; }
+  auto requests() const -> int { return TotalLoad().requests; }
 
   // Prompt tokens per millisecond, estimated from times to the first token.
   auto prefill_rate() const -> double { return prefill_rate_; }
@@ -89,12 +88,8 @@
     Duration expected{};
     bool has_first_token = false;
   };
-  struct PeerShare {
-    LoadShare share;
-    Time received_at{};
-  };
 
-  auto TotalLoad(Time now) const -> LoadShare;
+  auto TotalLoad() const -> LoadShare;
   auto UpdateLatencyEstimates(const OpenAttempt& open_attempt, Duration elapsed)
       -> void;
   // How far the oldest request without a first token exceeds its forecast.
@@ -103,7 +98,7 @@
   TargetSize size_;
   LoadShare own_;
   std::map<AttemptId, OpenAttempt> open_attempts_;
-  std::map<RouterId, PeerShare> peers_;
+  LoadShare others_;
   // Attempts without a first token, oldest first. Attempts that got one or
   // ended are removed only when they reach the front.
   mutable std::deque<AttemptId> without_first_token_;
--- a/admission/fair_share.cpp
+++ b/admission/fair_share.cpp
@@ -66,21 +66,30 @@
   return rates;
 }
 
-auto FairShare::SetPeerRates(const RouterId& peer, Rates rates, Time now)
+auto FairShare::SetPeerRates(const RouterId& source, Rates rates, Time now)
     -> void {
-  peers_[peer] = PeerRates{std::move(rates), now};
+  peers_[source] = PeerRates{std::move(rates), now};
+}
+
+auto FairShare::ForEachPeer(
+    Time now,
+    const std::function<void(const RouterId&, const Rates&)>& visit) const
+    -> void {
+  for (const auto& [source, peer_rates] : peers_) {
+    if (now - peer_rates.received_at > kPeerRatesTimeout) continue;
+    visit(source, peer_rates.rates);
+  }
 }
 
 auto FairShare::FleetRates(Time now) const -> Rates {
   auto sums = OwnRates(now);
-  for (const auto& [peer, peer_rates] : peers_) {
-    if (now - peer_rates.received_at > kPeerRatesTimeout) continue;
-    for (const auto& [customer, rate] : peer_rates.rates) {
+  ForEachPeer(now, [&sums](const RouterId&, const Rates& rates) {
+    for (const auto& [customer, rate] : rates) {
       auto& sum = sums[customer];
       sum.demand += rate.demand;
       sum.served += rate.served;
     }
-  }
+  });
   return sums;
 }
 
--- a/admission/fair_share.h
+++ b/admission/fair_share.h
@@ -4,6 +4,7 @@
 #ifndef ADMISSION_FAIR_SHARE_H_
 #define ADMISSION_FAIR_SHARE_H_
 
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -33,7 +34,14 @@
       -> void;
 
   auto OwnRates(Time now) const -> Rates;
-  auto SetPeerRates(const RouterId& peer, Rates rates, Time now) -> void;
+  // Rates of other routers; `source` is a router, or a hub's sum over several.
+  auto SetPeerRates(const RouterId& source, Rates rates, Time now) -> void;
+  auto ClearPeerRates() -> void { peers_.clear(); }
+  // Calls `visit` with each source whose rates are still valid.
+  auto ForEachPeer(
+      Time now,
+      const std::function<void(const RouterId&, const Rates&)>& visit) const
+      -> void;
 
   // Served rate of the customer divided by its max-min fair share: above 1 it
   // has had more than that lately. 0 while capacity covers all demand.
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -37,6 +37,10 @@
               "Time window of retry_ratio and retry_slack.");
 DEFINE_double(memory_limit_mb, 256,
               "Accepted in settings files; has no effect.");
+DEFINE_double(cores, 1,
+              "Processor time that the instance grants, in cores. Larger "
+              "instances get more callers and collect the reports of their "
+              "data centre.");
 DEFINE_double(max_descriptors, 1024,
               "File descriptors that the process may use.");
 
@@ -101,6 +105,7 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
+  CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
   CheckRange("max_descriptors", FLAGS_max_descriptors, 64, 1000000, errors);
 }
 
@@ -125,6 +130,7 @@
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
   settings.retry_window = SecondsToDuration(FLAGS_retry_window_seconds);
+  settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
   return settings;
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,11 +5,14 @@
 
 #include "gateway/caller_steering.h"
 #include "gateway/config_watch.h"
+#include "gateway/fleet_exchange.h"
 #include "gateway/gateway_core.h"
+#include "gateway/load_sums.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
 #include "gateway/report_schedule.h"
 #include "gateway/request.h"
+#include "gateway/router_state.h"
 
 #endif  // GATEWAY_GATEWAY_H_
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -47,7 +47,8 @@
       keys_(options_.revocation_bound, kRevocationMargin),
       watch_(options_.router),
       peers_(options_.peer_address),
-      retry_budget_(options_.retries) {}
+      retry_budget_(options_.retries),
+      exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
   if (table_ != nullptr && table->version() <= table_->version()) return false;
@@ -143,6 +144,7 @@
       size.memory_tokens = service->engine->memory_tokens;
     }
     entry->second.SetSize(size);
+    entry->second.SetOthers(exchange_.Others(TargetHash(target.id)));
   }
   return entry->second;
 }
@@ -336,7 +338,7 @@
       ++state.targets;
       state.slots += target.slots;
       const auto load = loads_.find(target.id);
-      if (load != loads_.end()) state.requests += load->second.requests(now);
+      if (load != loads_.end()) state.requests += load->second.requests();
     }
     state.retries_left = retry_budget_.Remaining(service.id, now);
     states.push_back(std::move(state));
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -11,11 +11,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "gateway/config_watch.h"
+#include "gateway/fleet_exchange.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
@@ -30,6 +30,8 @@
   std::string peer_address;
   std::string caller_address;
   DataCenterId data_center;
+  // Processor time that the instance grants, in cores.
+  double cores = 1;
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
   RetryBound retries;
@@ -100,6 +102,7 @@
   auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
   // Returns the changes in the directory by the target updates of the report.
   auto HandleReport(const PeerReport& report, Time now) -> DirectoryChange;
+  auto HandleSummary(const FleetSummary& summary, Time now) -> DirectoryChange;
   // Tells a peer the version of the configuration and the age of its
   // confirmation. Nothing if this router's own configuration is not confirmed.
   auto AnswerQuery(const FreshnessQuery& query, Time now) const
@@ -152,7 +155,7 @@
   // Nothing if this router has no configuration.
   auto MakeSnapshot() const -> std::optional<PeerSnapshot>;
   // Returns the changes in the directory.
-  auto ApplyTargetUpdates(const std::vector<TargetUpdate>& updates)
+  auto ApplyTargetUpdates(const std::vector<TargetUpdate>& updates, Time now)
       -> DirectoryChange;
   // Delay until the next read of the target list. It is random, so that the
   // reads of the routers spread over time even if all started at once.
@@ -166,10 +169,9 @@
 
   // Reports to peers, and addresses for callers that look for a router.
 
-  // Called once per tick of the periodic timer.
-  auto MakeReport(Time now) -> PeerReport;
-  // Peers to send the newest report to.
-  auto ReportRecipients(Time now) -> DueReports;
+  // Messages to send now. Called once per tick of the periodic timer.
+  auto MakePeerMessages(Time now) -> std::vector<OutgoingMessage>;
+  auto exchange_role() const -> ExchangeRole { return exchange_.role(); }
   // Routers for a caller in data centre `near`.
   auto CallerAddresses(const DataCenterId& near, Time now) const
       -> std::vector<std::string>;
@@ -216,9 +218,10 @@
   // A random pool of the route, by weight, among those with serving targets.
   auto ChoosePool(const Route& route) -> PoolId;
   auto FindOrAddLoad(const TargetRow& target) -> EngineLoad&;
-  // Replaces what is known of the peer's requests at each target.
-  auto ApplyPeerLoads(const PeerReport& report, const RouterId& router,
-                      Time now) -> void;
+  auto MakeState(Time now) const -> RouterState;
+  auto MakeReport(Time now) -> PeerReport;
+  // Passes the requests of other routers on to the forecasts.
+  auto UpdateOtherLoads() -> void;
   auto ApplyChange(const DirectoryChange& change) -> void;
   // Drops what is known of a target that left or restarted.
   auto ResetTarget(const TargetId& target) -> void;
@@ -240,9 +243,9 @@
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their `TargetHash`.
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
-  // Hashes of the targets in each peer's newest report.
-  std::unordered_map<RouterId, std::unordered_set<std::uint32_t>> peer_targets_;
-  // Target updates from lists that this router read, with the read times.
+  FleetExchange exchange_;
+  // Target updates to report: from lists that this router read and, in a hub,
+  // from the messages of others; with the times at which they arrived.
   std::deque<std::pair<Time, TargetUpdate>> recent_updates_;
   StoreContinuity store_continuity_;
   std::uint64_t next_attempt_ = 1;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -1,5 +1,6 @@
 // The part of the core that handles target lists, peers and caller addresses.
 #include <algorithm>
+#include <cmath>
 
 #include "gateway/caller_steering.h"
 #include "gateway/gateway_core.h"
@@ -24,12 +25,9 @@
 constexpr Duration kLongestRouterListPeriod = seconds(120);
 // Peers that get a freshness query at a time.
 constexpr std::size_t kQueriedPeers = 2;
-// How long reports repeat a target update, and how long every peer gets the
-// reports of a leaving router, as datagrams may get lost.
+// How long reports repeat a target update, as datagrams may get lost.
 constexpr Duration kUpdateRepeatTime = milliseconds(1000);
-constexpr std::size_t kMaxUpdatesPerReport = 24;
-// Routers whose reported targets are remembered; beyond it, all are dropped.
-constexpr std::size_t kMaxRememberedRouters = 4096;
+constexpr std::size_t kMaxUpdatesPerReport = 64;
 
 }  // namespace
 
@@ -83,17 +81,25 @@
 
 auto GatewayCore::HandleReport(const PeerReport& report, Time now)
     -> DirectoryChange {
-  if (!peers_.ApplyReport(report, now)) return {};
-  const auto router = report.router();
+  if (!peers_.ApplyReport(report, report.sequence, now)) return {};
   retry_budget_.SetRouters(peers_.LiveCount(now) + 1);
-  if (report.rates) shares_.SetPeerRates(router, *report.rates, now);
-  auto changes = ApplyTargetUpdates(report.target_updates);
-  ApplyPeerLoads(report, router, now);
+  exchange_.ApplyReport(report, now);
+  auto changes = ApplyTargetUpdates(report.target_updates, now);
+  UpdateOtherLoads();
   return changes;
 }
 
-auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates)
+auto GatewayCore::HandleSummary(const FleetSummary& summary, Time now)
     -> DirectoryChange {
+  if (!exchange_.ApplySummary(summary, now)) return {};
+  retry_budget_.SetRouters(peers_.LiveCount(now) + 1);
+  auto changes = ApplyTargetUpdates(summary.target_updates, now);
+  UpdateOtherLoads();
+  return changes;
+}
+
+auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
+                                     Time now) -> DirectoryChange {
   DirectoryChange changes;
   const auto append = [](auto& to, const auto& from) {
     to.insert(to.end(), from.begin(), from.end());
@@ -101,6 +107,11 @@
   for (const auto& update : updates) {
     const auto change = directory_.Apply(update);
     ApplyChange(change);
+    const auto is_news = !change.left.empty() || !change.restarted.empty() ||
+                         !change.joined.empty();
+    if (is_news && exchange_.role() == ExchangeRole::kHub) {
+      recent_updates_.emplace_back(now, update);
+    }
     append(changes.left, change.left);
     append(changes.restarted, change.restarted);
     append(changes.joined, change.joined);
@@ -108,31 +119,14 @@
   return changes;
 }
 
-auto GatewayCore::ApplyPeerLoads(const PeerReport& report,
-                                 const RouterId& router, Time now) -> void {
-  // If the report omits a target, the peer has no request in progress there.
-  auto& reported_before = peer_targets_[router];
-  std::unordered_set<std::uint32_t> present;
-  for (const auto& [hash, share] : report.loads) {
-    present.insert(hash);
+auto GatewayCore::UpdateOtherLoads() -> void {
+  for (const auto hash : exchange_.TakeChanged()) {
     const auto known = target_of_hash_.find(hash);
     if (known == target_of_hash_.end()) continue;
     const auto* target = directory_.Find(known->second);
-    if (target != nullptr) {
-      FindOrAddLoad(*target).SetPeerShare(router, share, now);
-    }
+    if (target == nullptr) continue;
+    FindOrAddLoad(*target).SetOthers(exchange_.Others(hash));
   }
-  for (const auto hash : reported_before) {
-    if (present.count(hash) != 0) continue;
-    const auto known = target_of_hash_.find(hash);
-    if (known == target_of_hash_.end()) continue;
-    const auto load = loads_.find(known->second);
-    if (load != loads_.end()) {
-      load->second.SetPeerShare(router, LoadShare{}, now);
-    }
-  }
-  reported_before = std::move(present);
-  if (peer_targets_.size() > kMaxRememberedRouters) peer_targets_.clear();
 }
 
 auto GatewayCore::AnswerQuery(const FreshnessQuery& query, Time now) const
@@ -204,25 +198,34 @@
   return chosen;
 }
 
+auto GatewayCore::MakeState(Time now) const -> RouterState {
+  RouterState state;
+  state.started_unix_ms = options_.started_unix_ms;
+  state.peer_address = options_.peer_address;
+  state.caller_address = options_.caller_address;
+  state.data_center = options_.data_center;
+  state.cores = options_.cores;
+  state.is_leaving = is_leaving_;
+  state.diverts_callers = load_.ShouldDivertCallers(now);
+  state.is_ready = is_ready(now);
+  state.is_store_continuous = store_continuity_.IsContinuous(now);
+  state.is_store_failing = store_continuity_.is_failing();
+  state.config_version = table_ == nullptr ? 0 : table_->version();
+  return state;
+}
+
 auto GatewayCore::MakeReport(Time now) -> PeerReport {
   PeerReport report;
-  report.started_unix_ms = options_.started_unix_ms;
+  static_cast<RouterState&>(report) = MakeState(now);
   report.sequence = ++report_sequence_;
-  report.peer_address = options_.peer_address;
-  report.caller_address = options_.caller_address;
-  report.data_center = options_.data_center;
-  report.is_leaving = is_leaving_;
-  report.diverts_callers = load_.ShouldDivertCallers(now);
-  report.is_ready = is_ready(now);
-  report.config_version = table_ == nullptr ? 0 : table_->version();
   for (const auto& [target, load] : loads_) {
-    if (!load.is_idle()) {
-      report.loads.emplace_back(TargetHash(target), load.OwnShare());
-    }
+    if (load.is_idle()) continue;
+    auto share = load.OwnShare();
+    share.queued_tokens = std::round(share.queued_tokens);
+    share.memory_tokens = std::round(share.memory_tokens);
+    report.loads.emplace_back(TargetHash(target), share);
   }
   report.rates = shares_.OwnRates(now);
-  report.is_store_continuous = store_continuity_.IsContinuous(now);
-  report.is_store_failing = store_continuity_.is_failing();
   while (!recent_updates_.empty() &&
          now - recent_updates_.front().first > kUpdateRepeatTime) {
     recent_updates_.pop_front();
@@ -235,24 +238,17 @@
   return report;
 }
 
-auto GatewayCore::ReportRecipients(Time now) -> DueReports {
-  const auto peers = peers_.PeersToReportTo(options_.data_center, now);
-  // Every peer is informed at once that this router is leaving.
-  if (is_leaving_ && now - leaving_since_ < kUpdateRepeatTime) {
-    DueReports all_peers;
-    for (const auto& peer : peers) {
-      all_peers.without_rates.push_back(peer.address);
-    }
-    return all_peers;
-  }
-  return DuePeers(peers, report_sequence_);
+auto GatewayCore::MakePeerMessages(Time now) -> std::vector<OutgoingMessage> {
+  exchange_.Tick(MakeState(now), now);
+  UpdateOtherLoads();
+  return exchange_.MakeMessages(MakeReport(now), now);
 }
 
 auto GatewayCore::ServingRouters(Time now) const -> std::vector<ServingRouter> {
   auto serving = peers_.ServingRouters(now);
   if (!is_leaving_ && is_ready(now)) {
     serving.push_back({options_.caller_address, options_.data_center,
-                       load_.ShouldDivertCallers(now)});
+                       load_.ShouldDivertCallers(now), options_.cores});
   }
   return serving;
 }
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -11,43 +11,53 @@
 #include <vector>
 
 #include "admission/admission.h"
+#include "gateway/router_state.h"
 #include "routing/routing.h"
 
 namespace papayaplank {
 
-// State of a router, sent to its peers several times a second. Each report
-// replaces the one before it.
-struct PeerReport {
-  // Start of the process, Unix milliseconds. Of two processes with the same
-  // address, only the reports of the later one count.
-  std::int64_t started_unix_ms = 0;
+// Requests at targets. Targets are identified by `TargetHash`, to keep messages
+// small; each stands in the list once.
+using TargetLoads = std::vector<std::pair<std::uint32_t, LoadShare>>;
+
+// State of a router, sent to peers several times a second. Each report replaces
+// the one before it.
+struct PeerReport : RouterState {
   std::uint64_t sequence = 0;
-  std::string peer_address;
-  std::string caller_address;
-  DataCenterId data_center;
-  bool is_leaving = false;
-  // New callers should be directed to other routers.
-  bool diverts_callers = false;
-  // It has a confirmed configuration and targets.
-  bool is_ready = false;
-  std::uint64_t config_version = 0;
-  // Its calls show that the store had no long outage lately; see
-  // `StoreContinuity`.
-  bool is_store_continuous = false;
-  // Its newest call to the store failed.
-  bool is_store_failing = false;
-  // Its requests at each target. Targets are identified by `TargetHash`, to
-  // keep reports small.
-  std::vector<std::pair<std::uint32_t, LoadShare>> loads;
+  // Its requests at each target.
+  TargetLoads loads;
   // Rates of customers. Absent from most reports, as they change slowly.
   std::optional<FairShare::Rates> rates;
   // Changes of targets that the router has read from the store lately.
   std::vector<TargetUpdate> target_updates;
+};
+
+// Sums over many routers, made by a hub from the reports that it received.
+struct FleetSummary {
+  // What the sums cover.
+  enum class Scope {
+    // The hub's data centre. Sent to the hubs of the other data centres.
+    kDataCenter,
+    // The fleet. Sent to the routers of the hub's data centre.
+    kFleet,
+  };
 
-  // Identifies the process by address and start.
-  auto router() const -> RouterId {
-    return RouterId(peer_address + "#" + std::to_string(started_unix_ms));
-  }
+  RouterState sender;
+  std::uint64_t sequence = 0;
+  Scope scope = Scope::kDataCenter;
+  // Number of routers whose requests the sums contain.
+  int routers = 0;
+  TargetLoads loads;
+  // Absent from most summaries, as rates change slowly.
+  std::optional<FairShare::Rates> rates;
+  // Newest report of each router of the hub's data centre in the sums, so that
+  // a router can tell its own part: `RouterHash` and sequence.
+  std::vector<std::pair<std::uint32_t, std::uint64_t>> included;
+  // Live routers; a summary lists some of the data centres, each as a whole.
+  std::vector<RouterState> listed;
+  // Routers that fell silent lately.
+  std::vector<RouterId> lost;
+  std::vector<TargetUpdate> target_updates;
 };
 
 // Asks a peer how long ago its configuration was confirmed as the newest.
@@ -64,19 +74,20 @@
   Duration age{};
 };
 
-// The configuration and targets of a router, for a peer whose calls to the
-// store fail.
+// The configuration and targets of a router, for a peer that does not read them
+// from the store.
 struct PeerSnapshot {
   // The operator's configuration document that is in force.
   std::string configuration;
   std::vector<TargetUpdate> targets;
 };
 
-using PeerMessage =
-    std::variant<PeerReport, FreshnessQuery, FreshnessReply, PeerSnapshot>;
+using PeerMessage = std::variant<PeerReport, FleetSummary, FreshnessQuery,
+                                 FreshnessReply, PeerSnapshot>;
 
-// Short identifier of a target in reports.
+// Short identifiers of a target and of a router process in messages.
 auto TargetHash(const TargetId& target) -> std::uint32_t;
+auto RouterHash(const RouterId& router) -> std::uint32_t;
 
 auto EncodePeerMessage(const PeerMessage& message) -> std::string;
 // Nothing if the bytes are not a valid message.
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -110,7 +110,8 @@
     return ReadStore();
   }
   ApplyDocument(snapshot->configuration, address);
-  const auto change = core_.ApplyTargetUpdates(snapshot->targets);
+  const auto change =
+      core_.ApplyTargetUpdates(snapshot->targets, MonotonicClock::now());
   if (on_target_change_) on_target_change_(change);
   // The peer's version may be outdated, so other peers are asked to confirm it.
   if (on_query_) on_query_();
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -43,15 +43,9 @@
   socket_.send_to(asio::buffer(bytes), to, 0, ignored);
 }
 
-auto PeerLink::SendReports(Time now) -> void {
-  auto report = core_.MakeReport(now);
-  const auto due = core_.ReportRecipients(now);
-  if (!due.with_rates.empty()) {
-    SendToAll(EncodePeerMessage(report), due.with_rates);
-  }
-  report.rates.reset();
-  if (!due.without_rates.empty()) {
-    SendToAll(EncodePeerMessage(report), due.without_rates);
+auto PeerLink::SendMessages(Time now) -> void {
+  for (const auto& [message, recipients] : core_.MakePeerMessages(now)) {
+    if (!recipients.empty()) SendToAll(EncodePeerMessage(message), recipients);
   }
 }
 
@@ -70,16 +64,21 @@
   }
 }
 
+auto PeerLink::PassOnChange(const DirectoryChange& change) -> void {
+  if (!change.left.empty() || !change.restarted.empty() ||
+      !change.joined.empty()) {
+    on_target_change_(change);
+  }
+}
+
 auto PeerLink::HandlePeerMessage(const PeerMessage& message,
                                  const udp::endpoint& from) -> void {
   // A `PeerSnapshot` is ignored: snapshots are sent over HTTP only.
   const auto now = MonotonicClock::now();
   if (const auto* report = std::get_if<PeerReport>(&message)) {
-    const auto change = core_.HandleReport(*report, now);
-    if (!change.left.empty() || !change.restarted.empty() ||
-        !change.joined.empty()) {
-      on_target_change_(change);
-    }
+    PassOnChange(core_.HandleReport(*report, now));
+  } else if (const auto* summary = std::get_if<FleetSummary>(&message)) {
+    PassOnChange(core_.HandleSummary(*summary, now));
   } else if (const auto* query = std::get_if<FreshnessQuery>(&message)) {
     const auto reply = core_.AnswerQuery(*query, now);
     if (reply) Send(EncodePeerMessage(*reply), from);
--- a/relay/peer_link.h
+++ b/relay/peer_link.h
@@ -23,8 +23,8 @@
 
   // Binds IP:port `address` and receives messages; an error names the address.
   auto Listen(const std::string& address) -> Outcome<Done>;
-  // Sends the current report to the peers that are due.
-  auto SendReports(Time now) -> void;
+  // Sends the reports and summaries that are due at this tick.
+  auto SendMessages(Time now) -> void;
   // Asks a few peers how recent their configuration is.
   auto SendQueries(Time now) -> void;
 
@@ -34,6 +34,7 @@
   auto Send(const std::string& bytes, const udp::endpoint& to) -> void;
   auto SendToAll(const std::string& bytes,
                  const std::vector<std::string>& addresses) -> void;
+  auto PassOnChange(const DirectoryChange& change) -> void;
   auto HandlePeerMessage(const PeerMessage& message, const udp::endpoint& from)
       -> void;
 
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -61,6 +61,7 @@
   options.peer_address = settings.peer_listen;
   options.caller_address = settings.caller_listen;
   options.data_center = DataCenterId(settings.data_center);
+  options.cores = settings.cores;
   options.revocation_bound = settings.revocation_bound;
   options.stop_grace = settings.stop_grace;
   options.retries = RetryBound{settings.retry_ratio, settings.retry_slack,
@@ -96,9 +97,12 @@
         store_health_(core_, log_),
         configuration_reader_(io_, settings.store_address, settings.name, core_,
                               store_health_, log_),
-        registry_reader_(io_, settings.store_address,
-                         OwnRow{settings.name, RouterRow{settings.peer_listen}},
-                         core_, store_health_, target_connections_, log_),
+        registry_reader_(
+            io_, settings.store_address,
+            OwnRow{settings.name, RouterRow{settings.peer_listen,
+                                            DataCenterId(settings.data_center),
+                                            settings.cores}},
+            core_, store_health_, target_connections_, log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         report_timer_(io_),
         sweep_timer_(io_),
@@ -238,7 +242,7 @@
                        now);
   last_tick_ = now;
   UpdateAccepting(now);
-  peer_link_.SendReports(now);
+  peer_link_.SendMessages(now);
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
     if (!error) TickReports();
@@ -303,7 +307,7 @@
   core_.BeginStop(stop_began_at_);
   registry_reader_.Deregister();
   caller_server_.CloseAfterAnswers();
-  peer_link_.SendReports(stop_began_at_);
+  peer_link_.SendMessages(stop_began_at_);
   log_.Write(
       LogClass::kState, "stopping",
       {{"open_requests", static_cast<std::int64_t>(context_.open_requests)}});
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -35,6 +35,8 @@
   double retry_ratio = 0;
   double retry_slack = 0;
   Duration retry_window{};
+  // Processor time that the instance grants, in cores.
+  double cores = 1;
   // File descriptors that the process may use.
   int max_descriptors = 1024;
 };
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -136,7 +136,9 @@
     if (row.is_removed || row.key == own_row_.key) continue;
     const auto router = DecodeRouterRow(row.value);
     if (IsOk(router)) {
-      seeds.push_back(PeerSeed{ValueOf(router).peer_address});
+      const auto& value = ValueOf(router);
+      seeds.push_back(
+          PeerSeed{value.peer_address, value.data_center, value.cores});
       continue;
     }
     log_.Write(LogClass::kState, "router_row_malformed",
