Relay: bytes without end from a target, a caller or the store are bounded

Change: an attempt whose bytes can't be relayed ends at 256 KiB; unparsed lines of chunk headers and trailers are held to the header limit, on both sides; an answer to a call of the store or of a peer ends at 8 MB; a caller's head has `header-timeout-ms` in all. A long answer to a slow caller pauses its target like a stream. A begun stream whose retry finds no target is cut at once: it asked for retries again and again and spent the fleet's budget. Answers over 256 KiB record their first byte.

--- a/relay/event_splitter.h
+++ b/relay/event_splitter.h
@@ -24,6 +24,9 @@
 
   // Whether the bytes so far end within an event.
   auto has_partial_event() const -> bool { return !partial_event_.empty(); }
+  auto partial_event_bytes() const -> std::size_t {
+    return partial_event_.size();
+  }
   auto last_event_id() const -> std::optional<std::int64_t> {
     return last_event_id_;
   }
--- a/relay/http_client.cpp
+++ b/relay/http_client.cpp
@@ -4,6 +4,12 @@
 #include "relay/socket_options.h"
 
 namespace papayaplank {
+namespace {
+
+// Several times the longest answer of the store, which is 1 MB of rows.
+constexpr std::size_t kMaxReplyBytes = 8388608;
+
+}  // namespace
 
 HttpClient::HttpClient(asio::io_context& io, std::string address)
     : io_(io), address_(std::move(address)), timer_(io) {}
@@ -45,7 +51,7 @@
       head + "\r\n", body, false,
       TransferHooks{
           [this](int status, const HttpFields&) { reply_.status = status; },
-          [this](std::string_view bytes) { reply_.body.append(bytes); },
+          [this](std::string_view bytes) { AppendBody(bytes); },
           [this](TransferEnd end) {
             if (end == TransferEnd::kComplete) return Finish(reply_);
             Finish(Error{end == TransferEnd::kNotConnected
@@ -55,6 +61,16 @@
           }});
 }
 
+auto HttpClient::AppendBody(std::string_view bytes) -> void {
+  if (reply_.body.size() + bytes.size() <= kMaxReplyBytes) {
+    reply_.body.append(bytes);
+    return;
+  }
+  Finish(Error{ErrorCode::kUnknownEffect,
+               "the answer of " + address_ + " is longer than " +
+                   std::to_string(kMaxReplyBytes) + " bytes"});
+}
+
 auto HttpClient::Finish(Outcome<HttpReply> reply) -> void {
   if (!on_reply_) return;
   timer_.cancel();
--- a/relay/http_client.h
+++ b/relay/http_client.h
@@ -38,6 +38,8 @@
   auto calls() const -> std::uint64_t { return calls_; }
 
  private:
+  // Ends the call if the answer is too long.
+  auto AppendBody(std::string_view bytes) -> void;
   auto Finish(Outcome<HttpReply> reply) -> void;
 
   asio::io_context& io_;
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -88,6 +88,7 @@
   if (!reader_) {
     body_.clear();
     has_sent_continue_ = false;
+    request_began_at_ = MonotonicClock::now();
     reader_.emplace(limits_.header_bytes, limits_.body_bytes,
                     [this](std::string_view bytes) { body_.append(bytes); });
   }
@@ -265,8 +266,12 @@
   const auto inactive_for = now - last_activity_;
   if (is_answering_) return;
   constexpr int kRequestTimeout = 408;
+  const auto is_reading_head = reader_ && !reader_->is_header_done();
+  const auto is_head_late =
+      is_reading_head && now - request_began_at_ > limits_.header_timeout;
   const auto is_reading_request = reader_.has_value() || !in_.empty();
-  if (is_reading_request && inactive_for > limits_.header_timeout) {
+  const auto is_silent = inactive_for > limits_.header_timeout;
+  if (is_head_late || (is_reading_request && is_silent)) {
     return Reject(kRequestTimeout);
   }
   if (inactive_for > limits_.idle_timeout) Close();
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -64,8 +64,9 @@
   auto CloseAfterAnswer() -> void { is_last_answer_ = true; }
 
   // Closes the connection if it was idle for longer than `idle_timeout`.
-  // Answers an unfinished request with 408, and then closes, if no byte of its
-  // header or body has arrived for longer than `header_timeout`.
+  // Answers an unfinished request with 408, and then closes, if its head takes
+  // longer than `header_timeout`, or if no byte of its body has arrived for so
+  // long.
   auto CheckTimeouts(Time now) -> void;
 
   auto is_open() const -> bool { return socket_.is_open(); }
@@ -104,6 +105,8 @@
   // Bytes of answers that the socket has not taken yet.
   std::string out_;
   Time last_activity_{};
+  // Arrival of the first byte of the request that is being read.
+  Time request_began_at_{};
   // A request is complete and its answer is not.
   bool is_answering_ = false;
   bool is_chunked_ = false;
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -25,7 +25,7 @@
 MessageReader<kIsRequest>::MessageReader(std::size_t header_limit,
                                          std::uint64_t body_limit,
                                          BodyHook on_body)
-    : on_body_(std::move(on_body)) {
+    : header_limit_(header_limit), on_body_(std::move(on_body)) {
   this->header_limit(static_cast<std::uint32_t>(header_limit));
   this->body_limit(body_limit);
   this->eager(true);
@@ -39,8 +39,11 @@
         this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
     bytes.erase(0, taken);
     if (error == http::error::need_more) {
-      if (taken == 0) break;
-      continue;
+      if (taken != 0) continue;
+      // Only lines of the head, of chunk headers and of the trailer wait for
+      // more bytes; the parser limits none but the first.
+      if (bytes.size() > header_limit_) return Progress::kHeaderTooLarge;
+      break;
     }
     if (error) return ToProgress<Progress>(error);
   }
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -20,7 +20,8 @@
   using BodyHook = std::function<void(std::string_view)>;
 
   // The limits are in bytes; a longer message gives `kHeaderTooLarge` or
-  // `kBodyTooLarge`.
+  // `kBodyTooLarge`. The header limit holds for chunk headers and the trailer
+  // as well.
   MessageReader(std::size_t header_limit, std::uint64_t body_limit,
                 BodyHook on_body);
 
@@ -67,6 +68,7 @@
       -> std::size_t override;
   auto on_finish_impl(ParseError& error) -> void override;
 
+  std::size_t header_limit_;
   BodyHook on_body_;
   HttpFields fields_;
   std::string method_;
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -8,7 +8,7 @@
 
 // Answers up to this size are buffered until they are complete, so that a
 // failed one can be retried. A longer one is relayed as it arrives and can't be
-// retried.
+// retried; an attempt fails if its bytes can't be relayed and are longer.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262144;
 // Bytes not yet taken by a slow caller at which reading from the target pauses.
 constexpr std::size_t kMaxUnsentBytes = 65536;
@@ -95,7 +95,7 @@
   auto result = context_.core.Place(accepted_request_, MonotonicClock::now());
   if (const auto* refusal = std::get_if<Refusal>(&result)) {
     if (answer_state_ == AnswerState::kStarted) {
-      return RetryOrFail(AttemptOutcome::kBroken);
+      return CutAnswer(AttemptOutcomeName(AttemptOutcome::kBroken));
     }
     if (!may_have_run_) return Refuse(*refusal);
     return Refuse(Refusal{RefusalReason::kTargetFailed, {}});
@@ -158,11 +158,9 @@
                            complete_events.append(event);
                            ++relayed_events_;
                          });
-  if (event_splitter_.has_gap()) {
-    CloseTargetConnection();
-    EndAttempt(AttemptOutcome::kBroken);
-    return RetryOrFail(AttemptOutcome::kBroken);
-  }
+  const auto is_endless =
+      event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
+  if (event_splitter_.has_gap() || is_endless) return BreakAttempt();
   if (complete_events.empty()) return;
   if (relayed_before == 0) {
     BeginAnswer();
@@ -170,7 +168,17 @@
   }
   // The core uses only the first call of an attempt.
   context_.core.RecordFirstToken(placement_, MonotonicClock::now());
-  caller_->Append(complete_events);
+  AppendToAnswer(complete_events);
+}
+
+auto RelayedRequest::BreakAttempt() -> void {
+  CloseTargetConnection();
+  EndAttempt(AttemptOutcome::kBroken);
+  RetryOrFail(AttemptOutcome::kBroken);
+}
+
+auto RelayedRequest::AppendToAnswer(std::string_view bytes) -> void {
+  caller_->Append(bytes);
   if (caller_->unsent_bytes() < kMaxUnsentBytes ||
       target_connection_ == nullptr) {
     return;
@@ -185,15 +193,14 @@
 
 auto RelayedRequest::BufferOrRelay(std::string_view bytes) -> void {
   if (answer_state_ == AnswerState::kStarted && !is_stream_) {
-    return caller_->Append(bytes);
+    return AppendToAnswer(bytes);
   }
   buffered_body_.append(bytes);
-  if (buffered_body_.size() <= kMaxBufferedAnswerBytes || !IsFromTarget() ||
-      is_stream_) {
-    return;
-  }
+  if (buffered_body_.size() <= kMaxBufferedAnswerBytes) return;
+  if (!IsFromTarget() || is_stream_) return BreakAttempt();
   BeginAnswer();
-  caller_->Append(buffered_body_);
+  RecordFirstByte();
+  AppendToAnswer(buffered_body_);
   buffered_body_.clear();
 }
 
@@ -278,11 +285,7 @@
     return StartAttempt();
   }
   if (answer_state_ == AnswerState::kStarted) {
-    Log(LogClass::kFailure, "answer_cut", AttemptOutcomeName(outcome), now);
-    RecordAnswer("cut", now);
-    caller_->SetCallerLeftHook(nullptr);
-    caller_->AbortAnswer();
-    return Finish();
+    return CutAnswer(AttemptOutcomeName(outcome));
   }
   if (outcome == AttemptOutcome::kServerError) {
     // The target executed the request and failed; the caller gets its answer.
@@ -297,6 +300,15 @@
   Refuse(Refusal{RefusalReason::kNotExecuted, kRetryAfterNotExecuted});
 }
 
+auto RelayedRequest::CutAnswer(std::string_view cause) -> void {
+  const auto now = MonotonicClock::now();
+  Log(LogClass::kFailure, "answer_cut", cause, now);
+  RecordAnswer("cut", now);
+  caller_->SetCallerLeftHook(nullptr);
+  caller_->AbortAnswer();
+  Finish();
+}
+
 auto RelayedRequest::Refuse(const Refusal& refusal) -> void {
   const auto now = MonotonicClock::now();
   if (refusal.facts) admission_facts_ = *refusal.facts;
@@ -334,14 +346,7 @@
   const auto self = shared_from_this();
   CloseTargetConnection();
   EndAttempt(AttemptOutcome::kCancelled);
-  if (answer_state_ == AnswerState::kStarted) {
-    const auto now = MonotonicClock::now();
-    Log(LogClass::kFailure, "answer_cut", "timeout", now);
-    RecordAnswer("cut", now);
-    caller_->SetCallerLeftHook(nullptr);
-    caller_->AbortAnswer();
-    return Finish();
-  }
+  if (answer_state_ == AnswerState::kStarted) return CutAnswer("timeout");
   const auto reason =
       may_have_run_ ? RefusalReason::kTimeout : RefusalReason::kDeadline;
   Refuse(Refusal{reason, {}});
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -42,11 +42,17 @@
   auto IsFromTarget() const -> bool;
   auto RelayEvents(std::string_view bytes) -> void;
   auto BufferOrRelay(std::string_view bytes) -> void;
+  // Ends the attempt because of what the target sent.
+  auto BreakAttempt() -> void;
   auto BeginAnswer() -> void;
+  // Writes to the caller; pauses the target while the caller is slow.
+  auto AppendToAnswer(std::string_view bytes) -> void;
   auto EndAttempt(AttemptOutcome outcome) -> void;
   auto CloseTargetConnection() -> void;
   auto Complete() -> void;
   auto RetryOrFail(AttemptOutcome outcome) -> void;
+  // Ends a begun answer so that the caller sees that it is incomplete.
+  auto CutAnswer(std::string_view cause) -> void;
   auto Refuse(const Refusal& refusal) -> void;
   auto Finish() -> void;
   auto OnCallerLeft() -> void;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -76,8 +76,8 @@
 
     It is not the table service of papayaplank_router.
 
-    `fault` is None, "busy" (answers 503), "silent" (does not answer) or
-    "reset" (closes the connection).
+    `fault` is None, "busy" (answers 503), "silent" (does not answer), "reset"
+    (closes the connection) or "endless" (a body that never ends).
     """
 
     def __init__(self):
@@ -86,6 +86,7 @@
         self.changed = threading.Condition()
         self.fault = None
         self.calls = 0
+        self.endless_bytes = 0
         super().__init__()
 
     def put(self, table, key, value):
@@ -124,6 +125,8 @@
             return False
         if self.fault == "busy":
             return self.reply(connection, 503, {})
+        if self.fault == "endless":
+            return self.send_endlessly(connection)
         path, _, query = start[1].partition("?")
         query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/v1/rows-tx":
@@ -153,6 +156,12 @@
             return self.serve(connection, start, headers, body)
         return self.reply(connection, 200, answer)
 
+    def send_endlessly(self, connection):
+        connection.sendall(b"HTTP/1.1 200 X\r\n\r\n")
+        while True:
+            connection.sendall(b"x" * 65536)
+            self.endless_bytes += 65536
+
     @staticmethod
     def reply(connection, status, body):
         text = json.dumps(body).encode()
@@ -191,6 +200,14 @@
         "truncated"  closes the connection within the body
         "extra"      sends a second, unrequested answer
         "cut"        closes the connection within the fourth event of a stream
+    These send bytes until the other side closes the connection:
+        "endless_head"   header lines
+        "endless_line"   one header line
+        "endless_body"   a body that is no answer of the target
+        "endless_error"  the body of a server error
+        "endless_event"  one event of a stream
+        "endless_chunk"  the extension of a chunk
+        "trickle"        a byte of a header line every 50 ms
     """
 
     def __init__(self, store, name, service, state="ready"):
@@ -200,6 +217,8 @@
         self.received = []   # Headers of each request.
         self.cancelled = []  # Request ids whose connection ended early.
         self.event_gap = 0.0
+        self.endless_bytes = 0  # Sent by faults that send without end.
+        self.ended_endless = 0  # Connections closed by the other side.
         super().__init__()
         self.row = {"service": service, "address": self.address, "zone": "west",
                     "version": "v1", "slots": 8, "state": state,
@@ -233,6 +252,8 @@
             return False
         if fault == "hang":
             time.sleep(3600)
+        if fault and (fault.startswith("endless") or fault == "trickle"):
+            return self.send_endlessly(connection, headers, fault)
         if start[1].startswith("/stream/"):
             return self.stream(connection, headers, fault)
         answer = b"answer to " + headers["attempt-id"].encode()
@@ -254,6 +275,32 @@
                                b"Content-Length: 4\r\n\r\nlate")
         return fault != "truncated"
 
+    def send_endlessly(self, connection, headers, fault):
+        signed_stream = self.response_head(
+            headers, extra=b"Content-Type: text/event-stream\r\n"
+                           b"Transfer-Encoding: chunked\r\n") + b"\r\n"
+        filler = b"x" * 65536
+        first, repeated = {
+            "endless_head": (b"HTTP/1.1 200 X\r\n", b"Name: value\r\n" * 4096),
+            "endless_line": (b"HTTP/1.1 200 X\r\nName: ", filler),
+            "endless_body": (b"HTTP/1.1 200 X\r\n\r\n", filler),
+            "endless_error": (self.response_head(headers, 500) + b"\r\n",
+                              filler),
+            "endless_event": (signed_stream, b"10000\r\n" + filler + b"\r\n"),
+            "endless_chunk": (signed_stream + b"5;", filler),
+            "trickle": (b"HTTP/1.1 200 X\r\nName: ", b"x"),
+        }[fault]
+        try:
+            connection.sendall(first)
+            while True:
+                connection.sendall(repeated)
+                self.endless_bytes += len(repeated)
+                if fault == "trickle":
+                    time.sleep(0.05)
+        except OSError:
+            self.ended_endless += 1
+        return False
+
     def stream(self, connection, headers, fault):
         first = int(headers.get("last-event-id", 0)) + 1
         connection.sendall(self.response_head(
