--- a/gateway/caller_steering.h
+++ b/gateway/caller_steering.h
@@ -5,18 +5,22 @@
 #define GATEWAY_CALLER_STEERING_H_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/peer_table.h"
 
 namespace papayaplank {
 
-// Addresses for a caller in data centre `near`: the routers there that don't
-// divert callers. If there are fewer than two, those of all data centres; if
-// these are still fewer than two, the diverting ones as well. In a loaded fleet
+// Addresses for the caller `caller` in data centre `near`, the same at every
+// router. In a large data centre these are some of its routers, large instances
+// more often than small ones. They are chosen among the routers there that
+// don't divert callers. If there are fewer than two, those of all data centres;
+// if these are still fewer than two, the diverting ones as well. In a loaded
+// fleet
 // (`IsFleetLoaded`) the diverting ones are included from the start.
 auto ChooseCallerAddresses(const std::vector<ServingRouter>& serving,
-                           const DataCenterId& near)
+                           const DataCenterId& near, std::string_view caller)
     -> std::vector<std::string>;
 
 // Whether so many routers divert callers that the fleet as a whole is loaded:
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -35,6 +35,8 @@
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
   RetryBound retries;
+  // How late an event of a stream may reach its caller.
+  Duration max_event_delay = milliseconds(120);
   // Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   std::uint64_t seed = 0;
@@ -143,14 +145,15 @@
 
   // Whether this router waits at the store for configuration changes.
   auto is_watcher(Time now) const -> bool;
-  // Whether this router has no configuration or a peer has a newer one.
-  auto is_behind(Time now) const -> bool;
+  // Whether to read the configuration now: this router has none, or a peer has
+  // a newer one.
+  auto must_read_configuration(Time now) -> bool;
   // Whether the newest call to the store failed.
   auto is_store_failing() const -> bool {
     return store_continuity_.is_failing();
   }
-  // Address of a peer to fetch a newer version from while calls to the store
-  // fail; empty if they don't fail, or if no peer has a newer version.
+  // Address of a peer to fetch a newer version from; empty if the store is to
+  // be read, or if no peer has a newer version.
   auto ChooseSnapshotSource(Time now) -> std::string;
   // Nothing if this router has no configuration.
   auto MakeSnapshot() const -> std::optional<PeerSnapshot>;
@@ -172,9 +175,9 @@
   // Messages to send now. Called once per tick of the periodic timer.
   auto MakePeerMessages(Time now) -> std::vector<OutgoingMessage>;
   auto exchange_role() const -> ExchangeRole { return exchange_.role(); }
-  // Routers for a caller in data centre `near`.
-  auto CallerAddresses(const DataCenterId& near, Time now) const
-      -> std::vector<std::string>;
+  // Routers for the caller with this IP address in data centre `near`.
+  auto CallerAddresses(const DataCenterId& near, std::string_view caller,
+                       Time now) const -> std::vector<std::string>;
   // Whether new connections of callers are accepted.
   auto is_accepting_connections(Time now) const -> bool;
 
@@ -250,6 +253,8 @@
   StoreContinuity store_continuity_;
   std::uint64_t next_attempt_ = 1;
   std::uint64_t report_sequence_ = 0;
+  // Since when a peer has had a newer configuration.
+  Time behind_since_{};
   bool is_leaving_ = false;
   Time leaving_since_{};
   GatewayCounters counters_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -12,9 +12,9 @@
 // that reads a list reports the changes to the others.
 constexpr Duration kFleetListPeriod = milliseconds(200);
 // Limits of one router's average period. The longest one is shorter while the
-// rows return after a store outage.
+// rows return after a store outage, and while no hub passes changes on.
 constexpr Duration kShortestListPeriod = milliseconds(700);
-constexpr Duration kLongestListPeriod = seconds(8);
+constexpr Duration kLongestListPeriod = seconds(30);
 constexpr Duration kLongestRecoveryListPeriod = milliseconds(1500);
 // A delay between two reads differs from the average by at most this share.
 constexpr double kListDelaySpread = 0.5;
@@ -23,6 +23,9 @@
 constexpr Duration kFleetRouterListPeriod = seconds(2);
 constexpr Duration kShortestRouterListPeriod = seconds(8);
 constexpr Duration kLongestRouterListPeriod = seconds(120);
+// A member that sees a newer configuration in another data centre waits this
+// long for its hub, and then reads the store itself.
+constexpr Duration kHubReadTime = milliseconds(800);
 // Peers that get a freshness query at a time.
 constexpr std::size_t kQueriedPeers = 2;
 // How long reports repeat a target update, as datagrams may get lost.
@@ -147,27 +150,46 @@
                           store_continuity_.is_failing());
 }
 
-auto GatewayCore::is_behind(Time now) const -> bool {
-  if (table_ == nullptr) return true;
-  return !peers_.AddressesWithNewerVersion(table_->version(), now).empty();
-}
-
 auto GatewayCore::ChooseSnapshotSource(Time now) -> std::string {
-  if (!store_continuity_.is_failing()) return "";
+  // A member's hub has the newest version a moment after the watchers. If all
+  // members read it from the store, each change would cost a call a router.
+  const auto is_member = exchange_.role() == ExchangeRole::kMember &&
+                         table_ != nullptr && !is_watcher(now);
+  if (!store_continuity_.is_failing() && !is_member) return "";
   const auto version = table_ == nullptr ? 0 : table_->version();
-  const auto peers = peers_.AddressesWithNewerVersion(version, now);
+  auto peers =
+      peers_.AddressesWithNewerVersion(version, &options_.data_center, now);
+  if (peers.empty() && store_continuity_.is_failing()) {
+    peers = peers_.AddressesWithNewerVersion(version, nullptr, now);
+  }
   return peers.empty() ? "" : peers[random_.Index(peers.size())];
 }
 
+auto GatewayCore::must_read_configuration(Time now) -> bool {
+  if (table_ == nullptr) return true;
+  if (peers_.AddressesWithNewerVersion(table_->version(), nullptr, now)
+          .empty()) {
+    behind_since_ = Time{};
+    return false;
+  }
+  if (behind_since_ == Time{}) behind_since_ = now;
+  return exchange_.role() != ExchangeRole::kMember ||
+         now - behind_since_ >= kHubReadTime ||
+         !ChooseSnapshotSource(now).empty();
+}
+
 auto GatewayCore::MakeSnapshot() const -> std::optional<PeerSnapshot> {
   if (table_ == nullptr) return std::nullopt;
   return PeerSnapshot{table_->document().source, directory_.AsUpdates()};
 }
 
 auto GatewayCore::NextTargetListDelay(Time now) -> Duration {
-  const auto routers = static_cast<int>(peers_.LiveCount(now)) + 1;
+  // At the start, the rows of the others are known before their reports.
+  const auto routers = static_cast<int>(peers_.size()) + 1;
+  const auto relies_on_peers =
+      !IsStoreRecovering(now) && exchange_.is_informed(now);
   const auto longest =
-      IsStoreRecovering(now) ? kLongestRecoveryListPeriod : kLongestListPeriod;
+      relies_on_peers ? kLongestListPeriod : kLongestRecoveryListPeriod;
   const auto mean =
       std::clamp(kFleetListPeriod * routers, kShortestListPeriod, longest);
   const auto factor =
@@ -253,9 +275,10 @@
   return serving;
 }
 
-auto GatewayCore::CallerAddresses(const DataCenterId& near, Time now) const
+auto GatewayCore::CallerAddresses(const DataCenterId& near,
+                                  std::string_view caller, Time now) const
     -> std::vector<std::string> {
-  return ChooseCallerAddresses(ServingRouters(now), near);
+  return ChooseCallerAddresses(ServingRouters(now), near, caller);
 }
 
 auto GatewayCore::is_accepting_connections(Time now) const -> bool {
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -260,13 +260,16 @@
   return addresses;
 }
 
-auto PeerTable::AddressesWithNewerVersion(std::uint64_t version, Time now) const
+auto PeerTable::AddressesWithNewerVersion(std::uint64_t version,
+                                          const DataCenterId* data_center,
+                                          Time now) const
     -> std::vector<std::string> {
   std::vector<std::string> addresses;
   for (const auto& [address, peer] : peers_) {
-    if (IsLive(peer, now) && peer.state.config_version > version) {
-      addresses.push_back(address);
-    }
+    const auto& state = peer.state;
+    if (state.config_version <= version || !IsLive(peer, now)) continue;
+    if (data_center != nullptr && state.data_center != *data_center) continue;
+    addresses.push_back(address);
   }
   return addresses;
 }
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -90,9 +90,11 @@
   auto RankHubs(const DataCenterId& data_center, const RouterState* self,
                 const std::set<std::string>& silent, Time now) const
       -> std::vector<std::string>;
-  // Live routers whose configuration is newer than `version`.
-  auto AddressesWithNewerVersion(std::uint64_t version, Time now) const
-      -> std::vector<std::string>;
+  // Live routers whose configuration is newer than `version`; those of one data
+  // centre, or of all if it is null.
+  auto AddressesWithNewerVersion(std::uint64_t version,
+                                 const DataCenterId* data_center,
+                                 Time now) const -> std::vector<std::string>;
   // Whether a live router's calls show that the store had no long outage
   // lately.
   auto HasContinuousPeer(Time now) const -> bool;
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -10,7 +10,9 @@
 // moment the call was sent, so this bounds the age of that confirmation.
 constexpr Duration kWatchWait = milliseconds(700);
 constexpr Duration kListTimeout = milliseconds(1000);
-constexpr Duration kWatchTimeout = kWatchWait + milliseconds(800);
+constexpr Duration kWatchSlack = milliseconds(800);
+// The same for a router that waits for the first configuration.
+constexpr Duration kFirstWatchWait = milliseconds(2500);
 // Short, since peers are close on the network. After this time the store is
 // read instead; a later read may ask another peer.
 constexpr Duration kSnapshotTimeout = milliseconds(400);
@@ -64,8 +66,10 @@
 
 auto ConfigurationReader::WatchStore() -> void {
   const auto sent_at = MonotonicClock::now();
-  store_client_.Call(WatchRows(kOperatorTable, store_version_, kWatchWait),
-                     kWatchTimeout,
+  // Without a configuration there are no keys to confirm.
+  const auto wait = core_.table() == nullptr ? kFirstWatchWait : kWatchWait;
+  store_client_.Call(WatchRows(kOperatorTable, store_version_, wait),
+                     wait + kWatchSlack,
                      [this, sent_at](const Outcome<HttpReply>& reply) {
                        HandleStoreReply(reply, sent_at);
                      });
@@ -167,7 +171,8 @@
   const auto age = core_.key_age(now);
   if (age > kPeerQueryAge && on_query_) on_query_();
   if (core_.is_watcher(now)) return ReadNewest();
-  const auto must_read = core_.is_behind(now) || age > kStoreReadAge;
+  const auto must_read =
+      core_.must_read_configuration(now) || age > kStoreReadAge;
   const auto may_read = !core_.is_store_failing() ||
                         now - store_failed_at_ >= kStoreFailurePause ||
                         !core_.ChooseSnapshotSource(now).empty();
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -97,7 +97,8 @@
     return caller->Answer(kNotFound, "", "");
   }
   const auto addresses = context.core.CallerAddresses(
-      ParseCallerDataCenter(request.request_target), now);
+      ParseCallerDataCenter(request.request_target), caller->caller_address(),
+      now);
   context.log.Write(LogClass::kRoutine, "addresses_answered",
                     {{"count", static_cast<std::int64_t>(addresses.size())},
                      {"query", request.request_target},
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -60,7 +60,7 @@
   if (!is_own_row_written_ && !is_deregistering_) return WriteOwnRow();
   if (routers_read_at_ == Time{} ||
       now - routers_read_at_ > core_.RouterListPeriod(now)) {
-    return ReadRouters();
+    return ReadRouters("");
   }
   ReadTargets("");
 }
@@ -88,6 +88,9 @@
   ApplyTargetChange(
       core_.SetTargets(std::move(listed_targets_), rows->version, now));
   listed_targets_.clear();
+  if (!is_own_row_written_ || routers_read_at_ == Time{}) {
+    return Schedule(Duration{});
+  }
   const auto elapsed = now - list_started_at_;
   Schedule(std::max(Duration{}, core_.NextTargetListDelay(now) - elapsed));
 }
@@ -120,9 +123,10 @@
   }
 }
 
-auto ServiceRegistryReader::ReadRouters() -> void {
+auto ServiceRegistryReader::ReadRouters(const std::string& after) -> void {
+  if (after.empty()) listed_routers_.clear();
   store_client_.Call(
-      ListRows(kRouterTable, ""), kCallTimeout,
+      ListRows(kRouterTable, after), kCallTimeout,
       [this](const Outcome<HttpReply>& reply) { HandleRouterRows(reply); });
 }
 
@@ -130,22 +134,28 @@
     -> void {
   const auto rows = store_health_.DecodeRows("routers", reply);
   if (!rows) return ScheduleRetry();
-  routers_read_at_ = MonotonicClock::now();
-  std::vector<PeerSeed> seeds;
   for (const auto& row : rows->rows) {
     if (row.is_removed || row.key == own_row_.key) continue;
     const auto router = DecodeRouterRow(row.value);
     if (IsOk(router)) {
       const auto& value = ValueOf(router);
-      seeds.push_back(
+      listed_routers_.push_back(
           PeerSeed{value.peer_address, value.data_center, value.cores});
       continue;
     }
     log_.Write(LogClass::kState, "router_row_malformed",
                {{"key", row.key}, {"cause", ErrorOf(router).message}});
   }
-  core_.AddPeers(seeds, routers_read_at_);
-  Schedule(Duration{});
+  if (rows->is_truncated && !rows->rows.empty()) {
+    return ReadRouters(rows->rows.back().key);
+  }
+  routers_read_at_ = MonotonicClock::now();
+  core_.AddPeers(listed_routers_, routers_read_at_);
+  listed_routers_.clear();
+  // The target list was read before, if the store answered.
+  const auto has_targets = core_.directory().size() > 0;
+  Schedule(has_targets ? core_.NextTargetListDelay(routers_read_at_)
+                       : Duration{});
 }
 
 auto ServiceRegistryReader::WriteOwnRow() -> void {
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -44,7 +44,7 @@
   auto ReadTargets(const std::string& after) -> void;
   auto HandleTargetRows(const Outcome<HttpReply>& reply) -> void;
   auto AddTargetRow(const StoreRow& row) -> void;
-  auto ReadRouters() -> void;
+  auto ReadRouters(const std::string& after) -> void;
   auto HandleRouterRows(const Outcome<HttpReply>& reply) -> void;
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
@@ -63,6 +63,8 @@
   Duration retry_delay_{};
   // Targets on the pages read so far of the current target list.
   std::vector<TargetRow> listed_targets_;
+  // Routers on the pages read so far of the current router list.
+  std::vector<PeerSeed> listed_routers_;
   // Keys of malformed rows that were logged; each is logged once.
   std::set<std::string> malformed_rows_;
   Time list_started_at_{};
