Admission: limits of lateness as they were; a failed trial

Tried: limits as shares of `max-lag-ms`, refusals before closed doors (divert at 0.25 of 200 ms, refuse at 0.5, pause at 0.75). Users were served worse, so the former limits stand. What remains: a refusal that costs a tenth of this.

--- a/admission/router_load.h
+++ b/admission/router_load.h
@@ -12,9 +12,6 @@
 // the processor.
 class RouterLoad {
  public:
-  // `max_event_delay` is how late an event of a stream may reach its caller.
-  explicit RouterLoad(Duration max_event_delay);
-
   // How late the timer fired, every time it fires.
   auto RecordLateness(Duration lateness, Time now) -> void;
 
@@ -33,11 +30,6 @@
  private:
   auto UpdateListener(Time now) -> void;
 
-  // Limits of the lateness, ms.
-  double saturated_ms_;
-  double divert_ms_;
-  double pause_listener_ms_;
-  double resume_listener_ms_;
   // Moving average.
   double lateness_ms_ = 0;
   Time divert_until_{};
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -37,9 +37,6 @@
               "Time window of retry_ratio and retry_slack.");
 DEFINE_double(memory_limit_mb, 256,
               "Accepted in settings files; has no effect.");
-DEFINE_double(max_event_delay_ms, 120,
-              "How late an event of a stream may reach its caller. A router "
-              "that is later refuses new streams.");
 DEFINE_double(cores, 1,
               "Processor time that the instance grants, in cores. Larger "
               "instances get more callers and collect the reports of their "
@@ -108,7 +105,6 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
-  CheckRange("max_event_delay_ms", FLAGS_max_event_delay_ms, 10, 60000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
   CheckRange("max_descriptors", FLAGS_max_descriptors, 64, 1000000, errors);
 }
@@ -134,7 +130,6 @@
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
   settings.retry_window = SecondsToDuration(FLAGS_retry_window_seconds);
-  settings.max_event_delay = SecondsToDuration(FLAGS_max_event_delay_ms / 1000);
   settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
   return settings;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -48,7 +48,6 @@
       watch_(options_.router),
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
-      load_(options_.max_event_delay),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -35,8 +35,6 @@
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
   RetryBound retries;
-  // How late an event of a stream may reach its caller.
-  Duration max_event_delay = milliseconds(120);
   // Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   std::uint64_t seed = 0;
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -62,7 +62,6 @@
   options.caller_address = settings.caller_listen;
   options.data_center = DataCenterId(settings.data_center);
   options.cores = settings.cores;
-  options.max_event_delay = settings.max_event_delay;
   options.revocation_bound = settings.revocation_bound;
   options.stop_grace = settings.stop_grace;
   options.retries = RetryBound{settings.retry_ratio, settings.retry_slack,
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -35,8 +35,6 @@
   double retry_ratio = 0;
   double retry_slack = 0;
   Duration retry_window{};
-  // How late an event of a stream may reach its caller.
-  Duration max_event_delay{};
   // Processor time that the instance grants, in cores.
   double cores = 1;
   // File descriptors that the process may use.
