--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -88,7 +88,8 @@
   ApplyTargetChange(
       core_.SetTargets(std::move(listed_targets_), rows->version, now));
   listed_targets_.clear();
-  if (!is_own_row_written_ || routers_read_at_ == Time{}) {
+  if (!is_deregistering_ &&
+      (!is_own_row_written_ || routers_read_at_ == Time{})) {
     return Schedule(Duration{});
   }
   const auto elapsed = now - list_started_at_;
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -278,6 +278,15 @@
         self.edge.process.send_signal(signal.SIGTERM)
         wait_for(lambda: row() is None, "the row is removed")
 
+    def test_a_stopping_router_calls_the_store_seldom(self):
+        self.edge.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: self.store.rows[("routers", "e0")][0] is None,
+                 "the row is removed")
+        before = self.store.calls
+        time.sleep(2)
+        # Two lists of targets, and watches of the configuration.
+        self.assertLessEqual(self.store.calls - before, 12)
+
     def test_a_request_in_progress_ends_while_the_router_stops(self):
         self.inject_faults("slow")
         answers = []
