--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -157,7 +157,7 @@
   const auto before = gflags::CommandlineFlagsIntoString();
   auto errors = ApplySettingsFile(path);
   ValidateFlags(errors);
-  if (errors.empty()) return "reloaded; new addresses apply after a restart";
+  if (errors.empty()) return "checked; new values apply at the next start";
   gflags::ReadFlagsFromString(before, "", false);
   return "kept the current settings: " + errors.front();
 }
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -136,14 +136,15 @@
 
 auto GatewayCore::FindOrAddLoad(const TargetRow& target) -> EngineLoad& {
   const auto [entry, is_new] = loads_.try_emplace(target.id);
+  // Rows and configurations may change the size of a target that is in use.
+  TargetSize size{target.slots, 0};
+  const auto* service =
+      table_ == nullptr ? nullptr : table_->FindService(target.pool);
+  if (service != nullptr && service->engine) {
+    size.memory_tokens = service->engine->memory_tokens;
+  }
+  entry->second.SetSize(size);
   if (is_new) {
-    TargetSize size{target.slots, 0};
-    const auto* service =
-        table_ == nullptr ? nullptr : table_->FindService(target.pool);
-    if (service != nullptr && service->engine) {
-      size.memory_tokens = service->engine->memory_tokens;
-    }
-    entry->second.SetSize(size);
     entry->second.SetOthers(exchange_.Others(TargetHash(target.id)));
   }
   return entry->second;
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -279,6 +279,27 @@
   EXPECT_NE(placement.target.id, preferred);
 }
 
+// A target's row changes its slots while requests run there.
+TEST_F(GatewayCoreTest, ForecastsUseTheNewestSizeOfATarget) {
+  Serve(1);
+  std::vector<GatewayRequest> requests;
+  for (int i = 0; i < 3; ++i) {
+    auto request = Accepted(Facts("/chat/1", "key-a", 100));
+    core_.Place(request, kStart);
+    requests.push_back(std::move(request));
+  }
+  auto rows = MakeTargets(1);
+  rows[0].slots = 3;
+  core_.SetTargets(rows, 2, kStart);
+  auto next = Accepted(Facts("/chat/1", "key-a", 100));
+  const auto placed = core_.Place(next, kStart);
+  ASSERT_TRUE(std::holds_alternative<Refusal>(placed)) << "the batch is full";
+  EXPECT_EQ(std::get<Refusal>(placed).facts->forecast.batch_share, 1.0);
+  rows[0].slots = 8;
+  core_.SetTargets(rows, 3, kStart);
+  EXPECT_TRUE(std::holds_alternative<Placement>(core_.Place(next, kStart)));
+}
+
 TEST_F(GatewayCoreTest, AnUpdateOfAPeerTakesADrainingTargetOutOfUse) {
   Serve(2);
   PeerReport report;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -80,6 +80,8 @@
     (closes the connection) or "endless" (a body that never ends).
     """
 
+    page_rows = 500  # Most rows in an answer.
+
     def __init__(self):
         self.rows = {}
         self.version = 0
@@ -138,9 +140,12 @@
             return self.reply(connection, 200, {"ver": self.version})
         if path == "/v1/rows-get":
             with self.changed:
+                rows = [row for row in self.select_rows(query["table"])
+                        if row["key"] >= query.get("from", "")]
                 return self.reply(connection, 200, {
-                    "rows": self.select_rows(query["table"]),
-                    "truncated": False, "ver": self.version})
+                    "rows": rows[:self.page_rows],
+                    "truncated": len(rows) > self.page_rows,
+                    "ver": self.version})
         after = int(query["after-rev"])
         until = time.monotonic() + int(query["wait-ms"]) / 1000
         with self.changed:
--- a/tests/process/test_edge.py
+++ b/tests/process/test_edge.py
@@ -338,6 +338,29 @@
         connection.close()
 
 
+class PagedStoreTest(EdgeTest):
+    """The rows of targets and routers fill several pages."""
+    edge_count = 3
+
+    def setUp(self):
+        # The store of `setUp` is made there, so the default is changed.
+        standin.Store.page_rows = 1
+        super().setUp()
+
+    def tearDown(self):
+        super().tearDown()
+        standin.Store.page_rows = 500
+
+    def test_rows_beyond_the_first_page_count(self):
+        late = Edge(self.store, "e9")
+        self.edges.append(late)
+        wait_for(late.is_ready, "the late router is ready")
+        # It finds all others by their rows; nobody has reported to it before.
+        wait_for(lambda: b"papayaplank_routers_live 4" in
+                 get(late.metrics, "/metrics")[1], "all routers are known")
+        self.assertEqual(self.ask("/read/1")[0], 200)
+
+
 class RejectedByStoreTest(EdgeTest):
     """Two routers; the store rejects the calls of one of them."""
 
@@ -510,7 +533,8 @@
 
 # The subclasses don't repeat the tests of one router: None is not a test.
 for case in [name for name in dir(EdgeTest) if name.startswith("test_")]:
-    for subclass in (FleetTest, RejectedByStoreTest, ObservabilityTest):
+    for subclass in (FleetTest, PagedStoreTest, RejectedByStoreTest,
+                     ObservabilityTest):
         setattr(subclass, case, None)
 
 if __name__ == "__main__":
