Gateway, router: a datagram with a stated length beyond memory ended the process

Next finding: a floating-point number where a whole one is due was converted whatever its value (undefined); an age below zero in a freshness reply would have confirmed keys for the future.

Change: decoding inside the guard; numbers are checked for type and range.

--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -3,6 +3,8 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <type_traits>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -28,6 +30,27 @@
 // Cores are sent in hundredths.
 constexpr double kCoreSteps = 100;
 
+// Throws like the library if `json` is not a number of that type and range. The
+// library itself converts other numbers, whatever comes of it.
+template <typename Number>
+auto ReadNumber(const Json& json) -> Number {
+  if constexpr (std::is_integral_v<Number>) {
+    if (json.is_number_unsigned()) {
+      const auto value = json.get<std::uint64_t>();
+      if (std::in_range<Number>(value)) return static_cast<Number>(value);
+    } else if (json.is_number_integer()) {
+      const auto value = json.get<std::int64_t>();
+      if (std::in_range<Number>(value)) return static_cast<Number>(value);
+    }
+  } else if (json.is_number()) {
+    // Loads, rates and cores; larger ones would lose whole numbers.
+    constexpr double kLargest = 1e15;
+    const auto value = json.get<double>();
+    if (value >= 0 && value <= kLargest) return value;
+  }
+  throw Json::other_error::create(0, "not a number of this range", &json);
+}
+
 auto Rounded(double value) -> std::int64_t { return std::lround(value); }
 
 auto EncodeState(const RouterState& state) -> Json {
@@ -49,18 +72,18 @@
   if (json.size() != kStateMembers) {
     throw Json::other_error::create(0, "a router state has 7 members", &json);
   }
-  const auto flags = json.at(5).get<unsigned>();
-  state.started_unix_ms = json.at(0).get<std::int64_t>();
+  const auto flags = ReadNumber<unsigned>(json.at(5));
+  state.started_unix_ms = ReadNumber<std::int64_t>(json.at(0));
   state.peer_address = json.at(1).get<std::string>();
   state.caller_address = json.at(2).get<std::string>();
   state.data_center = DataCenterId(json.at(3).get<std::string>());
-  state.cores = json.at(4).get<double>() / kCoreSteps;
+  state.cores = ReadNumber<double>(json.at(4)) / kCoreSteps;
   state.is_leaving = (flags & kLeavingBit) != 0;
   state.diverts_callers = (flags & kDivertsBit) != 0;
   state.is_ready = (flags & kReadyBit) != 0;
   state.is_store_continuous = (flags & kContinuousBit) != 0;
   state.is_store_failing = (flags & kFailingBit) != 0;
-  state.config_version = json.at(6).get<std::uint64_t>();
+  state.config_version = ReadNumber<std::uint64_t>(json.at(6));
 }
 
 auto EncodeLoads(const TargetLoads& loads) -> Json {
@@ -79,13 +102,13 @@
   TargetLoads loads;
   loads.reserve(json.size() / kMembers);
   for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
-    const LoadShare share{json[i + 1].get<double>(), json[i + 2].get<int>(),
-                          json[i + 3].get<double>()};
-    if (share.queued_tokens < 0 || share.requests < 0 ||
-        share.memory_tokens < 0) {
+    const LoadShare share{ReadNumber<double>(json[i + 1]),
+                          ReadNumber<int>(json[i + 2]),
+                          ReadNumber<double>(json[i + 3])};
+    if (share.requests < 0) {
       throw Json::other_error::create(0, "a load is negative", &json);
     }
-    loads.emplace_back(json[i].get<std::uint32_t>(), share);
+    loads.emplace_back(ReadNumber<std::uint32_t>(json[i]), share);
   }
   return loads;
 }
@@ -104,8 +127,8 @@
   if (json.is_null()) return std::nullopt;
   FairShare::Rates rates;
   for (const auto& rate : json) {
-    rates[CustomerId(rate.at(0).get<std::string>())] =
-        CustomerRate{rate.at(1).get<double>(), rate.at(2).get<double>()};
+    rates[CustomerId(rate.at(0).get<std::string>())] = CustomerRate{
+        ReadNumber<double>(rate.at(1)), ReadNumber<double>(rate.at(2))};
   }
   return rates;
 }
@@ -126,16 +149,16 @@
   for (const auto& entry : json) {
     TargetUpdate update;
     auto& row = update.row;
-    update.version = entry.at(0).get<std::uint64_t>();
+    update.version = ReadNumber<std::uint64_t>(entry.at(0));
     update.is_gone = entry.at(1).get<bool>();
     row.id = TargetId(entry.at(2).get<std::string>());
     row.address = entry.at(3).get<std::string>();
     row.pool = PoolId(entry.at(4).get<std::string>());
     row.data_center = DataCenterId(entry.at(5).get<std::string>());
-    row.slots = entry.at(6).get<int>();
+    row.slots = ReadNumber<int>(entry.at(6));
     row.is_draining = entry.at(7).get<bool>();
-    row.started_unix_ms = entry.at(8).get<std::int64_t>();
-    row.reports = entry.at(9).get<std::int64_t>();
+    row.started_unix_ms = ReadNumber<std::int64_t>(entry.at(8));
+    row.reports = ReadNumber<std::int64_t>(entry.at(9));
     updates.push_back(std::move(update));
   }
   return updates;
@@ -177,7 +200,9 @@
   return {kQuery, query.nonce};
 }
 
-// The age is encoded in microseconds.
+// The age is encoded in microseconds. Decoding rejects one below zero, which
+// would confirm keys for the future, and one above an hour, which confirms
+// none.
 auto ToJson(const FreshnessReply& reply) -> Json {
   return {kReply, reply.nonce, reply.config_version, reply.age.count()};
 }
@@ -190,7 +215,7 @@
 auto DecodeReport(const Json& body) -> PeerReport {
   PeerReport report;
   DecodeState(body.at(1), report);
-  report.sequence = body.at(2).get<std::uint64_t>();
+  report.sequence = ReadNumber<std::uint64_t>(body.at(2));
   report.loads = DecodeLoads(body.at(3));
   report.rates = DecodeRates(body.at(4));
   report.target_updates = DecodeTargetUpdates(body.at(5));
@@ -200,16 +225,16 @@
 auto DecodeSummary(const Json& body) -> FleetSummary {
   FleetSummary summary;
   DecodeState(body.at(1), summary.sender);
-  summary.sequence = body.at(2).get<std::uint64_t>();
+  summary.sequence = ReadNumber<std::uint64_t>(body.at(2));
   summary.scope = body.at(3).get<bool>() ? FleetSummary::Scope::kFleet
                                          : FleetSummary::Scope::kDataCenter;
-  summary.routers = body.at(4).get<int>();
+  summary.routers = ReadNumber<int>(body.at(4));
   summary.loads = DecodeLoads(body.at(5));
   summary.rates = DecodeRates(body.at(6));
   const auto& included = body.at(7);
   for (std::size_t i = 0; i + 2 <= included.size(); i += 2) {
-    summary.included.emplace_back(included[i].get<std::uint32_t>(),
-                                  included[i + 1].get<std::uint64_t>());
+    summary.included.emplace_back(ReadNumber<std::uint32_t>(included[i]),
+                                  ReadNumber<std::uint64_t>(included[i + 1]));
   }
   for (const auto& state : body.at(8)) {
     DecodeState(state, summary.listed.emplace_back());
@@ -222,18 +247,19 @@
 }
 
 auto DecodeMessage(const Json& body) -> std::optional<PeerMessage> {
-  const auto kind = body.at(0).get<int>();
+  const auto kind = ReadNumber<int>(body.at(0));
   if (kind == kReport && body.size() == kReportMembers) {
     return DecodeReport(body);
   }
   if (kind == kSummary && body.size() == kSummaryMembers) {
     return DecodeSummary(body);
   }
-  if (kind == kQuery) return FreshnessQuery{body.at(1).get<std::uint64_t>()};
+  if (kind == kQuery)
+    return FreshnessQuery{ReadNumber<std::uint64_t>(body.at(1))};
   if (kind == kReply) {
-    return FreshnessReply{body.at(1).get<std::uint64_t>(),
-                          body.at(2).get<std::uint64_t>(),
-                          Duration(body.at(3).get<std::int64_t>())};
+    const Duration age(ReadNumber<std::uint32_t>(body.at(3)));
+    return FreshnessReply{ReadNumber<std::uint64_t>(body.at(1)),
+                          ReadNumber<std::uint64_t>(body.at(2)), age};
   }
   if (kind == kSnapshot) {
     return PeerSnapshot{body.at(1).get<std::string>(),
@@ -264,11 +290,11 @@
 }
 
 auto DecodePeerMessage(std::string_view bytes) -> std::optional<PeerMessage> {
-  const auto body = Json::from_cbor(bytes, true, false);
-  if (!body.is_array() || body.empty()) return std::nullopt;
-  // The library throws if a member is missing or has the wrong type; such bytes
-  // are not a valid message.
+  // The library throws if a member is missing or has the wrong type, and, even
+  // if told not to throw, if a stated length is beyond the memory.
   try {
+    const auto body = Json::from_cbor(bytes, true, false);
+    if (!body.is_array() || body.empty()) return std::nullopt;
     return DecodeMessage(body);
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/router/peer_codec.cpp
+++ b/router/peer_codec.cpp
@@ -286,6 +286,16 @@
   }
 }
 
+// Null if the bytes are not CBOR. The library throws, even if told not to, if a
+// stated length is beyond the memory.
+auto ParseCbor(std::string_view bytes) -> Json {
+  try {
+    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  } catch (const Json::exception&) {
+    return nullptr;
+  }
+}
+
 }  // namespace
 
 auto EncodePeerMessage(const PeerMessage& message) -> std::string {
@@ -299,7 +309,7 @@
 }
 
 auto DecodePeerMessage(std::string_view bytes) -> Outcome<PeerMessage> {
-  const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const auto json = ParseCbor(bytes);
   if (!json.is_array() || json.empty()) {
     return Error{ErrorCode::kInvalidArgument,
                  "peer message is not a CBOR array"};
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -568,12 +568,25 @@
   EXPECT_TRUE(copy.is_store_continuous);
 }
 
+// Found by fuzzing: a datagram that states an array of 2^60 members ended the
+// process.
+TEST(PeerMessagesTest, AStatedLengthIsNotBelieved) {
+  EXPECT_FALSE(DecodePeerMessage(
+      std::string("\x9b\x18\x35\x60\x60\x01\xf4\x00\x00", 9)));
+  EXPECT_FALSE(DecodePeerMessage(
+      std::string("\x82\x0c\xbb\x7f\xff\xff\xff\xff\xff\xff\xff", 11)));
+  EXPECT_FALSE(DecodePeerMessage(
+      std::string("\x82\x0c\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", 11)));
+}
+
 TEST(PeerMessagesTest, OtherBytesAreNoMessage) {
   const auto bytes = EncodePeerMessage(FreshnessReply{1, 2, seconds(3)});
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     EXPECT_FALSE(DecodePeerMessage(bytes.substr(0, size)));
   }
   EXPECT_FALSE(DecodePeerMessage("\x81\x0b"));
+  EXPECT_FALSE(
+      DecodePeerMessage(EncodePeerMessage(FreshnessReply{1, 2, seconds(-3)})));
   EXPECT_FALSE(DecodePeerMessage("hello"));
 }
 
--- a/tests/router/test_peer_codec.cpp
+++ b/tests/router/test_peer_codec.cpp
@@ -51,6 +51,11 @@
   }
 }
 
+TEST(PeerCodecTest, AStatedLengthIsNotBelieved) {
+  EXPECT_FALSE(IsOk(DecodePeerMessage(
+      std::string("\x9b\x18\x35\x60\x60\x01\xf4\x00\x00", 9))));
+}
+
 RC_GTEST_PROP(PeerCodecProperty, AnyBytesAreSafe, (const std::string& bytes)) {
   const auto decoded = DecodePeerMessage(bytes);
   if (IsOk(decoded)) EncodePeerMessage(ValueOf(decoded));
