--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -254,8 +254,9 @@
   if (kind == kSummary && body.size() == kSummaryMembers) {
     return DecodeSummary(body);
   }
-  if (kind == kQuery)
+  if (kind == kQuery) {
     return FreshnessQuery{ReadNumber<std::uint64_t>(body.at(1))};
+  }
   if (kind == kReply) {
     const Duration age(ReadNumber<std::uint32_t>(body.at(3)));
     return FreshnessReply{ReadNumber<std::uint64_t>(body.at(1)),
