--- a/gateway/caller_steering.h
+++ b/gateway/caller_steering.h
@@ -12,10 +12,10 @@
 
 namespace papayaplank {
 
-// Addresses for the caller `caller` in data centre `near`, the same at every
-// router. In a large data centre these are some of its routers, large instances
-// more often than small ones. They are chosen among the routers there that
-// don't divert callers. If there are fewer than two, those of all data centres;
+// Addresses for the caller at the IP address `caller` in data centre `near`,
+// the same at every router. In a large data centre these are some of its
+// routers, large instances more often than small ones, out of those that don't
+// divert callers. If there are fewer than two, those of all data centres count;
 // if these are still fewer than two, the diverting ones as well. In a loaded
 // fleet
 // (`IsFleetLoaded`) the diverting ones are included from the start.
