--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -34,6 +34,16 @@
   return lines;
 }
 
+// Ids of the prompt parts that other requests may share.
+auto SharedPartNames(const PromptFacts& prompt) -> std::string {
+  std::string names;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    if (i > 0) names += ',';
+    names += EncodePartId(prompt.parts[i].id);
+  }
+  return names;
+}
+
 auto ToMs(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -376,6 +386,9 @@
   const auto version =
       context_.core.table() == nullptr ? 0 : context_.core.table()->version();
   const auto& forecast = admission_facts_.forecast;
+  const auto shared_parts = log_class == LogClass::kFailure
+                                ? SharedPartNames(request_.prompt)
+                                : std::string();
   context_.log.Write(
       log_class, event,
       {{"request", request_.request_id},
@@ -387,6 +400,10 @@
        {"sends", static_cast<std::int64_t>(accepted_request_.attempts)},
        {"target_status", static_cast<std::int64_t>(answer_.status)},
        {"events", relayed_events_},
+       {"shared_parts", shared_parts},
+       {"attempt_ms",
+        ToMs(accepted_request_.attempts == 0 ? Duration{}
+                                             : now - attempt_started_at_)},
        {"elapsed_ms", ToMs(now - arrived_at_)},
        {"first_byte_ms", ToMs(first_byte_delay_)},
        {"caller_wait_ms", ToMs(request_.caller_wait)},
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -105,6 +105,15 @@
   }
 }
 
+TEST(RequestHeadersTest, LogsNamePromptPartsAsRequestsDo) {
+  const auto request = DecodeCallerRequest(
+      "POST", "/p/1", {{"Prefix-Hash", "5c1e07a2:800, 91bd3f06 :410,part:9"}});
+  ASSERT_EQ(request.prompt.parts.size(), 3U);
+  EXPECT_EQ(EncodePartId(request.prompt.parts[0].id), "5c1e07a2");
+  EXPECT_EQ(EncodePartId(request.prompt.parts[1].id), "91bd3f06");
+  EXPECT_EQ(request.prompt.parts[2].id, StableHash("part"));
+}
+
 TEST(RequestHeadersTest, DecodesAnswerOfTarget) {
   EXPECT_TRUE(DecodeTargetAnswer(503, {{"Not-Executed", "1"}}).is_not_executed);
   EXPECT_FALSE(DecodeTargetAnswer(503, {}).is_not_executed);
