Admission, gateway: a prompt part that crashes targets is quarantined

Cause: a query of death. A router forgot what a lost engine had been running, sent the next request with the part to the next engine, and repeated a broken one itself. No router sees more than a few of the crashes.

CrashGuard notes which attempts were starting (no output yet, or for less than 500 ms) when an answer broke off, and confirms the crash by a new connection that the target turns away, or by its row. PartQuarantine counts, by part, crashed processes since the last answer that went on with it, anywhere in the fleet: one such answer clears a part. Three rounds of crashes, or four crashes in two, a second and a half of time for objections, and an answer to some other prompt meanwhile make a verdict; a part that was sound before needs one more. Routers tell each other only while there is evidence: in a mesh to all, through hubs otherwise; verdicts are repeated each second, for routers that have just started. Requests with a quarantined part are refused at once, 503, before they count as demand; a suspected one is not repeated. After a minute one router tries one request. Logs: target_crashed, part_quarantined, part_released.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -1,6 +1,6 @@
 // Public header of the admission library: load forecasts, fair shares and
-// budgets that decide where a request is served, and whether it is refused
-// when the load exceeds the capacity of the targets.
+// budgets that decide where a request is served, whether it is refused when the
+// load exceeds the capacity of the targets, and which prompts crash targets.
 #ifndef ADMISSION_ADMISSION_H_
 #define ADMISSION_ADMISSION_H_
 
@@ -8,6 +8,7 @@
 #include "admission/engine_load.h"
 #include "admission/fair_share.h"
 #include "admission/fleet_retry_budget.h"
+#include "admission/part_quarantine.h"
 #include "admission/router_load.h"
 #include "admission/target_outcomes.h"
 
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -68,6 +68,11 @@
     return "the customer had used " + DisplayField(line, "share_used") +
            " of its even share, and " + ExplainNoRoom(line);
   }
+  if (outcome == "quarantined_part") {
+    return "part " + DisplayField(line, "quarantined_part") +
+           " of the prompt is quarantined: targets crashed one after the other "
+           "as they began to answer requests with it (see part_quarantined)";
+  }
   if (outcome == "key_unconfirmed") {
     return "the router's keys were last confirmed " +
            DisplayField(line, "key_age_ms") +
@@ -157,6 +162,9 @@
                                                 "target_left",
                                                 "target_joined",
                                                 "target_restarted",
+                                                "target_crashed",
+                                                "part_quarantined",
+                                                "part_released",
                                                 "process_stood_still",
                                                 "reload",
                                                 "configuration_in_force",
--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -276,11 +276,11 @@
   return messages;
 }
 
-auto FleetExchange::ReportRecipients(const PeerReport& report, Time now)
+auto FleetExchange::ReportRecipients(const RouterState& self, Time now)
     -> std::vector<std::string> {
   std::vector<std::string> recipients;
-  const auto& near = report.data_center;
-  Append(recipients, peers_.RankHubs(near, &report, SilentHubs(now), now),
+  const auto& near = self.data_center;
+  Append(recipients, peers_.RankHubs(near, &self, SilentHubs(now), now),
          kHubsPerDataCenter);
   const auto known = peers_.AddressesIn(near);
   if (!is_informed(now) && !known.empty()) {
@@ -294,7 +294,7 @@
       Append(recipients, {silent[random_.Index(silent.size())]}, 1);
     }
   }
-  std::erase(recipients, report.peer_address);
+  std::erase(recipients, self.peer_address);
   return recipients;
 }
 
@@ -334,11 +334,11 @@
   }
 }
 
-auto FleetExchange::RemoteHubs(const PeerReport& report, Time now)
+auto FleetExchange::RemoteHubs(const RouterState& self, Time now)
     -> std::vector<std::string> {
   std::vector<std::string> hubs;
   for (const auto& data_center : peers_.DataCenters()) {
-    if (data_center == report.data_center || data_center.value().empty()) {
+    if (data_center == self.data_center || data_center.value().empty()) {
       continue;
     }
     const auto ranks =
@@ -380,6 +380,15 @@
   return messages;
 }
 
+auto FleetExchange::EvidenceRecipients(Time now) -> std::vector<std::string> {
+  if (role_ == ExchangeRole::kMesh) return peers_.AllAddresses();
+  if (role_ == ExchangeRole::kMember) return ReportRecipients(self_, now);
+  auto recipients = RemoteHubs(self_, now);
+  const auto members = peers_.AddressesIn(self_.data_center);
+  Append(recipients, members, members.size());
+  return recipients;
+}
+
 auto FleetExchange::MakeMessages(PeerReport report, Time now)
     -> std::vector<OutgoingMessage> {
   if (role_ == ExchangeRole::kMesh) return MeshMessages(std::move(report));
--- a/gateway/fleet_exchange.h
+++ b/gateway/fleet_exchange.h
@@ -54,6 +54,10 @@
   auto MakeMessages(PeerReport report, Time now)
       -> std::vector<OutgoingMessage>;
 
+  // Where this router sends evidence about prompt parts: in a mesh to all, from
+  // a member to its hubs, from a hub to the other hubs and to its members.
+  auto EvidenceRecipients(Time now) -> std::vector<std::string>;
+
   // Requests of the other routers at a target.
   auto Others(std::uint32_t target) const -> LoadShare;
   // Targets for which `Others` has changed since the last call.
@@ -91,7 +95,7 @@
 
   auto MeshMessages(PeerReport report) const -> std::vector<OutgoingMessage>;
   // Where a member or hub sends its reports.
-  auto ReportRecipients(const PeerReport& report, Time now)
+  auto ReportRecipients(const RouterState& self, Time now)
       -> std::vector<std::string>;
   auto MakeSummary(const PeerReport& report, FleetSummary::Scope scope)
       -> FleetSummary;
@@ -101,7 +105,7 @@
   auto HubMessages(const PeerReport& report, Time now)
       -> std::vector<OutgoingMessage>;
   // Where a hub sends the sums over its data centre.
-  auto RemoteHubs(const PeerReport& report, Time now)
+  auto RemoteHubs(const RouterState& self, Time now)
       -> std::vector<std::string>;
 
   PeerTable& peers_;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -21,6 +21,8 @@
 constexpr double kOutputWeight = 2;
 // Retry-After if it is unknown how long the cause of the refusal will last.
 constexpr Duration kUnknownRetryAfter = milliseconds(300);
+// Least Retry-After of a request with a quarantined prompt part.
+constexpr Duration kLeastQuarantineRetryAfter = seconds(5);
 // Retry-After of a saturated router.
 constexpr Duration kBusyRetryAfter = milliseconds(150);
 // For requests without a stated deadline.
@@ -48,6 +50,7 @@
       watch_(options_.router),
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
+      crash_guard_(StableHash("crash guard", options_.seed)),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -61,7 +64,10 @@
   keys_.Confirm(sent_at);
 }
 
-auto GatewayCore::RecordPause(Time) -> void { keys_.Invalidate(); }
+auto GatewayCore::RecordPause(Time) -> void {
+  keys_.Invalidate();
+  crash_guard_.RecordPause();
+}
 
 auto GatewayCore::BeginStop(Time now) -> void {
   if (is_leaving_) return;
@@ -75,6 +81,31 @@
   return Refusal{reason, retry_after};
 }
 
+auto GatewayCore::IsProbeOwner(PartId part, Time now) const -> bool {
+  const auto own = StableHash(options_.peer_address, part);
+  const auto addresses = peers_.LiveAddresses(now);
+  return std::all_of(addresses.begin(), addresses.end(),
+                     [own, part](const std::string& address) {
+                       return StableHash(address, part) <= own;
+                     });
+}
+
+auto GatewayCore::RefuseQuarantined(const std::vector<PartId>& parts, Time now)
+    -> std::optional<Refusal> {
+  auto& quarantine = crash_guard_.quarantine();
+  const auto part = quarantine.FindQuarantined(parts);
+  if (!part) return std::nullopt;
+  const auto wait = quarantine.TimeToProbe(*part, now);
+  if (wait <= Duration{} && IsProbeOwner(*part, now)) {
+    quarantine.RecordProbe(*part, now);
+    return std::nullopt;
+  }
+  auto refusal = Refuse(RefusalReason::kQuarantinedPart,
+                        std::max<Duration>(wait, kLeastQuarantineRetryAfter));
+  refusal.part = *part;
+  return refusal;
+}
+
 auto GatewayCore::ChoosePool(const Route& route) -> PoolId {
   double total = 0;
   for (const auto& pool : route.pools) {
@@ -124,6 +155,10 @@
   if (is_stream && load_.is_saturated()) {
     return Refuse(RefusalReason::kRouterBusy, kBusyRetryAfter);
   }
+  // Before the demand is counted: requests that can't run take no share.
+  if (auto refusal = RefuseQuarantined(SharedParts(facts.prompt.parts), now)) {
+    return std::move(*refusal);
+  }
   request.prompt = facts.prompt;
   request.arrived_at = now;
   request.deadline = now + wait;
@@ -206,6 +241,11 @@
 }
 
 auto GatewayCore::Place(GatewayRequest& request, Time now) -> PlacementResult {
+  if (request.attempts > 0) {
+    // The part may have been quarantined since the first attempt.
+    auto refusal = RefuseQuarantined(SharedParts(request.prompt.parts), now);
+    if (refusal) return std::move(*refusal);
+  }
   const auto options = FindOptions(request, now);
   AdmissionTerms terms;
   terms.objective = request.route->objective;
@@ -237,6 +277,9 @@
   FindOrAddLoad(placement.target)
       .Start(placement.attempt, placement.tokens_to_read,
              placement.tokens_to_read + prompt.expected_output_tokens, now);
+  if (terms.is_engine) {
+    crash_guard_.StartAttempt(placement, prompt.parts, now);
+  }
   if (request.attempts == 0) {
     const auto tokens = RequestCost(prompt);
     if (tokens > 0) shares_.RecordService(request.customer, tokens, now);
@@ -253,6 +296,17 @@
   if (found != loads_.end()) {
     found->second.RecordFirstToken(placement.attempt, now);
   }
+  crash_guard_.RecordOutput(placement.attempt, now);
+}
+
+auto GatewayCore::RecordTargetCheck(const TargetId& target, bool is_reachable,
+                                    Time now) -> void {
+  if (is_reachable) {
+    crash_guard_.RecordReachable(target);
+    return;
+  }
+  crash_guard_.RecordUnreachable(target, now);
+  outcomes_.StartCooldown(target, kNotReachedCooldown, now);
 }
 
 auto GatewayCore::RecordAttemptEnd(const GatewayRequest& request,
@@ -261,6 +315,7 @@
   const auto& target = placement.target.id;
   const auto found = loads_.find(target);
   if (found != loads_.end()) found->second.End(placement.attempt, now);
+  crash_guard_.EndAttempt(placement.attempt, outcome, now);
   switch (outcome) {
     case AttemptOutcome::kComplete:
       ++counters_.completed;
@@ -306,6 +361,10 @@
     if (!is_retryable || request.attempts >= route.max_attempts) return false;
   }
   if (has_events && !route.is_resumable) return false;
+  if (!has_surely_not_run && crash_guard_.quarantine().IsSuspected(
+                                 SharedParts(request.prompt.parts))) {
+    return false;
+  }
   if (!retry_budget_.TrySpend(request.pool, now)) return false;
   ++counters_.retries;
   return true;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gateway/config_watch.h"
+#include "gateway/crash_guard.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
@@ -103,6 +104,7 @@
   // Returns the changes in the directory by the target updates of the report.
   auto HandleReport(const PeerReport& report, Time now) -> DirectoryChange;
   auto HandleSummary(const FleetSummary& summary, Time now) -> DirectoryChange;
+  auto HandleEvidence(const PartEvidence& evidence, Time now) -> void;
   // Tells a peer the version of the configuration and the age of its
   // confirmation. Nothing if this router's own configuration is not confirmed.
   auto AnswerQuery(const FreshnessQuery& query, Time now) const
@@ -139,6 +141,24 @@
   auto MayRetry(const GatewayRequest& request, AttemptOutcome outcome,
                 bool has_events, Time now) -> bool;
 
+  // Crashes of targets, and prompt parts that cause them.
+
+  // Whether to find out if the target accepts connections.
+  auto ShouldCheckTarget(const TargetId& target) const -> bool {
+    return crash_guard_.ShouldCheck(target);
+  }
+  auto RecordTargetCheck(const TargetId& target, bool is_reachable, Time now)
+      -> void;
+  // Parts that were quarantined or released since the last call.
+  auto TakeQuarantineChanges() -> std::vector<QuarantineChange> {
+    return crash_guard_.quarantine().TakeChanges();
+  }
+  // Crashes that were confirmed since the last call.
+  auto TakeCrashes() -> std::vector<TargetCrash> {
+    return crash_guard_.TakeCrashes();
+  }
+  auto crash_guard() const -> const CrashGuard& { return crash_guard_; }
+
   // Reads from the store.
 
   // Whether this router waits at the store for configuration changes.
@@ -214,6 +234,12 @@
   static auto PreferredTargets(const std::vector<TargetRow>& targets,
                                const std::vector<PromptPart>& parts)
       -> std::vector<const TargetRow*>;
+  // The refusal of a request with a quarantined part; nothing if it has none,
+  // or if this request is chosen to try the part.
+  auto RefuseQuarantined(const std::vector<PartId>& parts, Time now)
+      -> std::optional<Refusal>;
+  // Whether this router tries the part for the fleet.
+  auto IsProbeOwner(PartId part, Time now) const -> bool;
   // Makes a refusal and counts it.
   auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   // A random pool of the route, by weight, among those with serving targets.
@@ -223,7 +249,7 @@
   auto MakeReport(Time now) -> PeerReport;
   // Passes the requests of other routers on to the forecasts.
   auto UpdateOtherLoads() -> void;
-  auto ApplyChange(const DirectoryChange& change) -> void;
+  auto ApplyChange(const DirectoryChange& change, Time now) -> void;
   // Drops what is known of a target that left or restarted.
   auto ResetTarget(const TargetId& target) -> void;
   // Whether target rows may be missing because of a store outage.
@@ -241,6 +267,7 @@
   FleetRetryBudget retry_budget_;
   RouterLoad load_;
   TargetOutcomes outcomes_;
+  CrashGuard crash_guard_;
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their `TargetHash`.
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -42,15 +42,18 @@
   for (const auto& update : change.updates) {
     recent_updates_.emplace_back(now, update);
   }
-  ApplyChange(change);
+  ApplyChange(change, now);
   return change;
 }
 
-auto GatewayCore::ApplyChange(const DirectoryChange& change) -> void {
+auto GatewayCore::ApplyChange(const DirectoryChange& change, Time now) -> void {
   for (const auto& target : change.joined) {
     target_of_hash_[TargetHash(target)] = target;
   }
-  for (const auto& target : change.restarted) ResetTarget(target);
+  for (const auto& target : change.restarted) {
+    crash_guard_.RecordUnreachable(target, now);
+    ResetTarget(target);
+  }
   for (const auto& target : change.left) {
     if (directory_.Find(target) == nullptr) ResetTarget(target);
   }
@@ -101,6 +104,13 @@
   return changes;
 }
 
+auto GatewayCore::HandleEvidence(const PartEvidence& evidence, Time now)
+    -> void {
+  // Only hubs pass on what they hear; in a mesh everyone hears it first-hand.
+  const auto passes_on = exchange_.role() == ExchangeRole::kHub;
+  crash_guard_.quarantine().Merge(evidence.records, passes_on, now);
+}
+
 auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
                                      Time now) -> DirectoryChange {
   DirectoryChange changes;
@@ -109,7 +119,7 @@
   };
   for (const auto& update : updates) {
     const auto change = directory_.Apply(update);
-    ApplyChange(change);
+    ApplyChange(change, now);
     const auto is_news = !change.left.empty() || !change.restarted.empty() ||
                          !change.joined.empty();
     if (is_news && exchange_.role() == ExchangeRole::kHub) {
@@ -263,7 +273,14 @@
 auto GatewayCore::MakePeerMessages(Time now) -> std::vector<OutgoingMessage> {
   exchange_.Tick(MakeState(now), now);
   UpdateOtherLoads();
-  return exchange_.MakeMessages(MakeReport(now), now);
+  crash_guard_.Tick(now);
+  auto messages = exchange_.MakeMessages(MakeReport(now), now);
+  PartEvidence evidence{crash_guard_.quarantine().RecordsToSend(now)};
+  if (!evidence.records.empty()) {
+    messages.push_back(
+        {std::move(evidence), exchange_.EvidenceRecipients(now)});
+  }
+  return messages;
 }
 
 auto GatewayCore::ServingRouters(Time now) const -> std::vector<ServingRouter> {
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -17,6 +17,7 @@
 constexpr int kReply = 13;
 constexpr int kSnapshot = 14;
 constexpr int kSummary = 41;
+constexpr int kPartEvidence = 51;
 constexpr std::size_t kReportMembers = 6;
 constexpr std::size_t kSummaryMembers = 11;
 constexpr std::size_t kStateMembers = 7;
@@ -196,6 +197,48 @@
           EncodeTargetUpdates(summary.target_updates)};
 }
 
+// Ages are encoded in milliseconds. A negative one is rejected.
+auto ToJson(const PartEvidence& evidence) -> Json {
+  const auto to_ms = [](Duration age) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+  };
+  auto records = Json::array();
+  for (const auto& record : evidence.records) {
+    auto crashes = Json::array();
+    for (const auto& crash : record.crashes) {
+      crashes.push_back(crash.process);
+      crashes.push_back(to_ms(crash.age));
+    }
+    Json sound;
+    if (record.sound) sound = {record.sound->id, to_ms(record.sound->age)};
+    records.push_back({record.part, record.is_quarantined, std::move(crashes),
+                       std::move(sound)});
+  }
+  return {kPartEvidence, std::move(records)};
+}
+
+auto DecodePartEvidence(const Json& body) -> PartEvidence {
+  const auto read_age = [](const Json& json) -> Duration {
+    return milliseconds(ReadNumber<std::uint32_t>(json));
+  };
+  PartEvidence evidence;
+  for (const auto& entry : body.at(1)) {
+    auto& record = evidence.records.emplace_back();
+    record.part = ReadNumber<PartId>(entry.at(0));
+    record.is_quarantined = entry.at(1).get<bool>();
+    const auto& crashes = entry.at(2);
+    for (std::size_t i = 0; i + 2 <= crashes.size(); i += 2) {
+      record.crashes.push_back(
+          {ReadNumber<std::uint64_t>(crashes[i]), read_age(crashes[i + 1])});
+    }
+    const auto& sound = entry.at(3);
+    if (sound.is_null()) continue;
+    record.sound = PartRecord::SoundRun{ReadNumber<std::uint64_t>(sound.at(0)),
+                                        read_age(sound.at(1))};
+  }
+  return evidence;
+}
+
 auto ToJson(const FreshnessQuery& query) -> Json {
   return {kQuery, query.nonce};
 }
@@ -254,6 +297,7 @@
   if (kind == kSummary && body.size() == kSummaryMembers) {
     return DecodeSummary(body);
   }
+  if (kind == kPartEvidence) return DecodePartEvidence(body);
   if (kind == kQuery) {
     return FreshnessQuery{ReadNumber<std::uint64_t>(body.at(1))};
   }
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -60,6 +60,12 @@
   std::vector<TargetUpdate> target_updates;
 };
 
+// What a router knows of prompt parts that crash targets. Sent only while it
+// knows of any.
+struct PartEvidence {
+  std::vector<PartRecord> records;
+};
+
 // Asks a peer how long ago its configuration was confirmed as the newest.
 struct FreshnessQuery {
   // Chosen by the sender; the reply repeats it.
@@ -82,8 +88,8 @@
   std::vector<TargetUpdate> targets;
 };
 
-using PeerMessage = std::variant<PeerReport, FleetSummary, FreshnessQuery,
-                                 FreshnessReply, PeerSnapshot>;
+using PeerMessage = std::variant<PeerReport, FleetSummary, PartEvidence,
+                                 FreshnessQuery, FreshnessReply, PeerSnapshot>;
 
 // Short identifiers of a target and of a router process in messages.
 auto TargetHash(const TargetId& target) -> std::uint32_t;
--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -19,6 +19,8 @@
       return "over_share";
     case RefusalReason::kNoRoom:
       return "no_room";
+    case RefusalReason::kQuarantinedPart:
+      return "quarantined_part";
     case RefusalReason::kRouterBusy:
       return "router_busy";
     case RefusalReason::kLeaving:
@@ -51,6 +53,7 @@
     case RefusalReason::kKeyUnconfirmed:
     case RefusalReason::kNoTarget:
     case RefusalReason::kNoRoom:
+    case RefusalReason::kQuarantinedPart:
     case RefusalReason::kRouterBusy:
     case RefusalReason::kLeaving:
     case RefusalReason::kDeadline:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -54,6 +54,7 @@
   kNoTarget,         // No target serves the pool.
   kOverShare,        // Capacity is short; the customer used up its share.
   kNoRoom,           // The best target would be late, is full or lacks memory.
+  kQuarantinedPart,  // A part of the prompt has crashed targets.
   kRouterBusy,       // The processor of the router is saturated.
   kLeaving,          // The router stops before the request could end.
   kDeadline,         // The deadline passed before it was sent.
@@ -87,6 +88,8 @@
   Duration retry_after{};
   // Set if a target was considered.
   std::optional<AdmissionFacts> facts{};
+  // The quarantined part, if that is the reason.
+  std::optional<PartId> part{};
 };
 
 // The target that an attempt goes to.
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -66,6 +66,13 @@
                                 (core.is_ready(now) ? 1 : 0)));
   SetMetric(metrics, "store_calls_total",
             static_cast<double>(sources.store_calls()));
+  const auto& quarantine = core.crash_guard().quarantine();
+  SetMetric(metrics, "target_crashes_total",
+            static_cast<double>(core.crash_guard().confirmed_crashes()));
+  SetMetric(metrics, "parts_quarantined",
+            static_cast<double>(quarantine.quarantined_count()));
+  SetMetric(metrics, "parts_suspected",
+            static_cast<double>(quarantine.suspect_count()));
   SetMetric(metrics, "is_ready", core.is_ready(now) ? 1 : 0);
   SetMetric(metrics, "is_watcher", core.is_watcher(now) ? 1 : 0);
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -79,6 +79,8 @@
     PassOnChange(core_.HandleReport(*report, now));
   } else if (const auto* summary = std::get_if<FleetSummary>(&message)) {
     PassOnChange(core_.HandleSummary(*summary, now));
+  } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
+    core_.HandleEvidence(*evidence, now);
   } else if (const auto* query = std::get_if<FreshnessQuery>(&message)) {
     const auto reply = core_.AnswerQuery(*query, now);
     if (reply) Send(EncodePeerMessage(*reply), from);
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -136,6 +136,7 @@
   auto TickReports() -> void;
   auto TickSweep() -> void;
   auto UpdateAccepting(Time now) -> void;
+  auto LogCrashes() -> void;
   auto WaitForSignal() -> void;
   auto BeginStop() -> void;
   auto CheckStopped() -> void;
@@ -243,6 +244,7 @@
   last_tick_ = now;
   UpdateAccepting(now);
   peer_link_.SendMessages(now);
+  LogCrashes();
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
     if (!error) TickReports();
@@ -262,6 +264,24 @@
              {{"lateness_ms", core_.load().lateness_ms()}});
 }
 
+auto RelayProcess::LogCrashes() -> void {
+  for (const auto& crash : core_.TakeCrashes()) {
+    std::string parts;
+    for (const auto part : crash.parts) {
+      parts += (parts.empty() ? "" : ",") + EncodePartId(part);
+    }
+    log_.Write(LogClass::kState, "target_crashed",
+               {{"target", crash.target.value()}, {"starting_parts", parts}});
+  }
+  for (const auto& change : core_.TakeQuarantineChanges()) {
+    log_.Write(LogClass::kState,
+               change.is_quarantined ? "part_quarantined" : "part_released",
+               {{"part", EncodePartId(change.part)},
+                {"crashes", static_cast<std::int64_t>(change.crashes)},
+                {"source", change.is_from_peer ? "peer" : "own"}});
+  }
+}
+
 auto RelayProcess::TickSweep() -> void {
   const auto now = MonotonicClock::now();
   caller_server_.CheckTimeouts(now);
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -259,6 +259,13 @@
   const auto now = MonotonicClock::now();
   context_.core.RecordAttemptEnd(accepted_request_, placement_, outcome, now);
   context_.metrics.RecordAttempt(placement_.target.id, outcome);
+  if (context_.core.ShouldCheckTarget(placement_.target.id)) {
+    context_.target_connections.Check(
+        placement_.target,
+        [&core = context_.core, id = placement_.target.id](bool is_reachable) {
+          core.RecordTargetCheck(id, is_reachable, MonotonicClock::now());
+        });
+  }
   if (outcome != AttemptOutcome::kComplete &&
       outcome != AttemptOutcome::kCancelled) {
     Log(LogClass::kFailure, "send_failed", AttemptOutcomeName(outcome), now);
@@ -322,6 +329,7 @@
 auto RelayedRequest::Refuse(const Refusal& refusal) -> void {
   const auto now = MonotonicClock::now();
   if (refusal.facts) admission_facts_ = *refusal.facts;
+  quarantined_part_ = refusal.part;
   retry_after_ = refusal.retry_after;
   Log(LogClass::kFailure, "request_refused", RefusalName(refusal.reason), now);
   RecordAnswer(RefusalName(refusal.reason), now);
@@ -389,6 +397,8 @@
   const auto shared_parts = log_class == LogClass::kFailure
                                 ? SharedPartNames(request_.prompt)
                                 : std::string();
+  const auto quarantined_part =
+      quarantined_part_ ? EncodePartId(*quarantined_part_) : std::string();
   context_.log.Write(
       log_class, event,
       {{"request", request_.request_id},
@@ -401,6 +411,7 @@
        {"target_status", static_cast<std::int64_t>(answer_.status)},
        {"events", relayed_events_},
        {"shared_parts", shared_parts},
+       {"quarantined_part", quarantined_part},
        {"attempt_ms",
         ToMs(accepted_request_.attempts == 0 ? Duration{}
                                              : now - attempt_started_at_)},
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -4,6 +4,7 @@
 #define RELAY_RELAYED_REQUEST_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/gateway.h"
@@ -79,6 +80,8 @@
   Duration first_byte_delay_{};
   // Inputs of the latest admission decision, for the log.
   AdmissionFacts admission_facts_;
+  // Part for which the request was refused.
+  std::optional<PartId> quarantined_part_;
   // Value of the Retry-After header that the caller got; zero for none.
   Duration retry_after_{};
   AnswerState answer_state_ = AnswerState::kNotStarted;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -18,14 +18,18 @@
 TargetConnection::TargetConnection(asio::io_context& io)
     : socket_(io), connect_timer_(io) {}
 
-auto TargetConnection::Connect(const tcp::endpoint& endpoint) -> void {
+auto TargetConnection::Connect(const tcp::endpoint& endpoint,
+                               std::function<void(bool)> on_connected) -> void {
+  on_connected_ = std::move(on_connected);
   error_code error;
   socket_.open(endpoint.protocol(), error);
   if (!error) socket_.non_blocking(true, error);
   if (!error) SetLongLivedOptions(socket_);
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait([self = shared_from_this()](error_code e) {
-    if (!e && !self->is_connected_) self->End(TransferEnd::kNotConnected);
+    if (e || self->is_connected_) return;
+    self->End(TransferEnd::kNotConnected);
+    self->ReportConnected(false);
   });
   socket_.async_connect(endpoint, [self = shared_from_this()](error_code e) {
     self->OnConnected(e);
@@ -35,12 +39,22 @@
 auto TargetConnection::OnConnected(error_code error) -> void {
   connect_timer_.cancel();
   if (!socket_.is_open()) return;
-  if (error) return End(TransferEnd::kNotConnected);
+  if (error) {
+    End(TransferEnd::kNotConnected);
+    return ReportConnected(false);
+  }
   is_connected_ = true;
+  ReportConnected(true);
+  if (!socket_.is_open()) return;
   WaitReadable();
   WriteMore();
 }
 
+auto TargetConnection::ReportConnected(bool is_connected) -> void {
+  const auto on_connected = std::exchange(on_connected_, nullptr);
+  if (on_connected) on_connected(is_connected);
+}
+
 auto TargetConnection::Send(std::string head,
                             std::shared_ptr<const std::string> body,
                             bool is_head_request, TransferHooks hooks) -> void {
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -35,7 +35,9 @@
   explicit TargetConnection(asio::io_context& io);
 
   // Starts to connect. `Send` may be called before the connection is open.
-  auto Connect(const tcp::endpoint& endpoint) -> void;
+  // `on_connected`, which may be null, gets whether the target accepted it.
+  auto Connect(const tcp::endpoint& endpoint,
+               std::function<void(bool)> on_connected = nullptr) -> void;
   // Sends a request. `head` ends with its empty line; `body` may be null.
   auto Send(std::string head, std::shared_ptr<const std::string> body,
             bool is_head_request, TransferHooks hooks) -> void;
@@ -55,6 +57,7 @@
 
  private:
   auto OnConnected(error_code error) -> void;
+  auto ReportConnected(bool is_connected) -> void;
   auto WriteMore() -> void;
   auto WaitReadable() -> void;
   auto OnReadable() -> void;
@@ -69,6 +72,7 @@
   // hook returns.
   TransferHooks closed_hooks_;
   std::function<void()> on_lost_;
+  std::function<void(bool)> on_connected_;
   std::optional<ResponseReader> reader_;
   // Bytes received and not parsed yet.
   std::string in_;
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -61,6 +61,21 @@
   connection->MarkIdle([] {});
 }
 
+auto TargetConnectionPool::Check(const TargetRow& target,
+                                 std::function<void(bool)> on_result) -> void {
+  const auto endpoint = ParseTcpEndpoint(target.address);
+  if (!endpoint || !checked_.insert(target.id).second) return;
+  auto connection = std::make_shared<TargetConnection>(io_);
+  ++opened_;
+  connection->Connect(*endpoint,
+                      [this, id = target.id, connection,
+                       on_result = std::move(on_result)](bool is_reachable) {
+                        checked_.erase(id);
+                        connection->Close();
+                        on_result(is_reachable);
+                      });
+}
+
 auto TargetConnectionPool::CloseTarget(const TargetId& target) -> void {
   const auto entry = targets_.find(target);
   if (entry == targets_.end()) return;
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -3,8 +3,10 @@
 #define RELAY_TARGET_CONNECTION_POOL_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include "relay/target_connection.h"
@@ -29,6 +31,11 @@
                const std::shared_ptr<TargetConnection>& connection,
                std::optional<Duration> keep_alive, std::size_t max_idle,
                Time now) -> void;
+  // Finds out by a new connection, which is closed again, whether the target
+  // accepts connections. Nothing if a check of it is in progress, or if its
+  // address can't be parsed.
+  auto Check(const TargetRow& target, std::function<void(bool)> on_result)
+      -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
   // Closes idle connections that can't be reused any more.
@@ -51,6 +58,8 @@
 
   asio::io_context& io_;
   std::unordered_map<TargetId, TargetEntry> targets_;
+  // Targets with a check in progress.
+  std::set<TargetId> checked_;
   std::uint64_t opened_ = 0;
 };
 
--- a/tests/gateway/crash_fleet.cpp
+++ b/tests/gateway/crash_fleet.cpp
@@ -169,6 +169,8 @@
     core->HandleReport(*report, now_);
   } else if (const auto* summary = std::get_if<FleetSummary>(&message)) {
     core->HandleSummary(*summary, now_);
+  } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
+    core->HandleEvidence(*evidence, now_);
   }
 }
 
@@ -305,9 +307,20 @@
   }
 }
 
+auto CrashFleet::CheckEngine(const Attempt& attempt) -> void {
+  const auto id = attempt.placement.target.id;
+  if (!routers_.at(attempt.router).core->ShouldCheckTarget(id)) return;
+  At(2 * kLatency, [this, attempt, id] {
+    if (!IsRunning(attempt)) return;
+    routers_.at(attempt.router)
+        .core->RecordTargetCheck(id, engines_.count(id) != 0, now_);
+  });
+}
+
 auto CrashFleet::Fail(Attempt attempt, AttemptOutcome outcome) -> void {
   auto& core = *routers_.at(attempt.router).core;
   core.RecordAttemptEnd(*attempt.request, attempt.placement, outcome, now_);
+  CheckEngine(attempt);
   const auto has_events = attempt.events > 0;
   if (!core.MayRetry(*attempt.request, outcome, has_events, now_)) return;
   // An attempt that never reached its engine is still the first.
--- a/tests/gateway/crash_fleet.h
+++ b/tests/gateway/crash_fleet.h
@@ -119,6 +119,8 @@
   auto MakeEvent(const TargetId& engine, int attempt) -> void;
   // The attempt failed; it is repeated if its core allows it.
   auto Fail(Attempt attempt, AttemptOutcome outcome) -> void;
+  // Finds out, as the I/O layer does, whether the engine has ended.
+  auto CheckEngine(const Attempt& attempt) -> void;
   auto IsRunning(const Attempt& attempt) const -> bool;
 
   CrashFleetOptions options_;
