Relay: a stream that a target closes before its first event is broken

What callers saw: an empty stream with status 200 that looked complete. A target may end an answer with its connection, without length or chunks; one that crashes after the head of such an answer leaves nothing else. A stream that cannot resume ended as a success, and one that can was not resumed.

Cause: the end of the connection was taken for the end of the answer whatever had come. Ends within an event, and resets, were told apart before.

Change: the reader says when the end of the connection ended the answer; with no event in it the attempt counts as broken.

--- a/relay/http_client.cpp
+++ b/relay/http_client.cpp
@@ -53,7 +53,10 @@
           [this](int status, const HttpFields&) { reply_.status = status; },
           [this](std::string_view bytes) { AppendBody(bytes); },
           [this](TransferEnd end) {
-            if (end == TransferEnd::kComplete) return Finish(reply_);
+            if (end == TransferEnd::kComplete ||
+                end == TransferEnd::kCompleteAtClose) {
+              return Finish(reply_);
+            }
             Finish(Error{end == TransferEnd::kNotConnected
                              ? ErrorCode::kUnavailable
                              : ErrorCode::kUnknownEffect,
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -123,6 +123,7 @@
   attempt.body_bytes = body_ ? body_->size() : 0;
   answer_ = {};
   is_success_from_target_ = false;
+  has_attempt_events_ = false;
   buffered_body_.clear();
   event_splitter_.Restart();
   const auto self = shared_from_this();
@@ -162,6 +163,7 @@
       event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
   if (event_splitter_.has_gap() || is_endless) return BreakAttempt();
   if (complete_events.empty()) return;
+  has_attempt_events_ = true;
   if (relayed_before == 0) {
     BeginAnswer();
     RecordFirstByte();
@@ -221,9 +223,13 @@
     return AttemptOutcome::kBroken;
   }
   if (answer_.status >= kFirstServerError) return AttemptOutcome::kServerError;
-  if (is_stream_ && is_success_from_target_ &&
-      event_splitter_.has_partial_event()) {
-    return AttemptOutcome::kBroken;
+  if (is_stream_ && is_success_from_target_) {
+    // A target that crashes on the first event may close an empty answer.
+    const auto is_empty =
+        end == TransferEnd::kCompleteAtClose && !has_attempt_events_;
+    if (is_empty || event_splitter_.has_partial_event()) {
+      return AttemptOutcome::kBroken;
+    }
   }
   return AttemptOutcome::kComplete;
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -94,6 +94,8 @@
   TargetAnswer answer_;
   // Whether that head has a 2xx status and comes from the target itself.
   bool is_success_from_target_ = false;
+  // Whether the latest attempt brought an event that the caller didn't have.
+  bool has_attempt_events_ = false;
   // Answer bytes that are buffered until the answer is complete, or too long to
   // be buffered.
   std::string buffered_body_;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -135,7 +135,7 @@
     const auto is_orderly = error == asio::error::eof;
     if (is_orderly && reader_->FinishAtEndOfStream()) {
       HandleHead();
-      return End(TransferEnd::kComplete);
+      return End(TransferEnd::kCompleteAtClose);
     }
     return End(TransferEnd::kBroken);
   }
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -17,6 +17,9 @@
 // How the transfer of one request and its answer ended.
 enum class TransferEnd {
   kComplete,
+  // Neither a length nor chunks show that nothing is missing: the end of the
+  // connection ended the answer.
+  kCompleteAtClose,
   kNotConnected,  // No byte was sent.
   kBroken,        // The connection or the answer broke off.
 };
