Relay: quarantined parts are kept in the platform's store

Change: the routers that watch the configuration write a row for each quarantined part, remove it when the part is released, and read the table once, a second after they have started. Ages are counted on by the store's clock. The others make no call, so the cost is one read a watcher and two writes a verdict.

--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -105,6 +105,10 @@
   auto HandleReport(const PeerReport& report, Time now) -> DirectoryChange;
   auto HandleSummary(const FleetSummary& summary, Time now) -> DirectoryChange;
   auto HandleEvidence(const PartEvidence& evidence, Time now) -> void;
+  // Evidence from the store, which this router passes on to all.
+  auto HandleStoredEvidence(const PartEvidence& evidence, Time now) -> void {
+    crash_guard_.quarantine().Merge(evidence.records, true, now);
+  }
   // Tells a peer the version of the configuration and the age of its
   // confirmation. Nothing if this router's own configuration is not confirmed.
   auto AnswerQuery(const FreshnessQuery& query, Time now) const
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -11,6 +11,7 @@
 #include "relay/http_server.h"
 #include "relay/info_service.h"
 #include "relay/peer_link.h"
+#include "relay/quarantine_store.h"
 #include "relay/relay_context.h"
 #include "relay/relayed_request.h"
 #include "relay/service_registry_reader.h"
@@ -103,6 +104,8 @@
                                             DataCenterId(settings.data_center),
                                             settings.cores}},
             core_, store_health_, target_connections_, log_),
+        quarantine_store_(io_, settings.store_address, core_, store_health_,
+                          log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         report_timer_(io_),
         sweep_timer_(io_),
@@ -123,7 +126,8 @@
         });
   }
   auto StoreCalls() const -> std::uint64_t {
-    return configuration_reader_.calls() + registry_reader_.calls();
+    return configuration_reader_.calls() + registry_reader_.calls() +
+           quarantine_store_.calls();
   }
   auto Limits() const -> CallerLimits {
     return core_.table() == nullptr ? CallerLimits{} : core_.table()->limits();
@@ -159,6 +163,7 @@
   StoreHealth store_health_;
   ConfigurationReader configuration_reader_;
   ServiceRegistryReader registry_reader_;
+  QuarantineStore quarantine_store_;
   asio::signal_set signals_;
   asio::steady_timer report_timer_;
   asio::steady_timer sweep_timer_;
@@ -245,6 +250,7 @@
   UpdateAccepting(now);
   peer_link_.SendMessages(now);
   LogCrashes();
+  quarantine_store_.Tick(now);
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
     if (!error) TickReports();
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -145,6 +145,7 @@
                 return self.reply(connection, 200, {
                     "rows": rows[:self.page_rows],
                     "truncated": len(rows) > self.page_rows,
+                    "now-ms": int(time.monotonic() * 1000),
                     "ver": self.version})
         after = int(query["after-rev"])
         until = time.monotonic() + int(query["wait-ms"]) / 1000
