Admission: targets that crash together with others condemn no part; unit tests

What callers would have seen: requests with a rare part refused although the part is sound.

Cause: the evidence of a crash did not depend on what else crashed.

Change: a crash with two or more others at the same moment, at targets where the part was not starting, counts only in six rounds or more, so that several fatal parts at a time are still found.

--- a/admission/part_quarantine.cpp
+++ b/admission/part_quarantine.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kMoreIfOnceSound = 1;
 // Least rounds for a verdict of many crashes.
 constexpr std::size_t kLeastRounds = 2;
+// So many targets that crash at the moment of a crash, without the part, speak
+// for another cause. Such crashes count only in this many rounds.
+constexpr std::size_t kCompany = 2;
+constexpr std::size_t kRoundsInCompany = 6;
 // Crashes after which requests with a part are not repeated.
 constexpr std::size_t kSuspectedCrashes = 2;
 // From the first crash that counts until a verdict: other routers have heard of
@@ -41,6 +45,7 @@
 constexpr std::size_t kMaxEntries = 512;
 constexpr std::size_t kMaxQuarantined = 64;
 constexpr std::size_t kMaxCrashes = 8;
+constexpr std::size_t kMaxKnownCrashes = 128;
 constexpr std::size_t kMaxSoundRuns = 4096;
 constexpr Duration kSoundRunLifetime = seconds(600);
 // How often, and at which intervals, a change is sent.
@@ -177,6 +182,7 @@
 auto PartQuarantine::RecordCrash(std::uint64_t process,
                                  const std::set<PartId>& parts, Time crashed_at,
                                  Time now) -> void {
+  NoteCrash({process, crashed_at});
   std::vector<PartId> blamed(parts.begin(), parts.end());
   const auto is_quarantined = [this](PartId part) {
     return FindQuarantined({part}).has_value();
@@ -247,8 +253,10 @@
     is_news = AddSoundRun(record.part, *entry, run);
   }
   for (const auto& crash : record.crashes) {
+    const Crash known{crash.process, now - crash.age};
+    NoteCrash(known);
     if (!record.is_quarantined && IsExplained(crash.process)) continue;
-    const auto is_new = AddCrash(*entry, {crash.process, now - crash.age});
+    const auto is_new = AddCrash(*entry, known);
     is_news = is_news || is_new;
   }
   // What this router knows in favour of the part is told to all.
@@ -273,17 +281,42 @@
   for (auto& [part, entry] : entries_) entry.sound.reset();
 }
 
+auto PartQuarantine::NoteCrash(const Crash& crash) -> void {
+  const auto is_known = std::any_of(
+      known_crashes_.begin(), known_crashes_.end(),
+      [&crash](const Crash& known) { return known.process == crash.process; });
+  if (is_known) return;
+  known_crashes_.push_back(crash);
+  if (known_crashes_.size() > kMaxKnownCrashes) known_crashes_.pop_front();
+}
+
+auto PartQuarantine::LoneCrashes(const Entry& entry) const
+    -> std::vector<Crash> {
+  std::vector<Crash> lone;
+  for (const auto& crash : entry.crashes) {
+    const auto company = std::count_if(
+        known_crashes_.begin(), known_crashes_.end(), [&](const Crash& known) {
+          const auto apart =
+              known.at < crash.at ? crash.at - known.at : known.at - crash.at;
+          return apart < kRoundTime && !HasCrash(entry.crashes, known.process);
+        });
+    if (static_cast<std::size_t>(company) < kCompany) lone.push_back(crash);
+  }
+  return lone;
+}
+
 auto PartQuarantine::IsConvincing(const Entry& entry, Time now) const -> bool {
   if (entry.is_quarantined || entry.crashes.empty()) return false;
   const auto& crashes = entry.crashes;
-  const auto more = entry.sound ? kMoreIfOnceSound : 0;
-  const auto rounds = CountRounds(crashes);
-  const auto suffices =
-      rounds >= kRounds + more ||
-      (rounds >= kLeastRounds && crashes.size() >= kCrashes + more);
-  if (!suffices || now - crashes.front().at < kObjectionTime) return false;
+  if (now - crashes.front().at < kObjectionTime) return false;
   // While no request at all runs, the prompts are not what crashes the targets.
-  return newest_sound_run_ > crashes.front().at;
+  if (newest_sound_run_ <= crashes.front().at) return false;
+  const auto lone = LoneCrashes(entry);
+  const auto more = entry.sound ? kMoreIfOnceSound : 0;
+  const auto rounds = CountRounds(lone);
+  return rounds >= kRounds + more ||
+         (rounds >= kLeastRounds && lone.size() >= kCrashes + more) ||
+         CountRounds(crashes) >= kRoundsInCompany;
 }
 
 auto PartQuarantine::Quarantine(PartId part, Entry& entry, bool is_from_peer)
@@ -383,7 +416,7 @@
     const auto found = entries_.find(part);
     if (found == entries_.end()) return false;
     const auto more = found->second.sound ? kMoreIfOnceSound : 0;
-    return found->second.crashes.size() >= kSuspectedCrashes + more;
+    return LoneCrashes(found->second).size() >= kSuspectedCrashes + more;
   });
 }
 
--- a/admission/part_quarantine.h
+++ b/admission/part_quarantine.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -60,7 +61,8 @@
 // A fatal part crashes every target that begins to answer it. Hence one sound
 // run clears a part of all crashes before it, and crashes count only if nothing
 // cleared the part since. Of targets that crash for another reason, different
-// parts are starting each time.
+// parts are starting each time; those that crash at the same moment without the
+// part show that it is not the only cause.
 class PartQuarantine {
  public:
   explicit PartQuarantine(std::uint64_t seed) : random_(seed) {}
@@ -148,6 +150,9 @@
   auto MergeRecord(const PartRecord& record, bool passes_on, Time now) -> void;
   auto MakeSoundRun(Time began_at) -> SoundRun;
   static auto MarkChanged(Entry& entry, Time now) -> void;
+  auto NoteCrash(const Crash& crash) -> void;
+  // The crashes at whose moment no two other targets crashed without the part.
+  auto LoneCrashes(const Entry& entry) const -> std::vector<Crash>;
   // Whether the crashes of the part suffice for a verdict.
   auto IsConvincing(const Entry& entry, Time now) const -> bool;
   auto Quarantine(PartId part, Entry& entry, bool is_from_peer) -> void;
@@ -162,6 +167,8 @@
   Entries entries_;
   // Exactly the entries with `is_quarantined`.
   std::size_t quarantined_count_ = 0;
+  // Crashes that this router knows of, with any parts; the newest ones.
+  std::deque<Crash> known_crashes_;
   // When the newest sound answer with each part began, seen by this router.
   // Bounded; older ones are dropped first.
   std::unordered_map<PartId, Time> sound_runs_;
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -50,6 +50,39 @@
 
 // Found by fuzzing: a datagram that states an array of 2^60 members ended the
 // process.
+TEST(PeerMessagesTest, DecodedEvidenceEqualsTheEncodedOne) {
+  PartRecord fatal;
+  fatal.part = 0xffffffffffffffff;
+  fatal.is_quarantined = true;
+  fatal.crashes = {{0x8000000000000001, milliseconds(1500)},
+                   {2, milliseconds(20)}};
+  PartRecord sound;
+  sound.part = 3;
+  sound.sound = PartRecord::SoundRun{9, milliseconds(40)};
+  const auto bytes = EncodePeerMessage(PartEvidence{{fatal, sound}});
+  const auto message = DecodePeerMessage(bytes);
+  ASSERT_TRUE(message.has_value());
+  const auto& records = std::get<PartEvidence>(*message).records;
+  ASSERT_EQ(records.size(), 2U);
+  EXPECT_EQ(records[0].part, fatal.part);
+  EXPECT_TRUE(records[0].is_quarantined);
+  ASSERT_EQ(records[0].crashes.size(), 2U);
+  EXPECT_EQ(records[0].crashes[0].process, 0x8000000000000001);
+  EXPECT_EQ(records[0].crashes[0].age, milliseconds(1500));
+  EXPECT_FALSE(records[0].sound.has_value());
+  ASSERT_TRUE(records[1].sound.has_value());
+  EXPECT_EQ(records[1].sound->id, 9U);
+  EXPECT_EQ(records[1].sound->age, milliseconds(40));
+}
+
+// An answer that begins in the future would clear crashes that are to come.
+TEST(PeerMessagesTest, EvidenceOfTheFutureIsRejected) {
+  PartRecord record;
+  record.sound = PartRecord::SoundRun{1, milliseconds(-1)};
+  const auto bytes = EncodePeerMessage(PartEvidence{{record}});
+  EXPECT_FALSE(DecodePeerMessage(bytes).has_value());
+}
+
 TEST(PeerMessagesTest, AStatedLengthIsNotBelieved) {
   EXPECT_FALSE(DecodePeerMessage(
       std::string("\x9b\x18\x35\x60\x60\x01\xf4\x00\x00", 9)));
