Soak: targets that end on a fatal part, in and after the faults

A fault of its own among the others sends requests with the part; after the faults they come four a second, and the part has to be held back within the users' bound while every router serves others.

--- a/tests/process/fault_link.py
+++ b/tests/process/fault_link.py
@@ -67,6 +67,18 @@
             pass  # It was closed already.
         connection.close()
 
+    def go_down(self):
+        """Resets all connections, and refuses new ones until `come_up`."""
+        address = self.listener.getsockname()
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.reset()
+        return address
+
+    def come_up(self, address):
+        self.listener = socket.create_server(address, backlog=128)
+        threading.Thread(target=self.accept, daemon=True).start()
+
     def stop(self):
         self.listener.close()
         self.reset()
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -26,7 +26,14 @@
 # Seeds that failed before, each with its cause; every run repeats them.
 REGRESSION_SEEDS = {}
 CALLERS = 8
-TARGETS = 3
+# A part of a prompt that ends the target which begins to answer it.
+FATAL_PART = "dead51"
+FATAL_GAP = 0.25  # Seconds between two requests with it.
+DOWN_SECONDS = 1  # How long a target that ended stays away.
+# The users allow three requests with the part later than this after five ends.
+CONTACT_SECONDS = 3
+ALLOWED_AFTER_BOUND = 3
+TARGETS = 4
 CALL_TIMEOUT = 7  # Seconds a caller waits.
 REVOCATION_BOUND = 5  # Seconds; the router's default.
 # Statuses which guarantee that the request has not run and never will.
@@ -35,6 +42,41 @@
                  "cut", "error", "slow")
 
 
+class FragileTarget(standin.Target):
+    """Ends on a prompt with the fatal part, and starts again soon after."""
+
+    def __init__(self, soak, name):
+        super().__init__(soak.store, name, "s")
+        self.soak = soak
+        self.link = FaultLink(self.address)
+        self.row["address"] = self.link.address
+        soak.store.put("servers", name, self.row)
+        self.ending = threading.Lock()
+
+    def serve(self, connection, start, headers, body):
+        if (FATAL_PART not in headers.get("prefix-hash", "") or
+                headers.get("expect-runner") != self.name):
+            return super().serve(connection, start, headers, body)
+        self.soak.fatal_runs.append(time.monotonic())
+        connection.sendall(self.response_head(headers) + b"\r\n")
+        time.sleep(0.04)
+        self.end()
+        return False
+
+    def end(self):
+        if not self.ending.acquire(blocking=False):
+            return  # It has ended already.
+        self.soak.ends.append(time.monotonic())
+        address = self.link.go_down()
+        self.soak.run_later(DOWN_SECONDS, lambda: self.start_again(address))
+
+    def start_again(self, address):
+        self.row["born"] += 1
+        self.store.put("servers", self.name, self.row)
+        self.link.come_up(address)
+        self.ending.release()
+
+
 class Call:
     """One request of a caller and its answer."""
 
@@ -51,6 +93,13 @@
         return self.kind in ("write", "stream/once")
 
 
+def prompt(*shared_parts):
+    """Headers of a prompt that ends with a part of its own."""
+    parts = [*shared_parts, f"{random.getrandbits(60):x}"]
+    return {"Token-Counts": "30,10",
+            "Prefix-Hash": ",".join(f"{part}:10" for part in parts)}
+
+
 class Caller(threading.Thread):
     """Sends one request after another, over open connections if possible."""
 
@@ -83,7 +132,8 @@
             self.connection.request(
                 "POST", f"/{call.kind}/1", b"x" * self.random.choice((5, 5000)),
                 {"Host": "shop.example", "Attempt-Id": call.id,
-                 "Credential": call.key, "Deadline-Ms": "6000"})
+                 "Credential": call.key, "Deadline-Ms": "6000",
+                 **prompt("a1", call.id.encode().hex()[-4:-2])})
             answer = self.connection.getresponse()
             if self.random.random() < 0.03:
                 return self.disconnect()  # The caller leaves.
@@ -116,14 +166,10 @@
         self.store = standin.Store()
         self.publish()
         self.targets = []
-        self.target_links = []
-        for i in range(TARGETS):
-            target = standin.Target(self.store, f"t{i}", "s")
-            link = FaultLink(target.address)
-            target.row["address"] = link.address
-            self.store.put("servers", target.name, target.row)
-            self.targets.append(target)
-            self.target_links.append(link)
+        self.ends = []  # Times at which targets ended on the fatal part.
+        self.fatal_runs = []  # Times at which requests with it reached targets.
+        self.targets = [FragileTarget(self, f"t{i}") for i in range(TARGETS)]
+        self.target_links = [target.link for target in self.targets]
         self.store_links = [FaultLink(self.store.address)
                             for _ in range(routers)]
         self.edges = [Edge(link, f"e{i}")
@@ -154,6 +200,7 @@
             self.inject()
             self.end_faults()
             self.check_recovery()
+            self.check_fatal_part()
             self.is_over = True
             for caller in callers:
                 caller.join(timeout=CALL_TIMEOUT + 2)
@@ -172,6 +219,7 @@
                 self.make_store_fail, self.disturb_target_link,
                 self.make_target_fail, self.make_target_fail,
                 self.pause_router, self.kill_router, self.stop_router,
+                self.send_fatal_part,
                 self.reload_router, self.publish_version, self.revoke_key))
             self.faults.append(fault.__name__)
             fault()
@@ -255,6 +303,21 @@
         self.version += 1
         self.publish()
 
+    def send_fatal_part(self):
+        """Sends one request with the fatal part, whatever comes of it."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.choose_router().caller, timeout=1)
+        try:
+            connection.request("POST", "/stream/1", b"x", {
+                "Host": "shop.example", "Deadline-Ms": "1000",
+                "Attempt-Id": f"fatal{len(self.fatal_runs)}-{time.time()}",
+                "Credential": self.keys[0], **prompt("a1", FATAL_PART)})
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
+
     def end_faults(self):
         self.store.fault = None
         for link in self.store_links + self.target_links:
@@ -277,7 +340,8 @@
                 try:
                     connection.request("POST", "/read/1", b"x", {
                         "Host": "shop.example", "Deadline-Ms": "6000",
-                        "Attempt-Id": "service", "Credential": self.keys[0]})
+                        "Attempt-Id": "service", "Credential": self.keys[0],
+                        **prompt("a1")})
                     return connection.getresponse().status == 200
                 except (OSError, http.client.HTTPException):
                     return False
@@ -288,6 +352,26 @@
             except AssertionError as error:
                 self.violations.append(str(error))
 
+    def check_fatal_part(self):
+        """Checks that the fatal part is held back, and others are not."""
+        began_at = time.monotonic()
+        statuses = []
+        while time.monotonic() < began_at + 2.5 * CONTACT_SECONDS:
+            statuses.append(self.send_fatal_part())
+            time.sleep(FATAL_GAP)
+        ends = [end for end in self.ends if end >= began_at]
+        if len(ends) >= 5:
+            late = [run for run in self.fatal_runs
+                    if run > ends[4] + CONTACT_SECONDS]
+            if len(late) > ALLOWED_AFTER_BOUND:
+                self.violations.append(
+                    f"{len(late)} requests with the fatal part were sent to "
+                    f"targets later than the bound; {len(ends)} ended")
+        if statuses[-1] != 503:
+            self.violations.append("the fatal part was answered with "
+                                   f"{statuses[-1]} at the end")
+        self.check_recovery()
+
     def check(self, calls):
         runs = {}
         for target in self.targets:
