Gateway, apps: tests of quarantined requests; explain names the quarantine

A request that was refused for a part is explained by the line that quarantined it, however old; a cut answer by the crash of its target. A verdict that one router has just forgotten is not taken up from a peer that forgets it a moment later, which would have logged it again. The fuzz target handles evidence.

--- a/admission/part_quarantine.cpp
+++ b/admission/part_quarantine.cpp
@@ -39,6 +39,9 @@
 // crash.
 constexpr Duration kEvidenceLifetime = seconds(120);
 constexpr Duration kQuarantineLifetime = seconds(1800);
+// Evidence that others send shortly before they forget it is not taken up
+// again.
+constexpr Duration kMergeMargin = seconds(5);
 // A cleared part is remembered this long, as older evidence may still arrive.
 constexpr Duration kClearedLifetime = seconds(10);
 // Bounds of memory.
@@ -252,7 +255,10 @@
     const SoundRun run{record.sound->id, now - record.sound->age};
     is_news = AddSoundRun(record.part, *entry, run);
   }
+  const auto lifetime =
+      record.is_quarantined ? kQuarantineLifetime : kEvidenceLifetime;
   for (const auto& crash : record.crashes) {
+    if (crash.age > lifetime - kMergeMargin) continue;
     const Crash known{crash.process, now - crash.age};
     NoteCrash(known);
     if (!record.is_quarantined && IsExplained(crash.process)) continue;
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -204,6 +204,7 @@
                    TextField(json, "router"), event, FormatFields(json)};
   line.outcome = TextField(json, "outcome");
   line.target = TextField(json, "target");
+  line.part = TextField(json, is_of_request ? "quarantined_part" : "part");
   line.cause = ExplainLine(json);
   (is_of_request ? request_lines_ : state_lines_).push_back(std::move(line));
 }
@@ -224,17 +225,25 @@
                    });
   std::set<std::string> routers;
   std::set<std::string> targets;
+  std::set<std::string> parts;
   for (const auto& line : request_lines) {
     timeline.lines.push_back(line.log_line);
     routers.insert(line.log_line.router);
     if (!line.target.empty()) targets.insert(line.target);
+    if (!line.part.empty()) parts.insert(line.part);
     if (!line.cause.empty()) timeline.causes.push_back(line.cause);
   }
   const auto first = request_lines.front().log_line.time_ms;
   const auto last = request_lines.back().log_line.time_ms;
   for (const auto& line : state_lines_) {
-    const auto is_near = line.log_line.time_ms >= first - kBackgroundWindowMs &&
-                         line.log_line.time_ms <= last;
+    if (line.log_line.time_ms > last) continue;
+    if (!line.part.empty()) {
+      if (parts.count(line.part) != 0) {
+        timeline.background.push_back(line.log_line);
+      }
+      continue;
+    }
+    const auto is_near = line.log_line.time_ms >= first - kBackgroundWindowMs;
     const auto is_related = line.target.empty()
                                 ? routers.count(line.log_line.router) != 0
                                 : targets.count(line.target) != 0;
--- a/apps/request_timeline.h
+++ b/apps/request_timeline.h
@@ -24,7 +24,8 @@
   // Lines that name the request, sorted by time.
   std::vector<LogLine> lines;
   // Lines about state changes of the same routers and targets, from 10 s before
-  // the first line of the request to its last, sorted by time.
+  // the first line of the request to its last, sorted by time. Of the part for
+  // which a request was refused, all lines before it.
   std::vector<LogLine> background;
   // One sentence for each line of the request that explains its outcome.
   std::vector<std::string> causes;
@@ -52,6 +53,8 @@
     LogLine log_line;
     std::string outcome;
     std::string target;
+    // Quarantined prompt part that the line is about; empty if there is none.
+    std::string part;
     // Sentence that explains the line; empty if there is none.
     std::string cause;
   };
--- a/tests/admission/test_part_quarantine.cpp
+++ b/tests/admission/test_part_quarantine.cpp
@@ -242,6 +242,16 @@
   EXPECT_FALSE(IsQuarantined(router_, kFatal));
 }
 
+TEST_F(PartQuarantineTest, AForgottenVerdictIsNotTakenUpFromAPeerAgain) {
+  Condemn(router_, kFatal);
+  Exchange(router_, peer_, 3000, 3005);
+  constexpr int kEnd = 2000 + 1800 * 1000;  // Half an hour after the crash.
+  router_.Tick(At(kEnd + 1));
+  EXPECT_FALSE(IsQuarantined(router_, kFatal));
+  router_.Merge(peer_.Quarantined(At(kEnd + 1)), true, At(kEnd + 3));
+  EXPECT_FALSE(IsQuarantined(router_, kFatal));
+}
+
 TEST_F(PartQuarantineTest, OneRequestsOwnPartIsNotShared) {
   EXPECT_EQ(SharedParts({{1, 10}, {2, 10}, {3, 10}}),
             (std::vector<PartId>{1, 2}));
--- a/tests/apps/test_request_timeline.cpp
+++ b/tests/apps/test_request_timeline.cpp
@@ -46,6 +46,39 @@
   EXPECT_NE(timeline.causes[0].find("320 ms were allowed"), std::string::npos);
 }
 
+TEST(RequestTimelineTest, ARefusedPartIsExplainedByItsQuarantine) {
+  const auto timeline = TimelineFromLog(
+      R"({"time_ms":100,"router":"b","event":"part_quarantined",)"
+      R"("part":"5c1e07a2","crashes":3,"source":"own"})"
+      "\n"
+      R"({"time_ms":100,"router":"b","event":"part_quarantined",)"
+      R"("part":"91bd","crashes":3,"source":"own"})"
+      "\n"
+      R"({"time_ms":90000,"router":"a","event":"request_refused",)"
+      R"("request":"r1","outcome":"quarantined_part",)"
+      R"("quarantined_part":"5c1e07a2","target":""})"
+      "\n");
+  ASSERT_EQ(timeline.causes.size(), 1U);
+  EXPECT_NE(timeline.causes[0].find("part 5c1e07a2 of the prompt"),
+            std::string::npos);
+  ASSERT_EQ(timeline.background.size(), 1U);
+  EXPECT_NE(timeline.background[0].fields.find("part=5c1e07a2"),
+            std::string::npos);
+}
+
+// The other callers of a target that ended on somebody else's prompt.
+TEST(RequestTimelineTest, ACutAnswerIsExplainedByTheCrashOfItsTarget) {
+  const auto timeline = TimelineFromLog(
+      R"({"time_ms":100,"router":"b","event":"target_crashed","target":"t1",)"
+      R"("starting_parts":"5c1e07a2"})"
+      "\n"
+      R"({"time_ms":120,"router":"a","event":"answer_cut","request":"r1",)"
+      R"("outcome":"broken","target":"t1","events":3,"elapsed_ms":300})"
+      "\n");
+  ASSERT_EQ(timeline.background.size(), 1U);
+  EXPECT_EQ(timeline.background[0].event, "target_crashed");
+}
+
 TEST(RequestTimelineTest, BackgroundIsOfTheSameRouterOrTarget) {
   const auto timeline = TimelineFromLog(
       R"({"time_ms":100,"router":"a","event":"store_lost","call":"targets"})"
--- a/tests/fuzz/fuzz_peer_messages.cpp
+++ b/tests/fuzz/fuzz_peer_messages.cpp
@@ -19,6 +19,8 @@
     core.HandleReport(*report, now);
   } else if (const auto* summary = std::get_if<FleetSummary>(&message)) {
     core.HandleSummary(*summary, now);
+  } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
+    core.HandleEvidence(*evidence, now);
   } else if (const auto* reply = std::get_if<FreshnessReply>(&message)) {
     core.HandleReply(*reply);
   }
