Gateway: an answer that stopped soon after it began is evidence

A target that falls silent ends its answers only by a time-out, seconds after their last event. Such an answer counted as one that went on for long, and cleared the part that it had ended on. What counts now is the time between its first and its last event. Also, a verdict is not considered for parts with one round of crashes, which a loss of many targets leaves in great number.

Test: AnAnswerThatStoppedSoonAfterItBeganIsBlamed, failing before.

--- a/admission/part_quarantine.cpp
+++ b/admission/part_quarantine.cpp
@@ -317,6 +317,7 @@
   if (now - crashes.front().at < kObjectionTime) return false;
   // While no request at all runs, the prompts are not what crashes the targets.
   if (newest_sound_run_ <= crashes.front().at) return false;
+  if (CountRounds(crashes) < kLeastRounds) return false;
   const auto lone = LoneCrashes(entry);
   const auto more = entry.sound ? kMoreIfOnceSound : 0;
   const auto rounds = CountRounds(lone);
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -51,13 +51,10 @@
   if (found == attempts_.end()) return;
   const auto attempt = std::move(found->second);
   attempts_.erase(found);
-  const auto began_at = attempt.began_at.value_or(attempt.started_at);
-  const auto has_run_long = attempt.began_at && now - began_at >= kFatalRunTime;
-  if (outcome == AttemptOutcome::kComplete || has_run_long) {
-    if (!attempt.is_sound) {
-      quarantine_.RecordSoundRun(attempt.parts, began_at, now);
-    }
-    return;
+  if (attempt.is_sound) return;
+  if (outcome == AttemptOutcome::kComplete) {
+    const auto began_at = attempt.began_at.value_or(attempt.started_at);
+    return quarantine_.RecordSoundRun(attempt.parts, began_at, now);
   }
   if (outcome == AttemptOutcome::kBroken) RecordBreak(attempt, now);
   if (outcome == AttemptOutcome::kNotReached) {
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -69,6 +69,7 @@
     Time started_at{};
     // First part of the answer.
     std::optional<Time> began_at;
+    // The answer went on for long after that.
     bool is_sound = false;
   };
   // Answers of one process that broke off while they were starting.
--- a/tests/gateway/test_crash_guard.cpp
+++ b/tests/gateway/test_crash_guard.cpp
@@ -68,11 +68,21 @@
 TEST_F(CrashGuardTest, AnAnswerThatHadRunForLongIsNotBlamed) {
   const auto attempt = Start("t1", 0);
   guard_.RecordOutput(attempt, At(50));
+  guard_.RecordOutput(attempt, At(560));
   Break(attempt, 600);
   guard_.RecordUnreachable(TargetId("t1"), At(610));
   EXPECT_EQ(Suspects(), 0U);
 }
 
+// A target that falls silent instead of closing its connections.
+TEST_F(CrashGuardTest, AnAnswerThatStoppedSoonAfterItBeganIsBlamed) {
+  const auto attempt = Start("t1", 0);
+  guard_.RecordOutput(attempt, At(50));
+  Break(attempt, 3000);
+  guard_.RecordUnreachable(TargetId("t1"), At(3400));
+  EXPECT_EQ(Suspects(), 1U);
+}
+
 TEST_F(CrashGuardTest, AnAnswerThatWaitedForLongAndHadJustBegunIsBlamed) {
   const auto attempt = Start("t1", 0);
   guard_.RecordOutput(attempt, At(3000));
