Relay: reading the router list delays no target list

What callers saw: a request reached a target 2,040 ms after the target had said that it leaves (DRAIN, bound 2,000 ms).

Cause: a router read the list of routers in place of its next list of targets, and then waited for a whole delay again, up to 4.8 s in a fleet of eight. As all routers start together, all read it in the same seconds (16 s after the last), and the fleet as a whole read no list of targets for a while.

Change: the delay counts from the last list of targets.

--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -92,6 +92,10 @@
       (!is_own_row_written_ || routers_read_at_ == Time{})) {
     return Schedule(Duration{});
   }
+  ScheduleNextTargetList(now);
+}
+
+auto ServiceRegistryReader::ScheduleNextTargetList(Time now) -> void {
   const auto elapsed = now - list_started_at_;
   Schedule(std::max(Duration{}, core_.NextTargetListDelay(now) - elapsed));
 }
@@ -153,10 +157,12 @@
   routers_read_at_ = MonotonicClock::now();
   core_.AddPeers(listed_routers_, routers_read_at_);
   listed_routers_.clear();
-  // The target list was read before, if the store answered.
+  // The delay counts from the last target list. Counted from here, it would
+  // leave the fleet without news of targets, since routers that started
+  // together read the router list at the same time.
   const auto has_targets = core_.directory().size() > 0;
-  Schedule(has_targets ? core_.NextTargetListDelay(routers_read_at_)
-                       : Duration{});
+  if (!has_targets) return Schedule(Duration{});
+  ScheduleNextTargetList(routers_read_at_);
 }
 
 auto ServiceRegistryReader::WriteOwnRow() -> void {
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -49,6 +49,7 @@
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
   auto Schedule(Duration delay) -> void;
+  auto ScheduleNextTargetList(Time now) -> void;
   auto ScheduleRetry() -> void;
 
   GatewayCore& core_;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -88,6 +88,7 @@
         self.changed = threading.Condition()
         self.fault = None
         self.calls = 0
+        self.list_times = {}  # When each table was listed.
         self.endless_bytes = 0
         super().__init__()
 
@@ -139,6 +140,8 @@
                 self.remove(row["table"], row["key"])
             return self.reply(connection, 200, {"ver": self.version})
         if path == "/v1/rows-get":
+            self.list_times.setdefault(query["table"], []).append(
+                time.monotonic())
             with self.changed:
                 rows = [row for row in self.select_rows(query["table"])
                         if row["key"] >= query.get("from", "")]
