--- a/tests/gateway/crash_fleet.cpp
+++ b/tests/gateway/crash_fleet.cpp
@@ -108,6 +108,7 @@
 auto CrashFleet::StartRouter(int index) -> void {
   auto& router = routers_.at(index);
   ++router.incarnation;
+  router.disturbed_at = now_;
   GatewayOptions options;
   options.peer_address = router.address;
   options.caller_address = "c" + router.address;
@@ -143,6 +144,7 @@
 
 auto CrashFleet::CutRouter(int index, bool is_cut) -> void {
   routers_.at(index).is_cut = is_cut;
+  routers_.at(index).disturbed_at = now_;
 }
 
 auto CrashFleet::SendMessages() -> void {
@@ -238,7 +240,12 @@
   if (engine == engines_.end()) {
     return Fail(std::move(attempt), AttemptOutcome::kNotReached);
   }
-  if (attempt.is_fatal) fatal_sent_.push_back(now_);
+  if (attempt.is_fatal) {
+    const auto& router = routers_.at(attempt.router);
+    const auto is_in_touch =
+        !router.is_cut && now_ - router.disturbed_at > kContact;
+    fatal_sent_.push_back({now_, is_in_touch});
+  }
   const auto number = ++attempt_count_;
   engine->second.attempts[number] = std::move(attempt);
   At(Scale(kLongestQueueWait, random_.Uniform()),
@@ -330,15 +337,32 @@
 }
 
 auto CrashFleet::FatalSentSince(Time time) const -> int {
-  return static_cast<int>(
-      std::count_if(fatal_sent_.begin(), fatal_sent_.end(),
-                    [time](Time sent) { return sent > time; }));
+  return static_cast<int>(std::count_if(
+      fatal_sent_.begin(), fatal_sent_.end(),
+      [time](const FatalRequest& request) { return request.sent_at > time; }));
 }
 
 auto CrashFleet::FatalSentAfterBound() const -> int {
   constexpr std::size_t kFifth = 4;
   if (crashes_.size() <= kFifth) return 0;
-  return FatalSentSince(crashes_[kFifth] + kContact);
+  const auto bound = crashes_[kFifth] + kContact;
+  return static_cast<int>(std::count_if(fatal_sent_.begin(), fatal_sent_.end(),
+                                        [bound](const FatalRequest& request) {
+                                          return request.is_in_touch &&
+                                                 request.sent_at > bound;
+                                        }));
+}
+
+auto CrashFleet::CondemnedSoundParts() const -> std::size_t {
+  std::set<PartId> parts;
+  for (const auto& [index, router] : routers_) {
+    if (router.core == nullptr) continue;
+    const auto& quarantine = router.core->crash_guard().quarantine();
+    for (const auto& record : quarantine.Quarantined(now_)) {
+      if (record.part != kFatalPart) parts.insert(record.part);
+    }
+  }
+  return parts.size();
 }
 
 }  // namespace papayaplank
--- a/tests/gateway/crash_fleet.h
+++ b/tests/gateway/crash_fleet.h
@@ -54,7 +54,8 @@
   auto crashes() const -> const std::vector<Time>& { return crashes_; }
   // Fatal requests that reached engines since `time`.
   auto FatalSentSince(Time time) const -> int;
-  // Fatal requests that reached engines later than the users' bound allows.
+  // Fatal requests that reached engines later than the users' bound allows,
+  // from routers in touch.
   auto FatalSentAfterBound() const -> int;
   // Fatal requests that were answered in full.
   auto fatal_served() const -> int { return fatal_served_; }
@@ -69,6 +70,8 @@
   };
   // Those since the last call.
   auto TakeService() -> Service { return std::exchange(service_, {}); }
+  // Parts other than the fatal one that a router has quarantined.
+  auto CondemnedSoundParts() const -> std::size_t;
   auto core(int index) -> GatewayCore& { return *routers_.at(index).core; }
 
   // The bound within which machines know of a change.
@@ -80,6 +83,8 @@
     std::unique_ptr<GatewayCore> core;
     std::string address;
     bool is_cut = false;
+    // Newest start, cut or end of a cut.
+    Time disturbed_at{};
     // Distinguishes processes at the same address.
     int incarnation = 0;
   };
@@ -142,7 +147,12 @@
   bool fatal_requests_come_ = false;
   bool part_is_fatal_ = true;
   std::vector<Time> crashes_;
-  std::vector<Time> fatal_sent_;
+  struct FatalRequest {
+    Time sent_at{};
+    // The router had run undisturbed for the users' bound.
+    bool is_in_touch = false;
+  };
+  std::vector<FatalRequest> fatal_sent_;
   int fatal_served_ = 0;
   Service service_;
 };
--- a/tests/gateway/test_query_of_death.cpp
+++ b/tests/gateway/test_query_of_death.cpp
@@ -140,6 +140,70 @@
   EXPECT_LE(fleet.FatalSentSince(since), 3);
 }
 
+// Days on which other things fail as well, at random.
+
+class MixedDayTest : public QueryOfDeathTest {
+ protected:
+  auto Pick(int least, int most) -> int {
+    return least + static_cast<int>(random_.Index(
+                       static_cast<std::size_t>(most - least + 1)));
+  }
+  auto RandomOptions() -> CrashFleetOptions {
+    auto options = Seeded();
+    options.routers = random_.Uniform() < 0.3 ? Pick(24, 60) : Pick(3, 12);
+    options.engines = Pick(9, 36);
+    options.requests_per_second = Pick(20, 160);
+    options.fatal_per_second = 0.2 + 4 * random_.Uniform() * random_.Uniform();
+    options.sessions = Pick(5, 3000);
+    options.is_resumable = random_.Uniform() < 0.5;
+    options.message_loss = 0.1 * random_.Uniform();
+    return options;
+  }
+  auto Disturb(CrashFleet& fleet, int routers) -> void {
+    const auto router = Pick(0, routers - 1);
+    switch (Pick(0, 4)) {
+      case 0:
+        fleet.KillRouter(router);
+        fleet.Run(milliseconds(Pick(100, 2000)));
+        return fleet.StartRouter(router);
+      case 1:
+        fleet.CutRouter(router, true);
+        fleet.Run(milliseconds(Pick(500, 6000)));
+        return fleet.CutRouter(router, false);
+      case 2:  // Many at once, but not all.
+        for (int i = 0; i < routers * 3 / 5; ++i) fleet.KillRouter(i);
+        fleet.Run(milliseconds(Pick(100, 2000)));
+        for (int i = 0; i < routers * 3 / 5; ++i) fleet.StartRouter(i);
+        return;
+      case 3:
+        return fleet.CrashEngines(1);
+      default:
+        return fleet.CrashEngines(Pick(2, 5));
+    }
+  }
+
+  Random random_{static_cast<std::uint64_t>(GetParam()) + 77};
+};
+
+TEST_P(MixedDayTest, TheFatalPartAloneIsHeldBack) {
+  const auto options = RandomOptions();
+  CrashFleet fleet(options);
+  fleet.Run(seconds(3));
+  fleet.SetFatalRequests(true);
+  const auto end = fleet.now() + seconds(55);
+  while (fleet.now() < end) {
+    fleet.Run(milliseconds(Pick(300, 5000)));
+    Disturb(fleet, options.routers);
+    EXPECT_EQ(fleet.CondemnedSoundParts(), 0U);
+  }
+  EXPECT_LE(fleet.FatalSentAfterBound(), kAllowedAfterBound)
+      << fleet.crashes().size() << " engines ended; " << options.routers
+      << " routers, " << options.engines << " engines, "
+      << options.requests_per_second << " and " << options.fatal_per_second
+      << " requests a second, " << options.sessions << " sessions, "
+      << options.message_loss << " of messages lost";
+}
+
 // Crashes with other causes.
 
 class OtherCrashesTest : public QueryOfDeathTest {
@@ -204,6 +268,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, QueryOfDeathTest,
                          ::testing::Range(1, SeedCount() + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, MixedDayTest,
+                         ::testing::Range(1, SeedCount() + 1));
 INSTANTIATE_TEST_SUITE_P(Seeds, OtherCrashesTest,
                          ::testing::Range(1, SeedCount() + 1));
 
