--- a/admission/part_quarantine.h
+++ b/admission/part_quarantine.h
@@ -103,7 +103,8 @@
   // Changes since the last call.
   auto TakeChanges() -> std::vector<QuarantineChange>;
 
-  // Number of quarantined parts, and of parts with uncleared crashes.
+  // Number of quarantined parts, and of others with evidence; of these, cleared
+  // ones count until they are forgotten.
   auto quarantined_count() const -> std::size_t { return quarantined_count_; }
   auto suspect_count() const -> std::size_t {
     return entries_.size() - quarantined_count_;
