Relay, admission: logs and metrics say who sends what to a target with a limit

Cause: no line named the limit of a target, its age, or the requests that one router sent there; request lines are rate-limited and can't be counted. Nothing is decided by it. A limit that can't be read changes nothing and is counted.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -1,6 +1,7 @@
 // Public header of the admission library: load forecasts, fair shares and
 // budgets that decide where a request is served, whether it is refused when the
-// load exceeds the capacity of the targets, and which prompts crash targets.
+// load exceeds the capacity of the targets, which prompts crash targets, and
+// which targets name limits.
 #ifndef ADMISSION_ADMISSION_H_
 #define ADMISSION_ADMISSION_H_
 
@@ -10,6 +11,7 @@
 #include "admission/fleet_retry_budget.h"
 #include "admission/part_quarantine.h"
 #include "admission/router_load.h"
+#include "admission/target_limits.h"
 #include "admission/target_outcomes.h"
 
 #endif  // ADMISSION_ADMISSION_H_
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -163,6 +163,8 @@
                                                 "target_joined",
                                                 "target_restarted",
                                                 "target_crashed",
+                                                "target_limited",
+                                                "target_limit_ended",
                                                 "part_quarantined",
                                                 "part_released",
                                                 "process_stood_still",
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -51,6 +51,7 @@
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
+      limits_(StableHash("limits", options_.seed)),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -284,6 +285,7 @@
     const auto tokens = RequestCost(prompt);
     if (tokens > 0) shares_.RecordService(request.customer, tokens, now);
   }
+  limits_.RecordSend(placement.target.id, now);
   request.tried_targets.insert(placement.target.id);
   ++request.attempts;
   ++counters_.attempts;
@@ -299,6 +301,14 @@
   crash_guard_.RecordOutput(placement.attempt, now);
 }
 
+auto GatewayCore::RecordLimit(const Placement& placement,
+                              std::optional<RequestRate> limit, Time now)
+    -> void {
+  const auto& target = placement.target;
+  limits_.RecordAnswer(target.id, ProcessStart(target.started_unix_ms), limit,
+                       now);
+}
+
 auto GatewayCore::RecordTargetCheck(const TargetId& target, bool is_reachable,
                                     Time now) -> void {
   if (is_reachable) {
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -145,6 +145,19 @@
   auto MayRetry(const GatewayRequest& request, AttemptOutcome outcome,
                 bool has_events, Time now) -> bool;
 
+  // Limits that targets name.
+
+  // An answer of the placement's target arrived that names this limit, or none.
+  auto RecordLimit(const Placement& placement, std::optional<RequestRate> limit,
+                   Time now) -> void;
+  // The limit in an answer can't be read; it changes nothing.
+  auto RecordMalformedLimit() -> void { limits_.RecordMalformed(); }
+  // Limits that changed since the last call.
+  auto TakeLimitChanges() -> std::vector<LimitChange> {
+    return limits_.TakeChanges();
+  }
+  auto limits() const -> const TargetLimits& { return limits_; }
+
   // Crashes of targets, and prompt parts that cause them.
 
   // Whether to find out if the target accepts connections.
@@ -272,6 +285,7 @@
   RouterLoad load_;
   TargetOutcomes outcomes_;
   CrashGuard crash_guard_;
+  TargetLimits limits_;
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their `TargetHash`.
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -62,6 +62,7 @@
 auto GatewayCore::ResetTarget(const TargetId& target) -> void {
   cached_prefixes_.RemoveTarget(target);
   outcomes_.RemoveTarget(target);
+  limits_.RemoveTarget(target);
   const auto load = loads_.find(target);
   if (directory_.Find(target) != nullptr) {
     if (load != loads_.end()) load->second.Reset();
@@ -274,6 +275,7 @@
   exchange_.Tick(MakeState(now), now);
   UpdateOtherLoads();
   crash_guard_.Tick(now);
+  limits_.Tick(now);
   auto messages = exchange_.MakeMessages(MakeReport(now), now);
   PartEvidence evidence{crash_guard_.quarantine().RecordsToSend(now)};
   if (!evidence.records.empty()) {
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -78,10 +78,23 @@
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
 }
 
+auto SetLimitMetrics(const InfoSources& sources, MetricRegistry& metrics,
+                     Time now) -> void {
+  const auto& limits = sources.context.core.limits();
+  SetMetric(metrics, "limits_malformed_total",
+            static_cast<double>(limits.malformed()));
+  const auto limited = limits.Limited(now);
+  SetMetric(metrics, "targets_limited", static_cast<double>(limited.size()));
+  for (const auto& target : limited) {
+    sources.context.metrics.SetLimit(target);
+  }
+}
+
 auto RenderMetrics(const InfoSources& sources, Time now) -> std::string {
   auto& metrics = sources.context.metrics.registry();
   SetRequestMetrics(sources, metrics);
   SetRouterMetrics(sources, metrics, now);
+  SetLimitMetrics(sources, metrics, now);
   for (const auto& state : sources.context.core.PoolStates(now)) {
     SetPoolMetrics(metrics, state);
   }
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -33,6 +33,9 @@
 constexpr Duration kMinServeAfterStop = milliseconds(6500);
 // All connections are closed this long before the process is killed.
 constexpr Duration kStopMargin = milliseconds(400);
+// Interval of the lines on this router's part in what limited targets get; the
+// lines of one target cover all of its requests.
+constexpr Duration kLimitSharePeriod = TargetLimits::kSendWindow;
 // Share of the usable descriptors that callers' connections may take.
 constexpr double kCallerDescriptorShare = 0.6;
 // Descriptors reserved for uses other than callers' connections. The rest of
@@ -45,6 +48,11 @@
       .count();
 }
 
+auto ToMs(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 // Time since boot. Unlike the monotonic clock, it includes the time for which
 // the machine was suspended.
 auto BootTime() -> Duration {
@@ -141,6 +149,8 @@
   auto TickSweep() -> void;
   auto UpdateAccepting(Time now) -> void;
   auto LogCrashes() -> void;
+  auto LogLimitChanges() -> void;
+  auto LogLimitShares(Time now) -> void;
   auto WaitForSignal() -> void;
   auto BeginStop() -> void;
   auto CheckStopped() -> void;
@@ -171,6 +181,7 @@
   Time stop_began_at_{};
   bool is_accepting_ = true;
   Time last_tick_{};
+  Time limit_shares_logged_at_{};
   // Boot time minus monotonic time at the start or the last reported pause: the
   // time for which the machine had been suspended since its boot.
   Duration last_boot_offset_{};
@@ -250,6 +261,7 @@
   UpdateAccepting(now);
   peer_link_.SendMessages(now);
   LogCrashes();
+  LogLimitChanges();
   quarantine_store_.Tick(now);
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
@@ -285,6 +297,31 @@
   }
 }
 
+auto RelayProcess::LogLimitChanges() -> void {
+  for (const auto& change : core_.TakeLimitChanges()) {
+    log_.Write(
+        LogClass::kState, change.now ? "target_limited" : "target_limit_ended",
+        {{"target", change.target.value()},
+         {"limit_per_s", change.now.value_or(RequestRate{}).per_second},
+         {"before_per_s", change.before.value_or(RequestRate{}).per_second},
+         {"age_ms", ToMs(change.age)},
+         {"source", change.is_from_peer ? "peer" : "own"}});
+  }
+}
+
+auto RelayProcess::LogLimitShares(Time now) -> void {
+  if (now - limit_shares_logged_at_ < kLimitSharePeriod) return;
+  limit_shares_logged_at_ = now;
+  for (const auto& limited : core_.limits().Limited(now)) {
+    log_.Write(LogClass::kRoutine, "limit_share",
+               {{"target", limited.target.value()},
+                {"limit_per_s", limited.limit.per_second},
+                {"age_ms", ToMs(limited.age)},
+                {"sends", static_cast<std::int64_t>(limited.sends)},
+                {"window_ms", ToMs(TargetLimits::kSendWindow)}});
+  }
+}
+
 auto RelayProcess::TickSweep() -> void {
   const auto now = MonotonicClock::now();
   caller_server_.CheckTimeouts(now);
@@ -293,6 +330,7 @@
   metrics_server_->CheckTimeouts(now);
   snapshot_server_->CheckTimeouts(now);
   target_connections_.CloseExpired(now);
+  LogLimitShares(now);
   log_.Write(
       LogClass::kRoutine, "load",
       {{"callers", static_cast<std::int64_t>(caller_server_.connections())},
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -144,6 +144,15 @@
 auto RelayedRequest::OnHead(int status, const HttpFields& fields) -> void {
   answer_ = DecodeTargetAnswer(status, fields);
   is_success_from_target_ = IsFromTarget() && IsSuccess(status);
+  RecordLimit();
+}
+
+auto RelayedRequest::RecordLimit() -> void {
+  const auto says_so =
+      IsFromTarget() || (answer_.is_not_executed && !answer_.is_wrong_target);
+  if (!says_so) return;
+  if (answer_.is_limit_malformed) return context_.core.RecordMalformedLimit();
+  context_.core.RecordLimit(placement_, answer_.limit, MonotonicClock::now());
 }
 
 auto RelayedRequest::OnBody(std::string_view bytes) -> void {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -35,6 +35,8 @@
   auto StartAttempt() -> void;
   auto SendToTarget() -> void;
   auto OnHead(int status, const HttpFields& fields) -> void;
+  // Tells the core what limit the target names in its answer.
+  auto RecordLimit() -> void;
   auto OnBody(std::string_view bytes) -> void;
   auto OnTransferEnd(TransferEnd end) -> void;
   auto ClassifyAnswer(TransferEnd end) const -> AttemptOutcome;
--- a/relay/request_metrics.cpp
+++ b/relay/request_metrics.cpp
@@ -18,6 +18,17 @@
        {"outcome", std::string(AttemptOutcomeName(outcome))}});
 }
 
+auto RequestMetrics::SetLimit(const LimitedTarget& limited) -> void {
+  const std::vector<MetricLabel> labels = {
+      {"target", targets_.LabelFor(limited.target.value())}};
+  registry_.SetValue("papayaplank_target_limit_per_second", labels,
+                     limited.limit.per_second);
+  registry_.SetValue("papayaplank_target_limit_age_seconds", labels,
+                     ToSeconds(limited.age));
+  registry_.SetValue("papayaplank_target_limit_window_sends", labels,
+                     static_cast<double>(limited.sends));
+}
+
 auto RequestMetrics::RecordFirstByte(const RequestLabels& labels,
                                      const TargetId& target,
                                      Duration since_arrival,
--- a/relay/request_metrics.h
+++ b/relay/request_metrics.h
@@ -34,6 +34,9 @@
   auto RecordAnswer(const RequestLabels& labels, std::string_view outcome,
                     Duration since_arrival) -> void;
 
+  // State of a target that names a limit.
+  auto SetLimit(const LimitedTarget& limited) -> void;
+
   auto registry() -> MetricRegistry& { return registry_; }
 
  private:
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -129,6 +129,30 @@
   EXPECT_EQ(answer.forwarded.size(), 2U);
 }
 
+TEST(RequestHeadersTest, DecodesTheLimitOfATarget) {
+  EXPECT_FALSE(DecodeTargetAnswer(200, {}).limit);
+  const auto named = DecodeTargetAnswer(200, {{"Server-Limit", " 3.25 "}});
+  EXPECT_EQ(named.limit, RequestRate{3.25});
+  EXPECT_FALSE(named.is_limit_malformed);
+  // Callers get it as the target sent it.
+  EXPECT_EQ(named.forwarded.size(), 1U);
+  EXPECT_EQ(DecodeTargetAnswer(503, {{"server-limit", "0"}}).limit,
+            RequestRate{0});
+}
+
+TEST(RequestHeadersTest, AMalformedLimitIsNone) {
+  for (const auto* text :
+       {"", " ", ".", "-1", "+1", "1e3", "0x10", "inf", "nan", "1,5", "1.2.3",
+        "3 4", "3/s", "99999999999"}) {
+    const auto answer = DecodeTargetAnswer(200, {{"Server-Limit", text}});
+    EXPECT_TRUE(answer.is_limit_malformed) << text;
+    EXPECT_FALSE(answer.limit) << text;
+  }
+  EXPECT_TRUE(
+      DecodeTargetAnswer(200, {{"Server-Limit", "3"}, {"Server-Limit", "4"}})
+          .is_limit_malformed);
+}
+
 TEST(RequestHeadersTest, ParsesEventId) {
   EXPECT_EQ(ParseEventId("id: 12\ndata: x\n\n"), 12);
   EXPECT_EQ(ParseEventId("weight-versions: 2\r\nid:3\r\ndata: x\r\n\r\n"), 3);
