--- /dev/null
+++ b/tests/process/test_target_limits.py
@@ -0,0 +1,133 @@
+"""Tests that real routers together keep the limits that their targets name."""
+
+import http.client
+import itertools
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_standin as standin  # noqa: E402
+from edge_process import Edge, configuration, get, wait_for  # noqa: E402
+
+Edge.program = os.path.join(sys.argv.pop(1), "apps/papayaplank_edge")
+
+# The users allow 1.5 times the limit and 5 requests in 4 s, from 3 s after it
+# was first named.
+CONTACT_SECONDS = 3
+WINDOW_SECONDS = 4
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXCESS = 5
+
+
+class LimitingTarget(standin.Target):
+    """Names `limit`, a text, in all its answers unless it is None."""
+
+    def __init__(self, store, name):
+        self.limit = None
+        self.arrivals = []
+        super().__init__(store, name, "s")
+
+    def serve(self, connection, start, headers, body):
+        self.arrivals.append(time.monotonic())
+        return super().serve(connection, start, headers, body)
+
+    def response_head(self, headers, status=200, extra=b""):
+        if self.limit is not None:
+            extra += b"Server-Limit: %s\r\n" % self.limit.encode()
+        return super().response_head(headers, status, extra)
+
+    def count(self, begin, end=float("inf")):
+        return sum(begin < arrival <= end for arrival in self.arrivals)
+
+    def worst_window(self, begin):
+        return max((self.count(at - 1e-9, at + WINDOW_SECONDS)
+                    for at in self.arrivals if at >= begin), default=0)
+
+
+class TargetLimitTest(unittest.TestCase):
+    def setUp(self):
+        self.store = standin.Store()
+        self.store.put("op", "config", configuration(1))
+        self.targets = [LimitingTarget(self.store, f"t{i}") for i in range(4)]
+        self.edges = [Edge(self.store, f"e{i}") for i in range(3)]
+        for edge in self.edges:
+            wait_for(edge.is_ready, "the router is ready")
+        self.requests = itertools.count()
+        self.stops = threading.Event()
+        self.answers = []  # (time, status, Retry-After) of each request.
+        self.load = [threading.Thread(target=self.send, args=(i,))
+                     for i in range(9)]
+        for thread in self.load:
+            thread.start()
+
+    def tearDown(self):
+        self.stops.set()
+        for thread in self.load:
+            thread.join()
+        for edge in self.edges:
+            edge.stop()
+        for server in [self.store, *self.targets]:
+            server.stop()
+
+    def send(self, index):
+        while not self.stops.is_set():
+            edge = self.edges[index % len(self.edges)]
+            path = ("/read/1", "/write/1", "/stream/1")[index // 3]
+            number = next(self.requests)
+            headers = {"Host": "shop.example", "Attempt-Id": f"id{number}",
+                       "Credential": "key-1", "Deadline-Ms": "6000"}
+            if path == "/stream/1":
+                headers.update({"Token-Counts": "30,10",
+                                "Prefix-Hash": f"a1:20,{number + 4096:x}:10"})
+            connection = http.client.HTTPConnection("127.0.0.1", edge.caller,
+                                                    timeout=20)
+            try:
+                connection.request("POST", path, b"x", headers)
+                answer = connection.getresponse()
+                answer.read()
+                self.answers.append((time.monotonic(), answer.status,
+                                     answer.headers.get("Retry-After")))
+            except (OSError, http.client.HTTPException):
+                self.answers.append((time.monotonic(), 0, None))
+            finally:
+                connection.close()
+            time.sleep(0.05)
+
+    def lines(self, event):
+        return [line for edge in self.edges for line in edge.lines
+                if line["event"] == event]
+
+    def set_limits(self, targets, limit):
+        for target in targets:
+            target.limit = limit
+        return time.monotonic()
+
+    def expect_kept(self, targets, since, limit):
+        for target in targets:
+            self.assertLessEqual(
+                target.worst_window(since + CONTACT_SECONDS),
+                ALLOWED_FACTOR * limit * WINDOW_SECONDS + ALLOWED_EXCESS,
+                target.name)
+
+    def test_targets_get_no_more_than_the_limit_that_they_name(self):
+        time.sleep(1)
+        limited = self.targets[:3]
+        since = self.set_limits(limited, "3.0")
+        time.sleep(CONTACT_SECONDS + 6)
+        self.expect_kept(limited, since, 3)
+        # What operators see.
+        for edge in self.edges:
+            seen = {line["target"] for line in edge.lines
+                    if line["event"] == "target_limited"}
+            self.assertEqual(seen, {target.name for target in limited})
+        self.assertTrue(self.lines("limit_share"))
+        metrics = get(self.edges[0].metrics, "/metrics")[1].decode()
+        self.assertIn('papayaplank_target_limit_per_second{target="t0"} 3\n',
+                      metrics)
+
+
+if __name__ == "__main__":
+    unittest.main()
