Gateway: a data centre that knew few routers never learnt of the rest

Cause: the routers of a data centre that read the router list before the others had written their rows know fewer than 24 peers and take the fleet for a mesh. In that role they ignored the summaries of the other hubs, which would have shown that the fleet is large; the next read of the list comes 48 s and more later. Ruled out: rounding of cores in reports (0.12 and 0.5 are exact), lost or large datagrams (the other three data centres heard each other), load (lateness of at most 7 ms at the hubs of pnw-a). Change: a router in a mesh takes the addresses that a summary lists, not their liveness. With them it finds its role. Test: AHubOfAFewRoutersLearnsOfALargeFleetFromSummaries, failing before (role mesh, 1 peer live instead of 30).

--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -169,6 +169,8 @@
   } else {
     // Lists go from the hub that hears a router to hubs, and from these to
     // members. Any other way, hubs could confirm a silent router to each other.
+    // The addresses are news to a router that takes the fleet for a small one.
+    if (role_ == ExchangeRole::kMesh) AddListedAddresses(summary, now);
     return true;
   }
   for (const auto& router : summary.lost) {
@@ -180,6 +182,15 @@
   return true;
 }
 
+auto FleetExchange::AddListedAddresses(const FleetSummary& summary, Time now)
+    -> void {
+  std::vector<PeerSeed> seeds;
+  for (const auto& state : summary.listed) {
+    seeds.push_back({state.peer_address, state.data_center, state.cores});
+  }
+  peers_.AddSeeds(seeds, now);
+}
+
 auto FleetExchange::WithoutOwn(const FleetSummary& summary) const
     -> TargetLoads {
   auto loads = summary.loads;
--- a/gateway/fleet_exchange.h
+++ b/gateway/fleet_exchange.h
@@ -88,6 +88,8 @@
   auto SilentHubs(Time now) const -> std::set<std::string>;
   // Whether this hub's summary is the most complete one of its data centre.
   auto IsBest(const FleetSummary& summary, Time now) const -> bool;
+  // Adds the listed routers as addresses to report to, live or not.
+  auto AddListedAddresses(const FleetSummary& summary, Time now) -> void;
   // The loads of the summary without those of this router.
   auto WithoutOwn(const FleetSummary& summary) const -> TargetLoads;
   auto ApplyFleetSums(const FleetSummary& summary, Time now) -> void;
--- a/tests/gateway/test_fleet_exchange.cpp
+++ b/tests/gateway/test_fleet_exchange.cpp
@@ -215,6 +215,38 @@
   for (const auto hub : hubs) EXPECT_LT(hub % 13, kDataCenters) << "is small";
 }
 
+// A hub whose data centre read the router list first knew few peers, took the
+// fleet for a small one and never learnt of the others (cfs-plank-grown).
+TEST(FleetExchangeTest, AHubOfAFewRoutersLearnsOfALargeFleetFromSummaries) {
+  GatewayOptions options;
+  options.peer_address = "10.0.0.1:1";
+  options.data_center = DataCenterId("dc0");
+  options.cores = 0.5;
+  GatewayCore core(options);
+  core.AddPeers({{"10.0.0.2:1", DataCenterId("dc0"), 0.12}}, kStart);
+  FleetSummary summary;
+  summary.scope = FleetSummary::Scope::kDataCenter;
+  summary.sequence = 1;
+  constexpr int kListed = 30;
+  for (int i = 0; i < kListed; ++i) {
+    RouterState state;
+    state.peer_address = "10.1.0." + std::to_string(i) + ":1";
+    state.data_center = DataCenterId("dc1");
+    state.started_unix_ms = 1;
+    summary.listed.push_back(state);
+  }
+  summary.sender = summary.listed.front();
+  core.MakePeerMessages(kStart);
+  ASSERT_EQ(core.exchange_role(), ExchangeRole::kMesh);
+  core.HandleSummary(summary, kStart + kTick);
+  core.MakePeerMessages(kStart + 2 * kTick);
+  EXPECT_EQ(core.exchange_role(), ExchangeRole::kHub);
+  // As a hub it takes the next list.
+  ++summary.sequence;
+  core.HandleSummary(summary, kStart + 3 * kTick);
+  EXPECT_EQ(core.live_peers(kStart + 3 * kTick), kListed);
+}
+
 // Load pattern: hundreds of routers, most of them on small instances. What a
 // router sends and receives must not grow with the fleet, but for the hubs.
 TEST(FleetExchangeTest, AMembersMessagesDoNotGrowWithTheFleet) {
