--- a/admission/admission.h
+++ b/admission/admission.h
@@ -10,6 +10,8 @@
 #include "admission/fair_share.h"
 #include "admission/fleet_retry_budget.h"
 #include "admission/part_quarantine.h"
+#include "admission/permit_issuer.h"
+#include "admission/permit_wallet.h"
 #include "admission/router_load.h"
 #include "admission/target_limits.h"
 #include "admission/target_outcomes.h"
--- a/admission/target_limits.h
+++ b/admission/target_limits.h
@@ -7,8 +7,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -18,7 +18,9 @@
 
 struct RequestRate {
   double per_second = 0;
-  friend auto operator<=>(const RequestRate&, const RequestRate&) = default;
+  // NOLINTNEXTLINE: false positive on defaulted comparisons.
+  friend auto operator==(const RequestRate&, const RequestRate&)
+      -> bool = default;
 };
 
 // Names a process of a target: its start, Unix milliseconds.
@@ -104,7 +106,7 @@
 
   Random random_;
   // Targets that have a limit, or had one lately.
-  std::map<TargetId, Entry> entries_;
+  std::unordered_map<TargetId, Entry> entries_;
   std::vector<LimitChange> changes_;
   std::uint64_t malformed_ = 0;
 };
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -19,10 +19,22 @@
 constexpr Duration kNotReachedCooldown = milliseconds(500);
 // Cost of a generated token, in prompt tokens.
 constexpr double kOutputWeight = 2;
+// A target whose limit was not named for this long is tried as soon as there is
+// a permit, to find out if the limit still holds.
+constexpr Duration kStaleLimitAge = seconds(5);
+// Permits that are asked for, for one attempt; each takes a round trip.
+constexpr int kMaxPermitRequests = 3;
+// A reply to a request for a permit takes a round trip, and longer at loaded
+// routers.
+constexpr Duration kPermitTimeout = milliseconds(60);
+// Weight of a new request in the average of their costs.
+constexpr double kCostWeight = 0.02;
 // Retry-After if it is unknown how long the cause of the refusal will last.
 constexpr Duration kUnknownRetryAfter = milliseconds(300);
 // Least Retry-After of a request with a quarantined prompt part.
 constexpr Duration kLeastQuarantineRetryAfter = seconds(5);
+// Least Retry-After of a request that finds no permit.
+constexpr Duration kLeastLimitRetryAfter = milliseconds(50);
 // Retry-After of a saturated router.
 constexpr Duration kBusyRetryAfter = milliseconds(150);
 // For requests without a stated deadline.
@@ -36,6 +48,11 @@
 // Share of a target's connection limit that all routers together may use.
 constexpr double kPlannedConnectionShare = 0.9;
 
+auto PermitClassOf(const AdmissionTerms& terms) -> PermitClass {
+  return terms.share_used >= 1 ? PermitClass::kOverShare
+                               : PermitClass::kWithinShare;
+}
+
 // Cost of a request in prompt tokens.
 auto RequestCost(const PromptFacts& prompt) -> double {
   return prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
@@ -51,7 +68,7 @@
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
-      limits_(StableHash("limits", options_.seed)),
+      limit_guard_(options_.peer_address, StableHash("limits", options_.seed)),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -65,9 +82,10 @@
   keys_.Confirm(sent_at);
 }
 
-auto GatewayCore::RecordPause(Time) -> void {
+auto GatewayCore::RecordPause(Time now) -> void {
   keys_.Invalidate();
   crash_guard_.RecordPause();
+  limit_guard_.RecordPause(now);
 }
 
 auto GatewayCore::BeginStop(Time now) -> void {
@@ -164,7 +182,6 @@
   request.arrived_at = now;
   request.deadline = now + wait;
   request.pool = ChoosePool(*route);
-  retry_budget_.RecordRequest(request.pool, now);
   const auto tokens = RequestCost(request.prompt);
   if (tokens > 0) shares_.RecordDemand(request.customer, tokens, now);
   return request;
@@ -206,7 +223,8 @@
   return preferred;
 }
 
-auto GatewayCore::FindOptions(const GatewayRequest& request, Time now)
+auto GatewayCore::FindOptions(const GatewayRequest& request,
+                              PermitClass permit_class, Time now)
     -> std::vector<TargetOption> {
   std::vector<TargetOption> options;
   const auto& targets = directory_.Serving(request.pool);
@@ -236,18 +254,69 @@
         option.to_read.total() + prompt.expected_output_tokens, now);
     option.is_cooling_down = outcomes_.IsCoolingDown(target.id, now);
     option.failure_rate = outcomes_.FailureRate(target.id, now);
+    option.permission = limit_guard_.Check(target.id, permit_class, now);
+    if (option.permission != Permission::kNotNeeded) {
+      const auto* news = limit_guard_.limits().FindNews(target.id);
+      option.is_limit_stale = now - news->at > kStaleLimitAge;
+      if (option.permission == Permission::kMayAsk &&
+          request.permit_requests >= kMaxPermitRequests) {
+        option.permission = Permission::kNone;
+      }
+    }
     options.push_back(option);
   }
   return options;
 }
 
+auto GatewayCore::RefuseLimited(const std::vector<TargetOption>& options,
+                                const AdmissionTerms& terms, Time now)
+    -> Refusal {
+  auto wait = Duration::max();
+  for (const auto& option : options) {
+    wait = std::min(wait, limit_guard_.TimeToAsk(option.target->id,
+                                                 PermitClassOf(terms), now));
+  }
+  const auto retry_after = std::max<Duration>(
+      kLeastLimitRetryAfter, limit_guard_.PromiseReturn(wait, now));
+  auto refusal = Refuse(RefusalReason::kTargetLimits, retry_after);
+  const auto& first = options.front();
+  refusal.facts = AdmissionFacts{first.target->id, first.forecast, Duration{},
+                                 terms.share_used};
+  return refusal;
+}
+
+auto GatewayCore::LimitedCapacityShare() const -> double {
+  if (!limit_guard_.is_any_limited()) return 1;
+  if (table_ == nullptr || mean_request_cost_ <= 0) return 1;
+  const auto capacity = table_->document().fleet_tokens_per_second;
+  double slots = 0;
+  double left = 0;
+  for (const auto& service : table_->document().services) {
+    if (!service.engine) continue;
+    for (const auto& target : directory_.Serving(service.id)) {
+      slots += target.slots;
+    }
+  }
+  if (slots <= 0 || capacity <= 0) return 1;
+  for (const auto& service : table_->document().services) {
+    if (!service.engine) continue;
+    for (const auto& target : directory_.Serving(service.id)) {
+      const auto share = target.slots / slots;
+      const auto limit = limit_guard_.limits().Find(target.id);
+      left += limit ? std::min(share, limit->per_second * mean_request_cost_ /
+                                          capacity)
+                    : share;
+    }
+  }
+  return left;
+}
+
 auto GatewayCore::Place(GatewayRequest& request, Time now) -> PlacementResult {
   if (request.attempts > 0) {
     // The part may have been quarantined since the first attempt.
     auto refusal = RefuseQuarantined(SharedParts(request.prompt.parts), now);
     if (refusal) return std::move(*refusal);
   }
-  const auto options = FindOptions(request, now);
   AdmissionTerms terms;
   terms.objective = request.route->objective;
   terms.time_left = request.deadline - now;
@@ -255,8 +324,10 @@
   if (terms.is_engine) {
     terms.share_used = shares_.ShareUsed(request.customer, now);
   }
+  const auto options = FindOptions(request, PermitClassOf(terms), now);
   const auto* option = ChooseOption(options, terms);
   if (option == nullptr) {
+    if (!options.empty()) return RefuseLimited(options, terms, now);
     return Refuse(RefusalReason::kNoTarget, kUnknownRetryAfter);
   }
   // A retry is not refused: its request was admitted before.
@@ -271,6 +342,12 @@
   } else {
     placement.facts = std::move(std::get<AdmissionFacts>(check));
   }
+  if (option->permission == Permission::kMayAsk) {
+    ++request.permit_requests;
+    return PermitWait{
+        limit_guard_.Ask(option->target->id, PermitClassOf(terms), now),
+        kPermitTimeout};
+  }
   placement.target = *option->target;
   placement.attempt = AttemptId(next_attempt_++);
   placement.tokens_to_read = option->to_read.total();
@@ -283,9 +360,17 @@
   }
   if (request.attempts == 0) {
     const auto tokens = RequestCost(prompt);
-    if (tokens > 0) shares_.RecordService(request.customer, tokens, now);
+    if (tokens > 0) {
+      shares_.RecordService(request.customer, tokens, now);
+      const auto weight = mean_request_cost_ > 0 ? kCostWeight : 1;
+      mean_request_cost_ += weight * (tokens - mean_request_cost_);
+    }
+    // Only requests that targets take allow retries: refused ones leave the
+    // targets no room for them.
+    retry_budget_.RecordRequest(request.pool, now);
   }
-  limits_.RecordSend(placement.target.id, now);
+  limit_guard_.RecordSend(placement.target.id, now);
+  request.permit_requests = 0;
   request.tried_targets.insert(placement.target.id);
   ++request.attempts;
   ++counters_.attempts;
@@ -304,9 +389,7 @@
 auto GatewayCore::RecordLimit(const Placement& placement,
                               std::optional<RequestRate> limit, Time now)
     -> void {
-  const auto& target = placement.target;
-  limits_.RecordAnswer(target.id, ProcessStart(target.started_unix_ms), limit,
-                       now);
+  limit_guard_.RecordAnswer(placement.target, limit, now);
 }
 
 auto GatewayCore::RecordTargetCheck(const TargetId& target, bool is_reachable,
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -17,6 +17,7 @@
 #include "gateway/config_watch.h"
 #include "gateway/crash_guard.h"
 #include "gateway/fleet_exchange.h"
+#include "gateway/limit_guard.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
@@ -131,7 +132,8 @@
 
   // Finds the route and checks the key and the load of this router.
   auto Accept(const RequestFacts& facts, Time now) -> AcceptResult;
-  // Chooses a target and counts the request there, or refuses it.
+  // Chooses a target and counts the request there, or refuses it. If a permit
+  // was asked for, nothing is counted, and the request is to be placed again.
   auto Place(GatewayRequest& request, Time now) -> PlacementResult;
   // Events of the answer arrived; only the first call for an attempt counts.
   auto RecordFirstToken(const Placement& placement, Time now) -> void;
@@ -151,12 +153,23 @@
   auto RecordLimit(const Placement& placement, std::optional<RequestRate> limit,
                    Time now) -> void;
   // The limit in an answer can't be read; it changes nothing.
-  auto RecordMalformedLimit() -> void { limits_.RecordMalformed(); }
+  auto RecordMalformedLimit() -> void { limit_guard_.RecordMalformed(); }
   // Limits that changed since the last call.
   auto TakeLimitChanges() -> std::vector<LimitChange> {
-    return limits_.TakeChanges();
+    return limit_guard_.limits().TakeChanges();
   }
-  auto limits() const -> const TargetLimits& { return limits_; }
+  auto HandleLimitReport(const LimitReport& report, Time now) -> void;
+  // Nothing if this router does not know the target.
+  auto HandlePermitRequest(const PermitRequest& request, Time now)
+      -> std::optional<PermitGrant>;
+  auto HandlePermitGrant(const PermitGrant& grant, Time now) -> void;
+  // No reply has come within the time of the `PermitWait`.
+  auto RecordPermitSilence(PermitNonce nonce, Time now) -> void {
+    limit_guard_.RecordSilence(nonce, now);
+  }
+  // Requests for permits, to be sent at once.
+  auto TakePermitRequests() -> std::vector<OutgoingMessage>;
+  auto limit_guard() const -> const LimitGuard& { return limit_guard_; }
 
   // Crashes of targets, and prompt parts that cause them.
 
@@ -245,8 +258,8 @@
   // All routers that callers may be directed to, including this one.
   auto ServingRouters(Time now) const -> std::vector<ServingRouter>;
   // The serving targets of the pool that the request has not tried yet.
-  auto FindOptions(const GatewayRequest& request, Time now)
-      -> std::vector<TargetOption>;
+  auto FindOptions(const GatewayRequest& request, PermitClass permit_class,
+                   Time now) -> std::vector<TargetOption>;
   // The preferred targets of the prompt's shared parts, best first.
   static auto PreferredTargets(const std::vector<TargetRow>& targets,
                                const std::vector<PromptPart>& parts)
@@ -257,6 +270,12 @@
       -> std::optional<Refusal>;
   // Whether this router tries the part for the fleet.
   auto IsProbeOwner(PartId part, Time now) const -> bool;
+  // What is left of a fleet's capacity by the limits of its targets, as a
+  // share.
+  auto LimitedCapacityShare() const -> double;
+  // The refusal of a request for which all targets lack permits.
+  auto RefuseLimited(const std::vector<TargetOption>& options,
+                     const AdmissionTerms& terms, Time now) -> Refusal;
   // Makes a refusal and counts it.
   auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   // A random pool of the route, by weight, among those with serving targets.
@@ -285,7 +304,9 @@
   RouterLoad load_;
   TargetOutcomes outcomes_;
   CrashGuard crash_guard_;
-  TargetLimits limits_;
+  LimitGuard limit_guard_;
+  // Average cost of a request to an engine, in prompt tokens.
+  double mean_request_cost_ = 0;
   std::unordered_map<TargetId, EngineLoad> loads_;
   // Targets by their `TargetHash`.
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -62,7 +62,7 @@
 auto GatewayCore::ResetTarget(const TargetId& target) -> void {
   cached_prefixes_.RemoveTarget(target);
   outcomes_.RemoveTarget(target);
-  limits_.RemoveTarget(target);
+  limit_guard_.RemoveTarget(target);
   const auto load = loads_.find(target);
   if (directory_.Find(target) != nullptr) {
     if (load != loads_.end()) load->second.Reset();
@@ -112,6 +112,40 @@
   crash_guard_.quarantine().Merge(evidence.records, passes_on, now);
 }
 
+auto GatewayCore::HandleLimitReport(const LimitReport& report, Time now)
+    -> void {
+  const auto passes_on = exchange_.role() == ExchangeRole::kHub;
+  for (const auto& record : report.records) {
+    const auto known = target_of_hash_.find(record.target);
+    if (known == target_of_hash_.end()) continue;
+    limit_guard_.Merge(known->second, record, passes_on, now);
+  }
+}
+
+auto GatewayCore::HandlePermitRequest(const PermitRequest& request, Time now)
+    -> std::optional<PermitGrant> {
+  const auto known = target_of_hash_.find(request.record.target);
+  if (known == target_of_hash_.end()) return std::nullopt;
+  return limit_guard_.HandleRequest(known->second, request, now);
+}
+
+auto GatewayCore::HandlePermitGrant(const PermitGrant& grant, Time now)
+    -> void {
+  const auto known = target_of_hash_.find(grant.record.target);
+  if (known != target_of_hash_.end()) {
+    limit_guard_.Merge(known->second, grant.record, false, now);
+  }
+  limit_guard_.HandleGrant(grant, now);
+}
+
+auto GatewayCore::TakePermitRequests() -> std::vector<OutgoingMessage> {
+  std::vector<OutgoingMessage> messages;
+  for (auto& [owner, request] : limit_guard_.TakeRequests()) {
+    messages.push_back({std::move(request), {owner}});
+  }
+  return messages;
+}
+
 auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
                                      Time now) -> DirectoryChange {
   DirectoryChange changes;
@@ -243,6 +277,7 @@
   state.is_ready = is_ready(now);
   state.is_store_continuous = store_continuity_.IsContinuous(now);
   state.is_store_failing = store_continuity_.is_failing();
+  state.issues_permits = true;
   state.config_version = table_ == nullptr ? 0 : table_->version();
   return state;
 }
@@ -275,13 +310,23 @@
   exchange_.Tick(MakeState(now), now);
   UpdateOtherLoads();
   crash_guard_.Tick(now);
-  limits_.Tick(now);
+  limit_guard_.Tick(peers_, is_leaving_, now);
+  if (table_ != nullptr) {
+    shares_.SetCapacity(table_->document().fleet_tokens_per_second *
+                        LimitedCapacityShare());
+  }
   auto messages = exchange_.MakeMessages(MakeReport(now), now);
   PartEvidence evidence{crash_guard_.quarantine().RecordsToSend(now)};
   if (!evidence.records.empty()) {
     messages.push_back(
         {std::move(evidence), exchange_.EvidenceRecipients(now)});
   }
+  LimitReport limits{limit_guard_.RecordsToSend(
+      exchange_.role() == ExchangeRole::kHub,
+      exchange_.role() == ExchangeRole::kMember, now)};
+  if (!limits.records.empty()) {
+    messages.push_back({std::move(limits), exchange_.EvidenceRecipients(now)});
+  }
   return messages;
 }
 
--- /dev/null
+++ b/gateway/limit_guard.cpp
@@ -0,0 +1,270 @@
+// Owners, permits and records of limited targets.
+#include "gateway/limit_guard.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+// A change is sent this often, at this interval, as datagrams may get lost.
+constexpr int kChangeRepeats = 3;
+constexpr Duration kRepeatPeriod = milliseconds(200);
+// How often known limits are sent again for routers that missed them or are
+// new: by their owners in a mesh, by hubs in a larger fleet.
+constexpr Duration kMeshRefreshPeriod = seconds(1);
+constexpr Duration kHubRefreshPeriod = seconds(2);
+// Records of one refresh, which is one message.
+constexpr std::size_t kMaxRecords = 128;
+// Use of permits is averaged over this time.
+constexpr Duration kUseWindow = seconds(4);
+// A refused request is never sent away for longer than this.
+constexpr Duration kLongestPromise = seconds(4);
+
+}  // namespace
+
+auto LimitGuard::RecordAnswer(const TargetRow& target,
+                              std::optional<RequestRate> limit, Time now)
+    -> void {
+  const auto before = limits_.Find(target.id);
+  if (!before && !limit) return;
+  limits_.RecordAnswer(target.id, ProcessStart(target.started_unix_ms), limit,
+                       now);
+  spread_[target.id].is_own_news = true;
+  if (before != limit) OnChange(target.id, true, now);
+}
+
+auto LimitGuard::OnChange(const TargetId& target, bool passes_on, Time now)
+    -> void {
+  auto& spread = spread_[target];
+  if (passes_on) spread.repeats_left = kChangeRepeats;
+  const auto limit = limits_.Find(target);
+  // Permits were handed out at the former rate.
+  wallet_.Drop(target);
+  if (limit && IsOwn(target)) {
+    issuer_.Own(target, now);
+  } else {
+    issuer_.Disown(target);
+  }
+}
+
+auto LimitGuard::Merge(const TargetId& target, const TargetLimitRecord& record,
+                       bool passes_on, Time now) -> void {
+  if (record.id == 0) return;
+  const LimitNews news{record.id, record.process, record.limit,
+                       now - record.age};
+  if (limits_.Merge(target, news, now)) OnChange(target, passes_on, now);
+}
+
+auto LimitGuard::RemoveTarget(const TargetId& target) -> void {
+  limits_.RemoveTarget(target);
+  issuer_.Disown(target);
+  wallet_.Drop(target);
+  spread_.erase(target);
+  owner_of_.erase(target);
+}
+
+auto LimitGuard::Owner(const TargetId& target) const -> const std::string& {
+  const auto [entry, is_new] = owner_of_.try_emplace(target);
+  if (!is_new) return entry->second;
+  const auto seed = StableHash(target.value());
+  std::uint64_t best_score = 0;
+  for (const auto& address : owners_) {
+    const auto score = StableHash(address, seed);
+    if (!entry->second.empty() && score <= best_score) continue;
+    entry->second = address;
+    best_score = score;
+  }
+  return entry->second;
+}
+
+auto LimitGuard::Check(const TargetId& target, PermitClass permit_class,
+                       Time now) -> Permission {
+  const auto limit = limits_.Find(target);
+  if (!limit) return Permission::kNotNeeded;
+  if (issuer_.Owns(target)) {
+    return issuer_.HasPermit(target, *limit, permit_class, now)
+               ? Permission::kInHand
+               : Permission::kNone;
+  }
+  if (wallet_.HasPermit(target, now)) return Permission::kInHand;
+  const auto may_ask = !Owner(target).empty() &&
+                       wallet_.AskTime(target, permit_class, now) <= now;
+  return may_ask ? Permission::kMayAsk : Permission::kNone;
+}
+
+auto LimitGuard::TimeToAsk(const TargetId& target, PermitClass permit_class,
+                           Time now) -> Duration {
+  const auto limit = limits_.Find(target);
+  if (!limit) return Duration{};
+  if (issuer_.Owns(target)) {
+    return issuer_.TimeToNext(target, *limit, permit_class, now);
+  }
+  return std::max(Duration{}, wallet_.AskTime(target, permit_class, now) - now);
+}
+
+auto LimitGuard::RecordSend(const TargetId& target, Time now) -> void {
+  const auto limit = limits_.Find(target);
+  if (!limit) return;
+  limits_.RecordSend(target, now);
+  if (issuer_.Owns(target)) {
+    issuer_.Issue(target, *limit, PermitClass::kWithinShare, now);
+  } else if (wallet_.HasPermit(target, now)) {
+    wallet_.Take(target);
+  }
+  used_.push_back(now);
+}
+
+auto LimitGuard::Ask(const TargetId& target, PermitClass permit_class, Time now)
+    -> PermitNonce {
+  const auto nonce = wallet_.Ask(target, permit_class, now);
+  ++counters_.requested;
+  requests_.emplace_back(
+      Owner(target),
+      PermitRequest{self_address_, nonce, permit_class, ToRecord(target, now)});
+  return nonce;
+}
+
+auto LimitGuard::RecordSilence(PermitNonce nonce, Time now) -> void {
+  ++counters_.unanswered;
+  wallet_.RecordSilence(nonce, now);
+}
+
+auto LimitGuard::HandleRequest(const TargetId& target,
+                               const PermitRequest& request, Time now)
+    -> PermitGrant {
+  Merge(target, request.record, false, now);
+  PermitGrant grant;
+  grant.nonce = request.nonce;
+  grant.record = ToRecord(target, now);
+  const auto limit = limits_.Find(target);
+  if (!limit) {
+    // The limit has ended, as the record tells.
+    grant.is_granted = true;
+  } else if (!issuer_.Owns(target)) {
+    // The sender takes this router for the owner, or did so a moment ago.
+    grant.wait = kRepeatPeriod;
+  } else if (issuer_.Issue(target, *limit, request.permit_class, now)) {
+    grant.is_granted = true;
+  } else {
+    grant.wait = issuer_.TimeToNext(target, *limit, request.permit_class, now);
+  }
+  return grant;
+}
+
+auto LimitGuard::HandleGrant(const PermitGrant& grant, Time now) -> void {
+  if (grant.is_granted) {
+    ++counters_.granted;
+    wallet_.RecordGrant(grant.nonce, now);
+  } else {
+    ++counters_.refused;
+    wallet_.RecordRefusal(grant.nonce, grant.wait, now);
+  }
+}
+
+auto LimitGuard::PromiseReturn(Duration least, Time now) -> Duration {
+  while (!used_.empty() && now - used_.front() > kUseWindow) used_.pop_front();
+  const auto gap =
+      Scale(kUseWindow,
+            1.0 / static_cast<double>(std::max<std::size_t>(1, used_.size())));
+  promised_until_ = std::max(now + least, promised_until_ + gap);
+  promised_until_ = std::min(promised_until_, now + kLongestPromise);
+  return promised_until_ - now;
+}
+
+auto LimitGuard::ClaimOwned(Time now) -> void {
+  for (const auto& limited : limits_.Limited(now)) {
+    if (IsOwn(limited.target)) {
+      issuer_.Own(limited.target, now);
+    } else {
+      issuer_.Disown(limited.target);
+    }
+  }
+}
+
+auto LimitGuard::Tick(const PeerTable& peers, bool is_leaving, Time now)
+    -> void {
+  limits_.Tick(now);
+  wallet_.Tick(now);
+  while (!used_.empty() && now - used_.front() > kUseWindow) used_.pop_front();
+  std::erase_if(spread_, [this](const auto& entry) {
+    return limits_.FindNews(entry.first) == nullptr;
+  });
+  if (!is_any_limited()) return;
+  auto issuers = peers.LiveIssuers(now);
+  auto owners = std::move(issuers.owners);
+  if (!is_leaving || owners.empty()) owners.push_back(self_address_);
+  if (owners != owners_) {
+    owners_ = std::move(owners);
+    owner_of_.clear();
+  }
+  ClaimOwned(now);
+  // On the smaller side of a partition the other side uses the rest. Routers
+  // that don't ask for permits use their part in any case.
+  const auto live = static_cast<double>(peers.LiveCount(now) + 1);
+  const auto known = static_cast<double>(peers.size() + 1);
+  const auto side = 2 * live > known ? 1 : live / known;
+  issuer_.SetShare(side * static_cast<double>(issuers.count + 1) / live);
+}
+
+auto LimitGuard::RecordPause(Time now) -> void {
+  wallet_.DropAll();
+  issuer_.Restart(now);
+}
+
+auto LimitGuard::ToRecord(const TargetId& target, Time now) const
+    -> TargetLimitRecord {
+  TargetLimitRecord record;
+  record.target = TargetHash(target);
+  const auto* news = limits_.FindNews(target);
+  if (news == nullptr) return record;
+  record.id = news->id;
+  record.process = news->process;
+  record.limit = news->limit;
+  record.age = std::max(Duration{}, now - news->at);
+  return record;
+}
+
+auto LimitGuard::RefreshRecords(bool passes_on, bool is_member, Time now)
+    -> std::vector<TargetId> {
+  const auto period =
+      passes_on || is_member ? kHubRefreshPeriod : kMeshRefreshPeriod;
+  if (now - refreshed_at_ < period) return {};
+  refreshed_at_ = now;
+  std::vector<TargetId> due;
+  for (const auto& limited : limits_.Limited(now)) {
+    auto& spread = spread_[limited.target];
+    const auto is_due =
+        passes_on || (is_member ? spread.is_own_news : IsOwn(limited.target));
+    if (!is_due) continue;
+    spread.is_own_news = false;
+    due.push_back(limited.target);
+  }
+  if (due.size() <= kMaxRecords) return due;
+  const auto begin = refresh_from_ % due.size();
+  refresh_from_ = begin + kMaxRecords;
+  std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(begin),
+              due.end());
+  due.resize(kMaxRecords);
+  return due;
+}
+
+auto LimitGuard::RecordsToSend(bool passes_on, bool is_member, Time now)
+    -> std::vector<TargetLimitRecord> {
+  std::vector<TargetLimitRecord> records;
+  if (spread_.empty()) return records;
+  const auto is_repeat_due = now - repeated_at_ >= kRepeatPeriod;
+  if (is_repeat_due) repeated_at_ = now;
+  for (auto& [target, spread] : spread_) {
+    const auto is_first = spread.repeats_left == kChangeRepeats;
+    if (spread.repeats_left == 0 || (!is_first && !is_repeat_due)) continue;
+    if (records.size() >= kMaxRecords) break;
+    --spread.repeats_left;
+    records.push_back(ToRecord(target, now));
+  }
+  for (const auto& target : RefreshRecords(passes_on, is_member, now)) {
+    records.push_back(ToRecord(target, now));
+  }
+  return records;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/gateway/limit_guard.h
@@ -0,0 +1,143 @@
+// Keeps the limits that targets name, together with the other routers.
+//
+// Each limited target has one owner among the routers, by rendezvous hashing;
+// all choose alike, so nothing is agreed on or stored. The owner hands out
+// permits at the target's rate, one for each request, to whichever router asks.
+// Routers ask when they have a request to send there. What targets name travels
+// as records: changes at once, the rest periodically for new routers.
+#ifndef GATEWAY_LIMIT_GUARD_H_
+#define GATEWAY_LIMIT_GUARD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "admission/admission.h"
+#include "gateway/peer_messages.h"
+#include "gateway/peer_table.h"
+#include "routing/routing.h"
+
+namespace papayaplank {
+
+// Whether a request may be sent to a target now.
+enum class Permission {
+  kNotNeeded,  // The target names no limit.
+  kInHand,     // This router has a permit.
+  kMayAsk,     // Its owner may have one.
+  kNone,       // None is left for now.
+};
+
+// Counts since the start of the process, for metrics.
+struct PermitCounters {
+  std::uint64_t requested = 0;
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
+  // No reply came in time.
+  std::uint64_t unanswered = 0;
+};
+
+class LimitGuard {
+ public:
+  LimitGuard(std::string self_address, std::uint64_t seed)
+      : self_address_(std::move(self_address)), limits_(seed) {}
+
+  // What targets name.
+
+  // An answer arrived that names this limit, or none.
+  auto RecordAnswer(const TargetRow& target, std::optional<RequestRate> limit,
+                    Time now) -> void;
+  auto RecordMalformed() -> void { limits_.RecordMalformed(); }
+  // A record of another router about this target. With `passes_on`, a change is
+  // sent on to others.
+  auto Merge(const TargetId& target, const TargetLimitRecord& record,
+             bool passes_on, Time now) -> void;
+  auto RemoveTarget(const TargetId& target) -> void;
+  auto limits() -> TargetLimits& { return limits_; }
+  auto limits() const -> const TargetLimits& { return limits_; }
+  auto is_any_limited() const -> bool { return limits_.is_any_limited(); }
+
+  // Permits.
+
+  auto Check(const TargetId& target, PermitClass permit_class, Time now)
+      -> Permission;
+  // Until a permit may be asked for; zero if one may be now.
+  auto TimeToAsk(const TargetId& target, PermitClass permit_class, Time now)
+      -> Duration;
+  // A request is sent to the target; takes a permit if one is needed.
+  auto RecordSend(const TargetId& target, Time now) -> void;
+  // Asks the target's owner for a permit.
+  auto Ask(const TargetId& target, PermitClass permit_class, Time now)
+      -> PermitNonce;
+  // No reply has come in time.
+  auto RecordSilence(PermitNonce nonce, Time now) -> void;
+  auto HandleRequest(const TargetId& target, const PermitRequest& request,
+                     Time now) -> PermitGrant;
+  auto HandleGrant(const PermitGrant& grant, Time now) -> void;
+  // Requests for permits since the last call; each has one recipient.
+  auto TakeRequests() -> std::vector<std::pair<std::string, PermitRequest>> {
+    return std::exchange(requests_, {});
+  }
+  // When a request that finds no permit now may find one, if those before it
+  // come back as they were told.
+  auto PromiseReturn(Duration least, Time now) -> Duration;
+
+  // Periodic work, before the messages of a tick are made.
+  auto Tick(const PeerTable& peers, bool is_leaving, Time now) -> void;
+  // The process was paused for an unknown time.
+  auto RecordPause(Time now) -> void;
+  // Records that other routers need now. `passes_on`: this router tells others
+  // what it hears; `is_member`: others refresh for it.
+  auto RecordsToSend(bool passes_on, bool is_member, Time now)
+      -> std::vector<TargetLimitRecord>;
+
+  // The owner's peer address; empty if there is none.
+  auto Owner(const TargetId& target) const -> const std::string&;
+  auto counters() const -> const PermitCounters& { return counters_; }
+  auto issuer() const -> const PermitIssuer& { return issuer_; }
+
+ private:
+  // How much of a record's news others have been sent.
+  struct Spread {
+    // Sendings left of a change.
+    int repeats_left = 0;
+    // News of this router itself that a refresh has not sent yet.
+    bool is_own_news = false;
+  };
+
+  auto ToRecord(const TargetId& target, Time now) const -> TargetLimitRecord;
+  // The limit began, changed or ended.
+  auto OnChange(const TargetId& target, bool passes_on, Time now) -> void;
+  auto IsOwn(const TargetId& target) const -> bool {
+    return Owner(target) == self_address_;
+  }
+  auto ClaimOwned(Time now) -> void;
+  auto RefreshRecords(bool passes_on, bool is_member, Time now)
+      -> std::vector<TargetId>;
+
+  std::string self_address_;
+  TargetLimits limits_;
+  PermitIssuer issuer_;
+  PermitWallet wallet_;
+  // Routers that hand out permits, this one included unless it is leaving.
+  std::vector<std::string> owners_;
+  // Owners by target, for the routers in `owners_`.
+  mutable std::unordered_map<TargetId, std::string> owner_of_;
+  std::unordered_map<TargetId, Spread> spread_;
+  std::vector<std::pair<std::string, PermitRequest>> requests_;
+  Time repeated_at_{};
+  Time refreshed_at_{};
+  // Where the next refresh begins, if there are too many for one.
+  std::size_t refresh_from_ = 0;
+  // When permits were used lately, oldest first, and the newest time that a
+  // refused request was told to return at.
+  std::deque<Time> used_;
+  Time promised_until_{};
+  PermitCounters counters_;
+};
+
+}  // namespace papayaplank
+
+#endif  // GATEWAY_LIMIT_GUARD_H_
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -18,6 +18,9 @@
 constexpr int kSnapshot = 14;
 constexpr int kSummary = 41;
 constexpr int kPartEvidence = 51;
+constexpr int kLimitReport = 61;
+constexpr int kPermitRequest = 62;
+constexpr int kPermitGrant = 63;
 constexpr std::size_t kReportMembers = 6;
 constexpr std::size_t kSummaryMembers = 11;
 constexpr std::size_t kStateMembers = 7;
@@ -28,6 +31,8 @@
 constexpr unsigned kReadyBit = 4;
 constexpr unsigned kContinuousBit = 8;
 constexpr unsigned kFailingBit = 16;
+// Earlier versions ignore it.
+constexpr unsigned kPermitsBit = 32;
 // Cores are sent in hundredths.
 constexpr double kCoreSteps = 100;
 
@@ -59,7 +64,8 @@
                      (state.diverts_callers ? kDivertsBit : 0) |
                      (state.is_ready ? kReadyBit : 0) |
                      (state.is_store_continuous ? kContinuousBit : 0) |
-                     (state.is_store_failing ? kFailingBit : 0);
+                     (state.is_store_failing ? kFailingBit : 0) |
+                     (state.issues_permits ? kPermitsBit : 0);
   return {state.started_unix_ms,
           state.peer_address,
           state.caller_address,
@@ -84,6 +90,7 @@
   state.is_ready = (flags & kReadyBit) != 0;
   state.is_store_continuous = (flags & kContinuousBit) != 0;
   state.is_store_failing = (flags & kFailingBit) != 0;
+  state.issues_permits = (flags & kPermitsBit) != 0;
   state.config_version = ReadNumber<std::uint64_t>(json.at(6));
 }
 
@@ -239,6 +246,85 @@
   return evidence;
 }
 
+// Rates are encoded in thousandths; a limit below that is one of zero. Ages are
+// encoded in milliseconds.
+constexpr double kRateSteps = 1000;
+constexpr std::size_t kRecordMembers = 5;
+
+auto WriteDuration(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+auto ReadDuration(const Json& json) -> Duration {
+  return milliseconds(ReadNumber<std::uint32_t>(json));
+}
+
+auto AppendLimitRecord(Json& to, const TargetLimitRecord& record) -> void {
+  to.push_back(record.target);
+  to.push_back(record.id);
+  to.push_back(record.process.value());
+  to.push_back(record.limit
+                   ? Json(Rounded(record.limit->per_second * kRateSteps))
+                   : Json());
+  to.push_back(WriteDuration(record.age));
+}
+
+auto ReadLimitRecord(const Json& json, std::size_t at) -> TargetLimitRecord {
+  TargetLimitRecord record;
+  record.target = ReadNumber<std::uint32_t>(json.at(at));
+  record.id = ReadNumber<std::uint32_t>(json.at(at + 1));
+  record.process = ProcessStart(ReadNumber<std::int64_t>(json.at(at + 2)));
+  if (const auto& limit = json.at(at + 3); !limit.is_null()) {
+    record.limit = RequestRate{ReadNumber<double>(limit) / kRateSteps};
+  }
+  record.age = ReadDuration(json.at(at + 4));
+  return record;
+}
+
+auto ToJson(const LimitReport& report) -> Json {
+  auto records = Json::array();
+  for (const auto& record : report.records) AppendLimitRecord(records, record);
+  return {kLimitReport, std::move(records)};
+}
+
+auto DecodeLimitReport(const Json& body) -> LimitReport {
+  LimitReport report;
+  const auto& records = body.at(1);
+  for (std::size_t i = 0; i + kRecordMembers <= records.size();
+       i += kRecordMembers) {
+    report.records.push_back(ReadLimitRecord(records, i));
+  }
+  return report;
+}
+
+auto ToJson(const PermitRequest& request) -> Json {
+  Json body = {kPermitRequest, request.sender, request.nonce.value(),
+               request.permit_class == PermitClass::kOverShare};
+  AppendLimitRecord(body, request.record);
+  return body;
+}
+
+auto DecodePermitRequest(const Json& body) -> PermitRequest {
+  return {body.at(1).get<std::string>(),
+          PermitNonce(ReadNumber<std::uint32_t>(body.at(2))),
+          body.at(3).get<bool>() ? PermitClass::kOverShare
+                                 : PermitClass::kWithinShare,
+          ReadLimitRecord(body, 4)};
+}
+
+auto ToJson(const PermitGrant& grant) -> Json {
+  Json body = {kPermitGrant, grant.nonce.value(), grant.is_granted,
+               WriteDuration(grant.wait)};
+  AppendLimitRecord(body, grant.record);
+  return body;
+}
+
+auto DecodePermitGrant(const Json& body) -> PermitGrant {
+  return {PermitNonce(ReadNumber<std::uint32_t>(body.at(1))),
+          body.at(2).get<bool>(), ReadDuration(body.at(3)),
+          ReadLimitRecord(body, 4)};
+}
+
 auto ToJson(const FreshnessQuery& query) -> Json {
   return {kQuery, query.nonce};
 }
@@ -298,6 +384,9 @@
     return DecodeSummary(body);
   }
   if (kind == kPartEvidence) return DecodePartEvidence(body);
+  if (kind == kLimitReport) return DecodeLimitReport(body);
+  if (kind == kPermitRequest) return DecodePermitRequest(body);
+  if (kind == kPermitGrant) return DecodePermitGrant(body);
   if (kind == kQuery) {
     return FreshnessQuery{ReadNumber<std::uint64_t>(body.at(1))};
   }
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -66,6 +66,40 @@
   std::vector<PartRecord> records;
 };
 
+// What a router knows of a target's limit; see `LimitNews`. The age is as of
+// the sending.
+struct TargetLimitRecord {
+  // `TargetHash`.
+  std::uint32_t target = 0;
+  // 0 if the router knows nothing.
+  std::uint32_t id = 0;
+  ProcessStart process;
+  std::optional<RequestRate> limit;
+  Duration age{};
+};
+
+struct LimitReport {
+  std::vector<TargetLimitRecord> records;
+};
+
+// Asks the owner of a limited target for the right to send one request there.
+struct PermitRequest {
+  // Peer address of the sender.
+  std::string sender;
+  PermitNonce nonce;
+  PermitClass permit_class = PermitClass::kWithinShare;
+  TargetLimitRecord record;
+};
+
+// Reply to a request for a permit.
+struct PermitGrant {
+  PermitNonce nonce;
+  bool is_granted = false;
+  // If refused: until it is worth asking again.
+  Duration wait{};
+  TargetLimitRecord record;
+};
+
 // Asks a peer how long ago its configuration was confirmed as the newest.
 struct FreshnessQuery {
   // Chosen by the sender; the reply repeats it.
@@ -89,6 +123,7 @@
 };
 
 using PeerMessage = std::variant<PeerReport, FleetSummary, PartEvidence,
+                                 LimitReport, PermitRequest, PermitGrant,
                                  FreshnessQuery, FreshnessReply, PeerSnapshot>;
 
 // Short identifiers of a target and of a router process in messages.
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -163,6 +163,16 @@
   return live;
 }
 
+auto PeerTable::LiveIssuers(Time now) const -> PermitIssuers {
+  PermitIssuers issuers;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.state.issues_permits || !IsLive(peer, now)) continue;
+    ++issuers.count;
+    if (!peer.state.is_leaving) issuers.owners.push_back(address);
+  }
+  return issuers;
+}
+
 auto PeerTable::LiveStates(const DataCenterId& data_center, Time now) const
     -> std::vector<RouterState> {
   std::vector<RouterState> states;
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -37,6 +37,14 @@
   bool is_store_failing = false;
 };
 
+// Live routers that issue permits.
+struct PermitIssuers {
+  // Addresses of those that are not leaving.
+  std::vector<std::string> owners;
+  // Number of all.
+  std::size_t count = 0;
+};
+
 // Routers by the address of their peer socket. A router is live if it reported
 // lately, or if a hub that hears it listed it lately.
 class PeerTable {
@@ -98,6 +106,7 @@
   // Whether a live router's calls show that the store had no long outage
   // lately.
   auto HasContinuousPeer(Time now) const -> bool;
+  auto LiveIssuers(Time now) const -> PermitIssuers;
   // Number of live routers.
   auto LiveCount(Time now) const -> std::size_t;
   // Number of known routers, live or not.
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -35,12 +35,16 @@
 constexpr double kCooldownPenalty = 20;
 // A target in another data centre is chosen only if it is faster by this much.
 constexpr Duration kFarPenalty = milliseconds(4);
+// Time to ask for a permit.
+constexpr Duration kPermitPenalty = milliseconds(4);
 constexpr Duration kMinRetryAfter = milliseconds(50);
 constexpr Duration kMaxRetryAfter = seconds(4);
 
 // Expected time to the first token, with the penalties above.
 auto ExpectedTime(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
+  // Only an answer can tell that the limit has ended.
+  if (option.is_limit_stale) return Duration{};
   const auto& to_read = option.to_read;
   const auto shared_share =
       to_read.total() > 0 ? to_read.shared / to_read.total() : 0;
@@ -53,6 +57,7 @@
       Scale(terms.objective, option.failure_rate * kFailurePenalty);
   time += Scale(terms.objective, kBatchPenalty * option.forecast.batch_share);
   if (!option.is_near) time += kFarPenalty;
+  if (option.permission == Permission::kMayAsk) time += kPermitPenalty;
   if (!option.forecast.has_memory) time += terms.objective;
   if (option.is_cooling_down) time += Scale(terms.objective, kCooldownPenalty);
   return time;
@@ -81,6 +86,7 @@
   const TargetOption* best = nullptr;
   Duration best_time{};
   for (const auto& option : options) {
+    if (option.permission == Permission::kNone) continue;
     const auto time = ExpectedTime(option, terms);
     if (best != nullptr && time >= best_time) continue;
     best = &option;
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "gateway/limit_guard.h"
 #include "gateway/request.h"
 
 namespace papayaplank {
@@ -29,6 +30,9 @@
   bool is_cooling_down = false;
   // Expected share of failures, 0 to 1.
   double failure_rate = 0;
+  Permission permission = Permission::kNotNeeded;
+  // Nobody has heard for long whether its limit still holds.
+  bool is_limit_stale = false;
 };
 
 // Properties of a request that limit its wait.
@@ -45,7 +49,8 @@
   bool is_engine = false;
 };
 
-// The option with the least expected time; null if there is none.
+// The option with the least expected time of those that may have a permit or
+// need none; null if there is none.
 auto ChooseOption(const std::vector<TargetOption>& options,
                   const AdmissionTerms& terms) -> const TargetOption*;
 
--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -19,6 +19,8 @@
       return "over_share";
     case RefusalReason::kNoRoom:
       return "no_room";
+    case RefusalReason::kTargetLimits:
+      return "target_limits";
     case RefusalReason::kQuarantinedPart:
       return "quarantined_part";
     case RefusalReason::kRouterBusy:
@@ -53,6 +55,7 @@
     case RefusalReason::kKeyUnconfirmed:
     case RefusalReason::kNoTarget:
     case RefusalReason::kNoRoom:
+    case RefusalReason::kTargetLimits:
     case RefusalReason::kQuarantinedPart:
     case RefusalReason::kRouterBusy:
     case RefusalReason::kLeaving:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -43,6 +43,8 @@
   std::set<TargetId> tried_targets;
   // Attempts so far, whatever their outcome.
   int attempts = 0;
+  // Permits that were asked for and have not come, for the next attempt.
+  int permit_requests = 0;
 };
 
 // Why the router itself answers a request with an error.
@@ -54,6 +56,7 @@
   kNoTarget,         // No target serves the pool.
   kOverShare,        // Capacity is short; the customer used up its share.
   kNoRoom,           // The best target would be late, is full or lacks memory.
+  kTargetLimits,     // The limits of all targets are used up.
   kQuarantinedPart,  // A part of the prompt has crashed targets.
   kRouterBusy,       // The processor of the router is saturated.
   kLeaving,          // The router stops before the request could end.
@@ -101,7 +104,15 @@
   double tokens_to_read = 0;
 };
 
-using PlacementResult = std::variant<Placement, Refusal>;
+// The best target names a limit, and its owner was asked for a permit. The
+// request is to be placed again when the reply has come, or no later than
+// after `timeout`.
+struct PermitWait {
+  PermitNonce nonce;
+  Duration timeout{};
+};
+
+using PlacementResult = std::variant<Placement, Refusal, PermitWait>;
 
 // How an attempt ended.
 enum class AttemptOutcome {
--- a/gateway/router_state.h
+++ b/gateway/router_state.h
@@ -29,6 +29,8 @@
   bool is_store_continuous = false;
   // Its newest call to the store failed.
   bool is_store_failing = false;
+  // It hands out permits for limited targets and asks others for them.
+  bool issues_permits = false;
   std::uint64_t config_version = 0;
 
   // Identifies the process by address and start.
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -80,7 +80,8 @@
 
 auto SetLimitMetrics(const InfoSources& sources, MetricRegistry& metrics,
                      Time now) -> void {
-  const auto& limits = sources.context.core.limits();
+  const auto& guard = sources.context.core.limit_guard();
+  const auto& limits = guard.limits();
   SetMetric(metrics, "limits_malformed_total",
             static_cast<double>(limits.malformed()));
   const auto limited = limits.Limited(now);
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -13,11 +13,8 @@
 }  // namespace
 
 PeerLink::PeerLink(asio::io_context& io, GatewayCore& core, EventLog& log,
-                   TargetChangeHook on_target_change)
-    : socket_(io),
-      core_(core),
-      log_(log),
-      on_target_change_(std::move(on_target_change)) {}
+                   Hooks hooks)
+    : socket_(io), core_(core), log_(log), hooks_(std::move(hooks)) {}
 
 auto PeerLink::Listen(const std::string& address) -> Outcome<Done> {
   const auto endpoint = ParseUdpEndpoint(address);
@@ -49,6 +46,19 @@
   }
 }
 
+auto PeerLink::SendPermitRequests() -> void {
+  for (const auto& [request, recipients] : core_.TakePermitRequests()) {
+    SendToAll(EncodePeerMessage(request), recipients);
+  }
+}
+
+auto PeerLink::AnswerPermitRequest(const PermitRequest& request,
+                                   const udp::endpoint& from, Time now)
+    -> void {
+  const auto grant = core_.HandlePermitRequest(request, now);
+  if (grant) Send(EncodePeerMessage(*grant), from);
+}
+
 auto PeerLink::SendToAll(const std::string& bytes,
                          const std::vector<std::string>& addresses) -> void {
   for (const auto& address : addresses) {
@@ -67,7 +77,7 @@
 auto PeerLink::PassOnChange(const DirectoryChange& change) -> void {
   if (!change.left.empty() || !change.restarted.empty() ||
       !change.joined.empty()) {
-    on_target_change_(change);
+    hooks_.on_target_change(change);
   }
 }
 
@@ -81,6 +91,13 @@
     PassOnChange(core_.HandleSummary(*summary, now));
   } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
     core_.HandleEvidence(*evidence, now);
+  } else if (const auto* limits = std::get_if<LimitReport>(&message)) {
+    core_.HandleLimitReport(*limits, now);
+  } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
+    AnswerPermitRequest(*request, from, now);
+  } else if (const auto* grant = std::get_if<PermitGrant>(&message)) {
+    core_.HandlePermitGrant(*grant, now);
+    hooks_.on_permit_reply(grant->nonce);
   } else if (const auto* query = std::get_if<FreshnessQuery>(&message)) {
     const auto reply = core_.AnswerQuery(*query, now);
     if (reply) Send(EncodePeerMessage(*reply), from);
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -2,9 +2,12 @@
 #ifndef RELAY_RELAY_CONTEXT_H_
 #define RELAY_RELAY_CONTEXT_H_
 
+#include <functional>
+
 #include "gateway/gateway.h"
 #include "relay/asio.h"
 #include "relay/event_log.h"
+#include "relay/permit_waits.h"
 #include "relay/request_metrics.h"
 #include "relay/target_connection_pool.h"
 
@@ -17,6 +20,9 @@
   EventLog& log;
   TargetConnectionPool& target_connections;
   RequestMetrics& metrics;
+  PermitWaits& permit_waits;
+  // Sends the core's requests for permits.
+  std::function<void()> send_permit_requests;
   // Number of requests whose answer has not ended.
   std::size_t open_requests = 0;
 };
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -33,9 +33,10 @@
 constexpr Duration kMinServeAfterStop = milliseconds(6500);
 // All connections are closed this long before the process is killed.
 constexpr Duration kStopMargin = milliseconds(400);
-// Interval of the lines on this router's part in what limited targets get; the
-// lines of one target cover all of its requests.
+// Interval and number of the lines on this router's part in what limited
+// targets get; the lines of one target cover all of its requests.
 constexpr Duration kLimitSharePeriod = TargetLimits::kSendWindow;
+constexpr std::size_t kMaxLimitShareLines = 32;
 // Share of the usable descriptors that callers' connections may take.
 constexpr double kCallerDescriptorShare = 0.6;
 // Descriptors reserved for uses other than callers' connections. The rest of
@@ -89,7 +90,13 @@
         log_(STDOUT_FILENO, settings.name),
         core_(CoreOptions(settings)),
         target_connections_(io_),
-        context_{io_, core_, log_, target_connections_, request_metrics_},
+        context_{io_,
+                 core_,
+                 log_,
+                 target_connections_,
+                 request_metrics_,
+                 permit_waits_,
+                 [this] { peer_link_.SendPermitRequests(); }},
         caller_server_(
             io_, [this] { return Limits(); },
             [this](auto caller, auto request) {
@@ -99,10 +106,12 @@
         discovery_server_(MakeInfoServer(AnswerDiscoveryRequest)),
         metrics_server_(MakeInfoServer(AnswerMetricsRequest)),
         snapshot_server_(MakeInfoServer(AnswerSnapshotRequest)),
-        peer_link_(io_, core_, log_,
-                   [this](const DirectoryChange& change) {
-                     registry_reader_.ApplyTargetChange(change);
-                   }),
+        peer_link_(
+            io_, core_, log_,
+            {[this](const DirectoryChange& change) {
+               registry_reader_.ApplyTargetChange(change);
+             },
+             [this](PermitNonce nonce) { permit_waits_.Resume(nonce); }}),
         store_health_(core_, log_),
         configuration_reader_(io_, settings.store_address, settings.name, core_,
                               store_health_, log_),
@@ -162,6 +171,7 @@
   GatewayCore core_;
   TargetConnectionPool target_connections_;
   RequestMetrics request_metrics_;
+  PermitWaits permit_waits_;
   RelayContext context_;
   InfoSources info_sources_{context_, [this] { return StoreCalls(); }};
   HttpServer caller_server_;
@@ -312,13 +322,18 @@
 auto RelayProcess::LogLimitShares(Time now) -> void {
   if (now - limit_shares_logged_at_ < kLimitSharePeriod) return;
   limit_shares_logged_at_ = now;
-  for (const auto& limited : core_.limits().Limited(now)) {
-    log_.Write(LogClass::kRoutine, "limit_share",
+  const auto& guard = core_.limit_guard();
+  std::size_t lines = 0;
+  for (const auto& limited : guard.limits().Limited(now)) {
+    if (limited.sends == 0) continue;
+    if (++lines > kMaxLimitShareLines) return;
+    log_.Write(LogClass::kState, "limit_share",
                {{"target", limited.target.value()},
                 {"limit_per_s", limited.limit.per_second},
                 {"age_ms", ToMs(limited.age)},
                 {"sends", static_cast<std::int64_t>(limited.sends)},
-                {"window_ms", ToMs(TargetLimits::kSendWindow)}});
+                {"window_ms", ToMs(TargetLimits::kSendWindow)},
+                {"owner", guard.Owner(limited.target)}});
   }
 }
 
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -49,6 +49,7 @@
       request_(DecodeCallerRequest(request.method, request.request_target,
                                    request.fields)),
       deadline_timer_(context.io),
+      permit_timer_(context.io),
       arrived_at_(MonotonicClock::now()) {
   if (!request.body.empty()) {
     body_ = std::make_shared<const std::string>(std::move(request.body));
@@ -100,12 +101,42 @@
     if (!may_have_run_) return Refuse(*refusal);
     return Refuse(Refusal{RefusalReason::kTargetFailed, {}});
   }
+  if (const auto* wait = std::get_if<PermitWait>(&result)) {
+    return WaitForPermit(*wait);
+  }
   placement_ = std::move(std::get<Placement>(result));
   admission_facts_ = placement_.facts;
   has_open_attempt_ = true;
   SendToTarget();
 }
 
+auto RelayedRequest::WaitForPermit(const PermitWait& wait) -> void {
+  awaited_permit_ = wait.nonce;
+  context_.permit_waits.Add(wait.nonce, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->StopWaitingForPermit();
+    self->StartAttempt();
+  });
+  permit_timer_.expires_after(wait.timeout);
+  permit_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr || !self->awaited_permit_) return;
+    self->context_.core.RecordPermitSilence(*self->awaited_permit_,
+                                            MonotonicClock::now());
+    self->StopWaitingForPermit();
+    self->StartAttempt();
+  });
+  context_.send_permit_requests();
+}
+
+auto RelayedRequest::StopWaitingForPermit() -> void {
+  if (!awaited_permit_) return;
+  context_.permit_waits.Remove(*awaited_permit_);
+  awaited_permit_.reset();
+  permit_timer_.cancel();
+}
+
 auto RelayedRequest::SendToTarget() -> void {
   const auto now = MonotonicClock::now();
   attempt_started_at_ = now;
@@ -348,6 +379,7 @@
 auto RelayedRequest::Finish() -> void {
   answer_state_ = AnswerState::kEnded;
   deadline_timer_.cancel();
+  StopWaitingForPermit();
   CloseTargetConnection();
   caller_->SetCallerLeftHook(nullptr);
   caller_->SetAllSentHook(nullptr);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -33,6 +33,9 @@
   enum class AnswerState { kNotStarted, kStarted, kEnded };
 
   auto StartAttempt() -> void;
+  // Waits for a permit before the attempt.
+  auto WaitForPermit(const PermitWait& wait) -> void;
+  auto StopWaitingForPermit() -> void;
   auto SendToTarget() -> void;
   auto OnHead(int status, const HttpFields& fields) -> void;
   // Tells the core what limit the target names in its answer.
@@ -76,6 +79,9 @@
   Placement placement_;
   std::shared_ptr<TargetConnection> target_connection_;
   asio::steady_timer deadline_timer_;
+  asio::steady_timer permit_timer_;
+  // The permit that the request waits for.
+  std::optional<PermitNonce> awaited_permit_;
   Time arrived_at_{};
   Time attempt_started_at_{};
   // Time from arrival to the first byte for the caller; zero before that.
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -118,6 +118,7 @@
   router.is_frozen = false;
   router.postponed.clear();
   router.told_at.clear();
+  router.waiting.clear();
   GatewayOptions options;
   options.peer_address = router.address;
   options.caller_address = "c" + router.address;
@@ -176,6 +177,7 @@
 
 auto LimitFleet::Send(int from, std::vector<OutgoingMessage> messages) -> void {
   for (auto& [message, recipients] : messages) {
+    if (routers_.at(from).is_old) HideVersion(message);
     const auto size = EncodePeerMessage(message).size();
     for (const auto& address : recipients) {
       ++traffic_.messages;
@@ -190,33 +192,65 @@
   }
 }
 
-auto LimitFleet::Deliver(int /*from*/, int to, const PeerMessage& message)
-    -> void {
+auto LimitFleet::HideVersion(PeerMessage& message) -> void {
+  if (auto* report = std::get_if<PeerReport>(&message)) {
+    report->issues_permits = false;
+  } else if (auto* summary = std::get_if<FleetSummary>(&message)) {
+    summary->sender.issues_permits = false;
+    for (auto& state : summary->listed) state.issues_permits = false;
+  }
+}
+
+auto LimitFleet::Deliver(int from, int to, const PeerMessage& message) -> void {
   auto& core = *routers_.at(to).core;
   if (const auto* report = std::get_if<PeerReport>(&message)) {
     core.HandleReport(*report, now_);
   } else if (const auto* summary = std::get_if<FleetSummary>(&message)) {
     core.HandleSummary(*summary, now_);
+  } else if (routers_.at(to).is_old || routers_.at(from).is_old) {
+    return;
+  } else if (const auto* limits = std::get_if<LimitReport>(&message)) {
+    core.HandleLimitReport(*limits, now_);
+  } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
+    const auto grant = core.HandlePermitRequest(*request, now_);
+    if (grant) Send(to, {{*grant, {request->sender}}});
+  } else if (const auto* grant = std::get_if<PermitGrant>(&message)) {
+    core.HandlePermitGrant(*grant, now_);
+    Resume(to, grant->nonce);
   }
 }
 
+auto LimitFleet::Resume(int router, PermitNonce nonce) -> void {
+  auto& waiting = routers_.at(router).waiting;
+  const auto found = waiting.find(nonce);
+  if (found == waiting.end()) return;
+  auto attempt = std::move(found->second);
+  waiting.erase(found);
+  Place(std::move(attempt));
+}
+
 auto LimitFleet::ScheduleRequest() -> void {
   // Between half and one and a half times the mean.
   const auto gap = Scale(
       seconds(1), (0.5 + random_.Uniform()) / options_.requests_per_second);
   At(gap, [this] {
+    const auto is_flood = random_.Uniform() < options_.flood_share;
+    const auto is_pinned =
+        is_flood || random_.Uniform() < options_.pinned_share;
     const auto customer =
-        random_.Index(static_cast<std::size_t>(options_.customers));
-    SendRequest(CustomerId("c" + std::to_string(customer)), false);
+        is_flood ? 0
+                 : random_.Index(static_cast<std::size_t>(options_.customers));
+    SendRequest(CustomerId("c" + std::to_string(customer)),
+                is_pinned ? std::optional(0) : std::nullopt, false);
     ScheduleRequest();
   });
 }
 
-auto LimitFleet::SendRequest(const CustomerId& customer, bool has_returned)
+auto LimitFleet::SendRequest(const CustomerId& customer,
+                             std::optional<int> at_router, bool has_returned)
     -> void {
-  const auto is_pinned = random_.Uniform() < options_.pinned_share;
-  const auto index = is_pinned
-                         ? 0
+  const auto index = at_router
+                         ? *at_router
                          : static_cast<int>(random_.Index(
                                static_cast<std::size_t>(options_.routers)));
   auto& router = routers_.at(index);
@@ -239,6 +273,7 @@
     ++service_.returned;
   } else {
     ++service_.requests;
+    ++service_.requests_by_customer[customer];
   }
   auto accepted = router.core->Accept(facts, now_);
   auto* request = std::get_if<GatewayRequest>(&accepted);
@@ -257,6 +292,18 @@
   if (const auto* refusal = std::get_if<Refusal>(&result)) {
     return Refuse(attempt, *refusal);
   }
+  if (const auto* wait = std::get_if<PermitWait>(&result)) {
+    const auto router = attempt.router;
+    AtRouter(router, attempt.incarnation, wait->timeout,
+             [this, router, nonce = wait->nonce] {
+               auto& process = routers_.at(router);
+               if (process.waiting.count(nonce) == 0) return;
+               process.core->RecordPermitSilence(nonce, now_);
+               Resume(router, nonce);
+             });
+    routers_.at(router).waiting.emplace(wait->nonce, std::move(attempt));
+    return Send(router, core.TakePermitRequests());
+  }
   service_.longest_decision =
       std::max(service_.longest_decision, now_ - attempt.request->arrived_at);
   attempt.placement = std::move(std::get<Placement>(result));
@@ -274,7 +321,7 @@
                           wait < kDeadline / 3;
   if (!may_return) return;
   At(wait, [this, customer = attempt.request->customer] {
-    SendRequest(customer, true);
+    SendRequest(customer, std::nullopt, true);
   });
 }
 
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -26,6 +26,8 @@
   double requests_per_second = 300;
   // Share of the requests that go to the first router.
   double pinned_share = 0;
+  // Share of the requests that the first customer sends to the first router.
+  double flood_share = 0;
   int sessions = 180;
   int customers = 8;
   // How long an answer takes from its head to its end.
@@ -79,6 +81,7 @@
     int returned = 0;
     int served_on_return = 0;
     Duration longest_decision{};
+    std::map<CustomerId, int> requests_by_customer;
     std::map<CustomerId, int> served_by_customer;
     auto share() const -> double {
       return requests == 0 ? 0 : static_cast<double>(served) / requests;
@@ -98,6 +101,15 @@
   static constexpr Duration kContact = seconds(3);
 
  private:
+  struct Attempt {
+    int router = 0;
+    int incarnation = 0;
+    std::shared_ptr<GatewayRequest> request;
+    Placement placement;
+    Time sent_at{};
+    bool has_returned = false;
+    bool has_events = false;
+  };
   struct Router {
     std::unique_ptr<GatewayCore> core;
     std::string address;
@@ -111,15 +123,7 @@
     std::vector<std::function<void()>> postponed;
     // When it first passed on an answer that names a limit, by target.
     std::map<int, Time> told_at;
-  };
-  struct Attempt {
-    int router = 0;
-    int incarnation = 0;
-    std::shared_ptr<GatewayRequest> request;
-    Placement placement;
-    Time sent_at{};
-    bool has_returned = false;
-    bool has_events = false;
+    std::map<PermitNonce, Attempt> waiting;
   };
   struct Arrival {
     Time at{};
@@ -154,8 +158,14 @@
   auto SendMessages() -> void;
   auto Send(int from, std::vector<OutgoingMessage> messages) -> void;
   auto Deliver(int from, int to, const PeerMessage& message) -> void;
+  // Takes out of a message what earlier versions don't send.
+  static auto HideVersion(PeerMessage& message) -> void;
+  // Places a request whose request for a permit has a reply or none.
+  auto Resume(int router, PermitNonce nonce) -> void;
   auto ScheduleRequest() -> void;
-  auto SendRequest(const CustomerId& customer, bool has_returned) -> void;
+  // At a random router, unless `router` names one.
+  auto SendRequest(const CustomerId& customer, std::optional<int> router,
+                   bool has_returned) -> void;
   auto Place(Attempt attempt) -> void;
   auto Refuse(const Attempt& attempt, const Refusal& refusal) -> void;
   auto Reach(Attempt attempt) -> void;
