Gateway, relay, apps: permits in metrics, lines and explain; tests of permits

What limits decide stood nowhere in the metrics: permits_requested, granted, refused, unanswered and issued count now; request lines carry permit_wait_ms; explain says when a request was refused because the limits of all targets were used up.

--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -68,6 +68,13 @@
     return "the customer had used " + DisplayField(line, "share_used") +
            " of its even share, and " + ExplainNoRoom(line);
   }
+  if (outcome == "target_limits") {
+    return "every target named a limit that was used up (see target_limited); "
+           "the router got no permit for " +
+           DisplayField(line, "target") +
+           " or any other and expected one after " +
+           DisplayField(line, "retry_after_ms") + " ms";
+  }
   if (outcome == "quarantined_part") {
     return "part " + DisplayField(line, "quarantined_part") +
            " of the prompt is quarantined: targets crashed one after the other "
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -33,8 +33,6 @@
 constexpr Duration kUnknownRetryAfter = milliseconds(300);
 // Least Retry-After of a request with a quarantined prompt part.
 constexpr Duration kLeastQuarantineRetryAfter = seconds(5);
-// Least Retry-After of a request that finds no permit.
-constexpr Duration kLeastLimitRetryAfter = milliseconds(50);
 // Retry-After of a saturated router.
 constexpr Duration kBusyRetryAfter = milliseconds(150);
 // For requests without a stated deadline.
@@ -48,11 +46,6 @@
 // Share of a target's connection limit that all routers together may use.
 constexpr double kPlannedConnectionShare = 0.9;
 
-auto PermitClassOf(const AdmissionTerms& terms) -> PermitClass {
-  return terms.share_used >= 1 ? PermitClass::kOverShare
-                               : PermitClass::kWithinShare;
-}
-
 // Cost of a request in prompt tokens.
 auto RequestCost(const PromptFacts& prompt) -> double {
   return prompt.prompt_tokens + kOutputWeight * prompt.expected_output_tokens;
@@ -268,49 +261,6 @@
   return options;
 }
 
-auto GatewayCore::RefuseLimited(const std::vector<TargetOption>& options,
-                                const AdmissionTerms& terms, Time now)
-    -> Refusal {
-  auto wait = Duration::max();
-  for (const auto& option : options) {
-    wait = std::min(wait, limit_guard_.TimeToAsk(option.target->id,
-                                                 PermitClassOf(terms), now));
-  }
-  const auto retry_after = std::max<Duration>(
-      kLeastLimitRetryAfter, limit_guard_.PromiseReturn(wait, now));
-  auto refusal = Refuse(RefusalReason::kTargetLimits, retry_after);
-  const auto& first = options.front();
-  refusal.facts = AdmissionFacts{first.target->id, first.forecast, Duration{},
-                                 terms.share_used};
-  return refusal;
-}
-
-auto GatewayCore::LimitedCapacityShare() const -> double {
-  if (!limit_guard_.is_any_limited()) return 1;
-  if (table_ == nullptr || mean_request_cost_ <= 0) return 1;
-  const auto capacity = table_->document().fleet_tokens_per_second;
-  double slots = 0;
-  double left = 0;
-  for (const auto& service : table_->document().services) {
-    if (!service.engine) continue;
-    for (const auto& target : directory_.Serving(service.id)) {
-      slots += target.slots;
-    }
-  }
-  if (slots <= 0 || capacity <= 0) return 1;
-  for (const auto& service : table_->document().services) {
-    if (!service.engine) continue;
-    for (const auto& target : directory_.Serving(service.id)) {
-      const auto share = target.slots / slots;
-      const auto limit = limit_guard_.limits().Find(target.id);
-      left += limit ? std::min(share, limit->per_second * mean_request_cost_ /
-                                          capacity)
-                    : share;
-    }
-  }
-  return left;
-}
-
 auto GatewayCore::Place(GatewayRequest& request, Time now) -> PlacementResult {
   if (request.attempts > 0) {
     // The part may have been quarantined since the first attempt.
@@ -324,7 +274,7 @@
   if (terms.is_engine) {
     terms.share_used = shares_.ShareUsed(request.customer, now);
   }
-  const auto options = FindOptions(request, PermitClassOf(terms), now);
+  const auto options = FindOptions(request, terms.permit_class(), now);
   const auto* option = ChooseOption(options, terms);
   if (option == nullptr) {
     if (!options.empty()) return RefuseLimited(options, terms, now);
@@ -345,7 +295,7 @@
   if (option->permission == Permission::kMayAsk) {
     ++request.permit_requests;
     return PermitWait{
-        limit_guard_.Ask(option->target->id, PermitClassOf(terms), now),
+        limit_guard_.Ask(option->target->id, terms.permit_class(), now),
         kPermitTimeout};
   }
   placement.target = *option->target;
@@ -386,12 +336,6 @@
   crash_guard_.RecordOutput(placement.attempt, now);
 }
 
-auto GatewayCore::RecordLimit(const Placement& placement,
-                              std::optional<RequestRate> limit, Time now)
-    -> void {
-  limit_guard_.RecordAnswer(placement.target, limit, now);
-}
-
 auto GatewayCore::RecordTargetCheck(const TargetId& target, bool is_reachable,
                                     Time now) -> void {
   if (is_reachable) {
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -112,40 +112,6 @@
   crash_guard_.quarantine().Merge(evidence.records, passes_on, now);
 }
 
-auto GatewayCore::HandleLimitReport(const LimitReport& report, Time now)
-    -> void {
-  const auto passes_on = exchange_.role() == ExchangeRole::kHub;
-  for (const auto& record : report.records) {
-    const auto known = target_of_hash_.find(record.target);
-    if (known == target_of_hash_.end()) continue;
-    limit_guard_.Merge(known->second, record, passes_on, now);
-  }
-}
-
-auto GatewayCore::HandlePermitRequest(const PermitRequest& request, Time now)
-    -> std::optional<PermitGrant> {
-  const auto known = target_of_hash_.find(request.record.target);
-  if (known == target_of_hash_.end()) return std::nullopt;
-  return limit_guard_.HandleRequest(known->second, request, now);
-}
-
-auto GatewayCore::HandlePermitGrant(const PermitGrant& grant, Time now)
-    -> void {
-  const auto known = target_of_hash_.find(grant.record.target);
-  if (known != target_of_hash_.end()) {
-    limit_guard_.Merge(known->second, grant.record, false, now);
-  }
-  limit_guard_.HandleGrant(grant, now);
-}
-
-auto GatewayCore::TakePermitRequests() -> std::vector<OutgoingMessage> {
-  std::vector<OutgoingMessage> messages;
-  for (auto& [owner, request] : limit_guard_.TakeRequests()) {
-    messages.push_back({std::move(request), {owner}});
-  }
-  return messages;
-}
-
 auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
                                      Time now) -> DirectoryChange {
   DirectoryChange changes;
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -1,7 +1,9 @@
 // Encodes messages as CBOR arrays.
 #include "gateway/peer_messages.h"
 
+#include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 #include <utility>
@@ -252,7 +254,9 @@
 constexpr std::size_t kRecordMembers = 5;
 
 auto WriteDuration(Duration duration) -> std::int64_t {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
+  return std::clamp<std::int64_t>(
+      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
+      std::numeric_limits<std::uint32_t>::max());
 }
 
 auto ReadDuration(const Json& json) -> Duration {
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -47,6 +47,11 @@
   double share_used = 0;
   // The request has prompt tokens, so a model engine executes it.
   bool is_engine = false;
+
+  auto permit_class() const -> PermitClass {
+    return share_used >= 1 ? PermitClass::kOverShare
+                           : PermitClass::kWithinShare;
+  }
 };
 
 // The option with the least expected time of those that may have a permit or
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -84,6 +84,17 @@
   const auto& limits = guard.limits();
   SetMetric(metrics, "limits_malformed_total",
             static_cast<double>(limits.malformed()));
+  const auto& permits = guard.counters();
+  SetMetric(metrics, "permits_requested_total",
+            static_cast<double>(permits.requested));
+  SetMetric(metrics, "permits_granted_total",
+            static_cast<double>(permits.granted));
+  SetMetric(metrics, "permits_refused_total",
+            static_cast<double>(permits.refused));
+  SetMetric(metrics, "permits_unanswered_total",
+            static_cast<double>(permits.unanswered));
+  SetMetric(metrics, "permits_issued_total",
+            static_cast<double>(guard.issuer().issued()));
   const auto limited = limits.Limited(now);
   SetMetric(metrics, "targets_limited", static_cast<double>(limited.size()));
   for (const auto& target : limited) {
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -112,6 +112,7 @@
 
 auto RelayedRequest::WaitForPermit(const PermitWait& wait) -> void {
   awaited_permit_ = wait.nonce;
+  permit_asked_at_ = MonotonicClock::now();
   context_.permit_waits.Add(wait.nonce, [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self == nullptr) return;
@@ -132,6 +133,7 @@
 
 auto RelayedRequest::StopWaitingForPermit() -> void {
   if (!awaited_permit_) return;
+  permit_wait_ += MonotonicClock::now() - permit_asked_at_;
   context_.permit_waits.Remove(*awaited_permit_);
   awaited_permit_.reset();
   permit_timer_.cancel();
@@ -457,6 +459,7 @@
        {"first_byte_ms", ToMs(first_byte_delay_)},
        {"caller_wait_ms", ToMs(request_.caller_wait)},
        {"retry_after_ms", ToMs(retry_after_)},
+       {"permit_wait_ms", ToMs(permit_wait_)},
        {"queue_wait_ms", ToMs(forecast.queue_wait)},
        {"own_prefill_ms", ToMs(forecast.own_prefill)},
        {"longest_wait_ms", ToMs(admission_facts_.longest_wait)},
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -90,6 +90,10 @@
   AdmissionFacts admission_facts_;
   // Part for which the request was refused.
   std::optional<PartId> quarantined_part_;
+  // When the request began to wait for a permit, and how long it has waited for
+  // permits in all.
+  Time permit_asked_at_{};
+  Duration permit_wait_{};
   // Value of the Retry-After header that the caller got; zero for none.
   Duration retry_after_{};
   AnswerState answer_state_ = AnswerState::kNotStarted;
--- a/tests/apps/test_request_timeline.cpp
+++ b/tests/apps/test_request_timeline.cpp
@@ -137,5 +137,20 @@
   EXPECT_TRUE(TimelineFromLog("").lines.empty());
 }
 
+TEST(RequestTimelineTest, ARefusalForLimitsNamesThem) {
+  const auto timeline = TimelineFromLog(
+      R"({"time_ms":1,"router":"a","event":"target_limited","target":"t1",)"
+      R"("limit_per_s":3.2,"age_ms":4,"source":"peer"})"
+      "\n"
+      R"({"time_ms":9,"router":"a","event":"request_refused","request":"r1",)"
+      R"("outcome":"target_limits","target":"t1","retry_after_ms":310})"
+      "\n");
+  ASSERT_EQ(timeline.background.size(), 1U);
+  EXPECT_EQ(timeline.background[0].event, "target_limited");
+  ASSERT_EQ(timeline.causes.size(), 1U);
+  EXPECT_NE(timeline.causes[0].find("no permit for t1"), std::string::npos);
+  EXPECT_NE(timeline.causes[0].find("310 ms"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace papayaplank
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -48,6 +48,42 @@
   EXPECT_TRUE(copy.is_store_continuous);
 }
 
+TEST(PeerMessagesTest, DecodedLimitsAndPermitsEqualTheEncodedOnes) {
+  TargetLimitRecord record;
+  record.target = 4000000000U;
+  record.id = 17;
+  record.process = ProcessStart(1772707117173);
+  record.limit = RequestRate{3.25};
+  record.age = milliseconds(1200);
+  auto ended = record;
+  ended.limit.reset();
+  const auto report =
+      DecodePeerMessage(EncodePeerMessage(LimitReport{{record, ended}}));
+  ASSERT_TRUE(report && std::holds_alternative<LimitReport>(*report));
+  const auto& records = std::get<LimitReport>(*report).records;
+  ASSERT_EQ(records.size(), 2U);
+  EXPECT_EQ(records[0].target, record.target);
+  EXPECT_EQ(records[0].id, record.id);
+  EXPECT_EQ(records[0].process, record.process);
+  EXPECT_EQ(records[0].limit, record.limit);
+  EXPECT_EQ(records[0].age, record.age);
+  EXPECT_FALSE(records[1].limit);
+  const auto request = DecodePeerMessage(EncodePeerMessage(PermitRequest{
+      "10.0.0.1:7400", PermitNonce(9), PermitClass::kOverShare, record}));
+  ASSERT_TRUE(request && std::holds_alternative<PermitRequest>(*request));
+  EXPECT_EQ(std::get<PermitRequest>(*request).sender, "10.0.0.1:7400");
+  EXPECT_EQ(std::get<PermitRequest>(*request).nonce, PermitNonce(9));
+  EXPECT_EQ(std::get<PermitRequest>(*request).permit_class,
+            PermitClass::kOverShare);
+  EXPECT_EQ(std::get<PermitRequest>(*request).record.id, record.id);
+  const auto grant = DecodePeerMessage(EncodePeerMessage(
+      PermitGrant{PermitNonce(9), true, milliseconds(7), record}));
+  ASSERT_TRUE(grant && std::holds_alternative<PermitGrant>(*grant));
+  EXPECT_TRUE(std::get<PermitGrant>(*grant).is_granted);
+  EXPECT_EQ(std::get<PermitGrant>(*grant).wait, milliseconds(7));
+  EXPECT_EQ(std::get<PermitGrant>(*grant).record.limit, record.limit);
+}
+
 // Found by fuzzing: a datagram that states an array of 2^60 members ended the
 // process.
 TEST(PeerMessagesTest, DecodedEvidenceEqualsTheEncodedOne) {
--- a/tests/process/test_target_limits.py
+++ b/tests/process/test_target_limits.py
@@ -128,6 +128,49 @@
         self.assertIn('papayaplank_target_limit_per_second{target="t0"} 3\n',
                       metrics)
 
+    def test_limits_hold_while_routers_end_and_start(self):
+        time.sleep(1)
+        since = self.set_limits(self.targets, "4")
+        for edge in self.edges:
+            time.sleep(1.5)
+            edge.process.kill()
+            time.sleep(0.5)
+            edge.restart(self.store)
+            wait_for(edge.is_ready, "the router is ready")
+        time.sleep(2)
+        self.expect_kept(self.targets, since, 4)
+        # All are used, and what they can't take is refused with a time.
+        begin = time.monotonic()
+        time.sleep(4)
+        used = sum(target.count(begin) for target in self.targets)
+        self.assertGreater(used, 0.7 * 4 * 4 * len(self.targets))
+        refused = [answer for answer in self.answers
+                   if answer[1] == 503 and answer[0] > begin]
+        self.assertTrue(refused)
+        self.assertTrue(all(float(answer[2]) > 0 for answer in refused))
+
+    def test_a_limit_that_ends_or_cannot_be_read_holds_nothing_back(self):
+        self.set_limits(self.targets, "2")
+        time.sleep(3)
+        self.set_limits(self.targets, "many")
+        begin = time.monotonic()
+        time.sleep(3)
+        # The last limit that could be read holds.
+        for target in self.targets:
+            self.assertLessEqual(target.count(begin),
+                                 ALLOWED_FACTOR * 2 * 3 + ALLOWED_EXCESS)
+        metrics = get(self.edges[0].metrics, "/metrics")[1].decode()
+        malformed = [line for line in metrics.splitlines()
+                     if line.startswith("papayaplank_limits_malformed_total")]
+        self.assertGreater(float(malformed[0].split()[1]), 0)
+        self.set_limits(self.targets, None)
+        time.sleep(2)
+        begin = time.monotonic()
+        time.sleep(2)
+        self.assertGreater(sum(target.count(begin) for target in self.targets),
+                           2 * 2 * 2 * len(self.targets))
+        self.assertTrue(self.lines("target_limit_ended"))
+
 
 if __name__ == "__main__":
     unittest.main()
