--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -22,18 +22,22 @@
 import platform_standin as standin  # noqa: E402
 from edge_process import Edge, configuration, route, wait_for  # noqa: E402
 from fault_link import FaultLink  # noqa: E402
+from fragile_target import FATAL_PART, FragileTarget  # noqa: E402
 
 # Seeds that failed before, each with its cause; every run repeats them.
 REGRESSION_SEEDS = {}
 CALLERS = 8
-# A part of a prompt that ends the target which begins to answer it.
-FATAL_PART = "dead51"
 FATAL_GAP = 0.25  # Seconds between two requests with it.
-DOWN_SECONDS = 1  # How long a target that ended stays away.
 # The users allow three requests with the part later than this after five ends.
 CONTACT_SECONDS = 3
 ALLOWED_AFTER_BOUND = 3
 TARGETS = 4
+# The users allow 1.5 times a limit and 5 requests in 4 s, from this long after
+# it was first named.
+LIMIT_WINDOW = 4
+LIMIT_FACTOR = 1.5
+LIMIT_EXCESS = 5
+LIMITS = ("0", "0.5", "3", "12.5", "many")  # The last one can't be read.
 CALL_TIMEOUT = 7  # Seconds a caller waits.
 REVOCATION_BOUND = 5  # Seconds; the router's default.
 # Statuses which guarantee that the request has not run and never will.
@@ -42,41 +46,6 @@
                  "cut", "error", "slow")
 
 
-class FragileTarget(standin.Target):
-    """Ends on a prompt with the fatal part, and starts again soon after."""
-
-    def __init__(self, soak, name):
-        super().__init__(soak.store, name, "s")
-        self.soak = soak
-        self.link = FaultLink(self.address)
-        self.row["address"] = self.link.address
-        soak.store.put("servers", name, self.row)
-        self.ending = threading.Lock()
-
-    def serve(self, connection, start, headers, body):
-        if (FATAL_PART not in headers.get("prefix-hash", "") or
-                headers.get("expect-runner") != self.name):
-            return super().serve(connection, start, headers, body)
-        self.soak.fatal_runs.append(time.monotonic())
-        connection.sendall(self.response_head(headers) + b"\r\n")
-        time.sleep(0.04)
-        self.end()
-        return False
-
-    def end(self):
-        if not self.ending.acquire(blocking=False):
-            return  # It has ended already.
-        self.soak.ends.append(time.monotonic())
-        address = self.link.go_down()
-        self.soak.run_later(DOWN_SECONDS, lambda: self.start_again(address))
-
-    def start_again(self, address):
-        self.row["born"] += 1
-        self.store.put("servers", self.name, self.row)
-        self.link.come_up(address)
-        self.ending.release()
-
-
 class Call:
     """One request of a caller and its answer."""
 
@@ -200,6 +169,7 @@
             self.inject()
             self.end_faults()
             self.check_recovery()
+            self.check_limits()
             self.check_fatal_part()
             self.is_over = True
             for caller in callers:
@@ -219,7 +189,7 @@
                 self.make_store_fail, self.disturb_target_link,
                 self.make_target_fail, self.make_target_fail,
                 self.pause_router, self.kill_router, self.stop_router,
-                self.send_fatal_part,
+                self.send_fatal_part, self.name_limit,
                 self.reload_router, self.publish_version, self.revoke_key))
             self.faults.append(fault.__name__)
             fault()
@@ -257,6 +227,14 @@
         target.faults = [self.random.choice(TARGET_FAULTS)
                          for _ in range(self.random.randint(1, 8))]
 
+    def name_limit(self):
+        target = self.random.choice(self.targets)
+        target.limit = self.random.choice(LIMITS)
+
+        def end():
+            target.limit = None
+        self.run_later(self.random.uniform(0.2, 5), end)
+
     def choose_router(self):
         return self.random.choice(self.edges)
 
@@ -324,6 +302,7 @@
             link.mode = "open"
         for target in self.targets:
             target.faults = []
+            target.limit = None
         for edge in self.edges:
             edge.process.send_signal(signal.SIGCONT)
 
@@ -352,6 +331,30 @@
             except AssertionError as error:
                 self.violations.append(str(error))
 
+    def check_limits(self):
+        """Checks that limits are kept while routers end and start."""
+        time.sleep(5.5)  # Limits that were named during the faults end.
+        limit = 3
+        for target in self.targets:
+            target.limit = str(limit)
+        began_at = time.monotonic()
+        for _ in range(3):
+            time.sleep(CONTACT_SECONDS)
+            self.kill_router()
+        allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW + LIMIT_EXCESS
+        for target in self.targets:
+            arrivals = [at for at in target.arrivals
+                        if at > began_at + CONTACT_SECONDS]
+            most = max((sum(at <= other <= at + LIMIT_WINDOW
+                            for other in arrivals) for at in arrivals),
+                       default=0)
+            if most > allowed:
+                self.violations.append(
+                    f"{target.name} got {most} requests in {LIMIT_WINDOW} s, "
+                    f"{allowed} are allowed")
+            target.limit = None
+        self.check_recovery()
+
     def check_fatal_part(self):
         """Checks that the fatal part is held back, and others are not."""
         began_at = time.monotonic()
