--- a/gateway/limit_guard.cpp
+++ b/gateway/limit_guard.cpp
@@ -137,17 +137,16 @@
   grant.nonce = request.nonce;
   grant.record = ToRecord(target, now);
   const auto limit = limits_.Find(target);
-  if (!limit) {
-    // The limit has ended, as the record tells.
-    grant.is_granted = true;
-  } else if (!issuer_.Owns(target)) {
-    // The sender takes this router for the owner, or did so a moment ago.
-    grant.wait = kRepeatPeriod;
-  } else if (issuer_.Issue(target, *limit, request.permit_class, now)) {
-    grant.is_granted = true;
-  } else {
-    grant.wait = issuer_.TimeToNext(target, *limit, request.permit_class, now);
-  }
+  // If the limit has ended, the record tells so.
+  grant.is_granted =
+      !limit || (issuer_.Owns(target) &&
+                 issuer_.Issue(target, *limit, request.permit_class, now));
+  if (grant.is_granted) return grant;
+  // A sender may take this router for the owner while owners change.
+  grant.wait =
+      issuer_.Owns(target)
+          ? issuer_.TimeToNext(target, *limit, request.permit_class, now)
+          : kRepeatPeriod;
   return grant;
 }
 
