Gateway: a limited target that fell silent drew and lost every request

Callers would have seen 503 from all routers: a limited target of which nobody had heard for 5 s counted as the best for every request, to find out if its limit holds; a target that hangs is never heard of, its forecast refused all requests, and no other target was looked at. Change: such a target is preferred only while a request there would be admitted, it isn't cooling down, and this router has none there that would tell.

--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -250,7 +250,8 @@
     option.permission = limit_guard_.Check(target.id, permit_class, now);
     if (option.permission != Permission::kNotNeeded) {
       const auto* news = limit_guard_.limits().FindNews(target.id);
-      option.is_limit_stale = now - news->at > kStaleLimitAge;
+      option.is_limit_stale =
+          now - news->at > kStaleLimitAge && FindOrAddLoad(target).is_idle();
       if (option.permission == Permission::kMayAsk &&
           request.permit_requests >= kMaxPermitRequests) {
         option.permission = Permission::kNone;
--- a/gateway/placement_policy.cpp
+++ b/gateway/placement_policy.cpp
@@ -44,7 +44,10 @@
 auto ExpectedTime(const TargetOption& option, const AdmissionTerms& terms)
     -> Duration {
   // Only an answer can tell that the limit has ended.
-  if (option.is_limit_stale) return Duration{};
+  if (option.is_limit_stale && !option.is_cooling_down &&
+      std::holds_alternative<AdmissionFacts>(CheckAdmission(option, terms))) {
+    return Duration{};
+  }
   const auto& to_read = option.to_read;
   const auto shared_share =
       to_read.total() > 0 ? to_read.shared / to_read.total() : 0;
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -31,7 +31,8 @@
   // Expected share of failures, 0 to 1.
   double failure_rate = 0;
   Permission permission = Permission::kNotNeeded;
-  // Nobody has heard for long whether its limit still holds.
+  // Nobody has heard for long whether its limit still holds, and this router
+  // has no request there that would tell.
   bool is_limit_stale = false;
 };
 
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -340,6 +340,7 @@
   target.arrivals.push_back(
       {now_, attempt.router, is_told && IsInTouch(router)});
   ++target.running;
+  if (target.is_silent) return;
   At(kHeadTime,
      [this, attempt = std::move(attempt), index] { Answer(attempt, index); });
 }
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -55,6 +55,10 @@
 
   // The target names this limit in its answers from now on, or none.
   auto SetLimit(int target, std::optional<double> per_second) -> void;
+  // The target takes requests and answers none from now on.
+  auto SetSilent(int target) -> void {
+    targets_.at(static_cast<std::size_t>(target)).is_silent = true;
+  }
   auto SetRequestRate(double per_second) -> void {
     options_.requests_per_second = per_second;
   }
@@ -142,6 +146,7 @@
     std::vector<Arrival> arrivals;
     std::vector<LimitChangeAt> limits;
     int running = 0;
+    bool is_silent = false;
   };
   struct Event {
     Time at{};
--- a/tests/gateway/test_limit_exceeded.cpp
+++ b/tests/gateway/test_limit_exceeded.cpp
@@ -169,6 +169,26 @@
   }
 }
 
+// Every request went to the target that nobody had heard of, and was refused.
+TEST_P(LimitExceededTest, ASilentTargetWithALimitHoldsUpNoOther) {
+  for (const auto& options : {Seeded(), Plain()}) {
+    LimitFleet fleet(options);
+    fleet.SetRequestRate(100);
+    fleet.Run(seconds(2));
+    SetLimits(fleet, 2, 4);
+    fleet.Run(seconds(5));
+    fleet.TakeService();
+    fleet.Run(seconds(10));
+    const auto before = fleet.TakeService().share();
+    fleet.SetSilent(0);
+    fleet.Run(seconds(10));
+    fleet.TakeService();
+    fleet.Run(seconds(10));
+    // Each router finds out for itself, with a request now and then.
+    EXPECT_GE(fleet.TakeService().share(), 0.9 * before);
+  }
+}
+
 TEST_P(LimitExceededTest, ALimitOfZeroIsTriedNowAndThen) {
   auto options = Plain();
   LimitFleet fleet(options);
