Relay: logs and metrics say how an answer ended and after which event it went on

A stream that ended too early had the same request_done line as a whole one. Lines of a request have answer_end (length or chunks, the end of the connection, broken), resumed_after (what the caller asked for) and last_event; target_transfer_ends_total counts the ends.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -155,6 +155,7 @@
   attempt.last_event_id = event_splitter_.last_event_id();
   attempt.body_bytes = body_ ? body_->size() : 0;
   answer_ = {};
+  transfer_end_.reset();
   is_success_from_target_ = false;
   has_attempt_events_ = false;
   buffered_body_.clear();
@@ -279,6 +280,8 @@
 auto RelayedRequest::OnTransferEnd(TransferEnd end) -> void {
   const auto now = MonotonicClock::now();
   const auto outcome = ClassifyAnswer(end);
+  transfer_end_ = end;
+  context_.metrics.RecordTransferEnd(TransferEndName(end));
   const auto connection = std::exchange(target_connection_, nullptr);
   if (connection != nullptr) {
     context_.target_connections.Release(
@@ -449,7 +452,10 @@
        {"target", admission_facts_.target.value()},
        {"sends", static_cast<std::int64_t>(accepted_request_.attempts)},
        {"target_status", static_cast<std::int64_t>(answer_.status)},
+       {"answer_end", transfer_end_ ? TransferEndName(*transfer_end_) : ""},
        {"events", relayed_events_},
+       {"resumed_after", request_.last_event_id.value_or(0)},
+       {"last_event", event_splitter_.last_event_id().value_or(0)},
        {"shared_parts", shared_parts},
        {"quarantined_part", quarantined_part},
        {"attempt_ms",
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -104,6 +104,9 @@
   bool is_stream_ = false;
   // Head of the answer to the latest attempt.
   TargetAnswer answer_;
+  // How the latest transfer ended; nothing while it goes on, or if the router
+  // ended it.
+  std::optional<TransferEnd> transfer_end_;
   // Whether that head has a 2xx status and comes from the target itself.
   bool is_success_from_target_ = false;
   // Whether the latest attempt brought an event that the caller didn't have.
--- a/relay/request_metrics.cpp
+++ b/relay/request_metrics.cpp
@@ -18,6 +18,11 @@
        {"outcome", std::string(AttemptOutcomeName(outcome))}});
 }
 
+auto RequestMetrics::RecordTransferEnd(std::string_view end) -> void {
+  registry_.IncrementCounter("papayaplank_target_transfer_ends_total",
+                             {{"end", std::string(end)}});
+}
+
 auto RequestMetrics::SetLimit(const LimitedTarget& limited) -> void {
   const std::vector<MetricLabel> labels = {
       {"target", targets_.LabelFor(limited.target.value())}};
--- a/relay/request_metrics.h
+++ b/relay/request_metrics.h
@@ -25,6 +25,8 @@
  public:
   // An attempt at a target has ended.
   auto RecordAttempt(const TargetId& target, AttemptOutcome outcome) -> void;
+  // The transfer of an attempt has ended, as `end` names it.
+  auto RecordTransferEnd(std::string_view end) -> void;
   // The first event of a stream, or a complete other answer, has arrived.
   auto RecordFirstByte(const RequestLabels& labels, const TargetId& target,
                        Duration since_arrival, Duration since_attempt_start)
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -15,6 +15,20 @@
 
 }  // namespace
 
+auto TransferEndName(TransferEnd end) -> std::string_view {
+  switch (end) {
+    case TransferEnd::kComplete:
+      return "framed";
+    case TransferEnd::kCompleteAtClose:
+      return "closed";
+    case TransferEnd::kNotConnected:
+      return "not_connected";
+    case TransferEnd::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
 TargetConnection::TargetConnection(asio::io_context& io)
     : socket_(io), connect_timer_(io) {}
 
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -24,6 +24,9 @@
   kBroken,        // The connection or the answer broke off.
 };
 
+// Name of an end, as it stands in logs and metrics.
+auto TransferEndName(TransferEnd end) -> std::string_view;
+
 // Callbacks to the owner of a transfer. None is called after `on_end` or after
 // `Close`.
 struct TransferHooks {
--- a/tests/relay/test_request_metrics.cpp
+++ b/tests/relay/test_request_metrics.cpp
@@ -14,9 +14,11 @@
   metrics.RecordFirstByte(kLabels, TargetId("t1"), milliseconds(120),
                           milliseconds(20));
   metrics.RecordAnswer(kLabels, "no_room", milliseconds(3));
+  metrics.RecordTransferEnd("closed");
   const auto text = metrics.registry().ToPrometheusText();
   for (const auto* line :
        {"papayaplank_target_sends_total{target=\"t1\",outcome=\"broken\"} 1",
+        "papayaplank_target_transfer_ends_total{end=\"closed\"} 1",
         "papayaplank_answers_total{class=\"report\",outcome=\"no_room\"} 1",
         "papayaplank_first_byte_seconds_count{customer=\"guild\","
         "class=\"report\"} 1",
