Relay: an answer without framing looked whole when its target was killed

What callers saw: a stream with events 1 to 3 of 10 and its closing chunk, half of a plain answer with status 200. On real machines ORDER, by the dozen on a crash.

Cause: an answer with neither length nor chunks ends with its connection, and the kernel closes the connections of a killed process in an orderly way too. Class: the end of a connection taken for the end of a message.

Evidence: test_killed_targets, targets in processes of their own; on 3 of 4 fail on every try ([1, 2, 3] != [1, .., 10]; (200, b'answer ') != (502, b'')); request_done has answer_end=closed, last_event=3. The same with chunks passes, which rules out resumption itself.

The listener of a killed process is closed as well: 20 ms after such an end the router connects to the target. If that is refused or not answered, the answer broke off: what may be repeated goes on at another target, the rest is cut or answered 502. One new connection for each answer without framing, none for others. A stream that its living target ends too early can't be told from a whole one.

The same elsewhere: such an end also counted as a sound run of a prompt part that crashes its target (CrashGuard); it is a broken one now. Now: 4 of 4 pass.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -288,6 +288,25 @@
         placement_.target, connection, answer_.keep_alive,
         context_.core.ConnectionShare(accepted_request_.pool, now), now);
   }
+  const auto is_whole = outcome == AttemptOutcome::kComplete ||
+                        outcome == AttemptOutcome::kServerError;
+  if (is_whole && end == TransferEnd::kCompleteAtClose) {
+    return ConfirmEnd(outcome);
+  }
+  EndAnswer(outcome);
+}
+
+auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome) -> void {
+  // The connections of a killed process end like such an answer.
+  context_.target_connections.ConfirmAlive(
+      placement_.target, [self = shared_from_this(), outcome](bool is_alive) {
+        // The caller has left, or the deadline has passed.
+        if (!self->has_open_attempt_) return;
+        self->EndAnswer(is_alive ? outcome : AttemptOutcome::kBroken);
+      });
+}
+
+auto RelayedRequest::EndAnswer(AttemptOutcome outcome) -> void {
   EndAttempt(outcome);
   if (outcome == AttemptOutcome::kComplete) return Complete();
   RetryOrFail(outcome);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -43,6 +43,10 @@
   auto OnBody(std::string_view bytes) -> void;
   auto OnTransferEnd(TransferEnd end) -> void;
   auto ClassifyAnswer(TransferEnd end) const -> AttemptOutcome;
+  // Ends an answer that ended with its connection: as broken if the target
+  // doesn't live on.
+  auto ConfirmEnd(AttemptOutcome outcome) -> void;
+  auto EndAnswer(AttemptOutcome outcome) -> void;
   // Whether the answer was produced by the target for this request, not by a
   // proxy in between.
   auto IsFromTarget() const -> bool;
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -14,6 +14,9 @@
 // Keep-alive time assumed for a target that states none.
 constexpr Duration kDefaultKeepAlive = milliseconds(2000);
 constexpr std::size_t kMaxIdlePerTarget = 16;
+// The connections of a process that ends are closed one after the other; its
+// listener may be the last.
+constexpr Duration kProcessEndTime = milliseconds(20);
 
 }  // namespace
 
@@ -65,15 +68,35 @@
                                  std::function<void(bool)> on_result) -> void {
   const auto endpoint = ParseTcpEndpoint(target.address);
   if (!endpoint || !checked_.insert(target.id).second) return;
+  Probe(*endpoint, [this, id = target.id,
+                    on_result = std::move(on_result)](bool is_reachable) {
+    checked_.erase(id);
+    on_result(is_reachable);
+  });
+}
+
+auto TargetConnectionPool::ConfirmAlive(const TargetRow& target,
+                                        std::function<void(bool)> on_result)
+    -> void {
+  const auto timer = std::make_shared<asio::steady_timer>(io_);
+  timer->expires_after(kProcessEndTime);
+  timer->async_wait([this, timer, address = target.address,
+                     on_result = std::move(on_result)](error_code error) {
+    const auto endpoint = ParseTcpEndpoint(address);
+    if (error || !endpoint) return on_result(false);
+    Probe(*endpoint, on_result);
+  });
+}
+
+auto TargetConnectionPool::Probe(const tcp::endpoint& endpoint,
+                                 std::function<void(bool)> on_result) -> void {
   auto connection = std::make_shared<TargetConnection>(io_);
   ++opened_;
-  connection->Connect(*endpoint,
-                      [this, id = target.id, connection,
-                       on_result = std::move(on_result)](bool is_reachable) {
-                        checked_.erase(id);
-                        connection->Close();
-                        on_result(is_reachable);
-                      });
+  connection->Connect(endpoint, [connection, on_result = std::move(on_result)](
+                                    bool is_reachable) {
+    connection->Close();
+    on_result(is_reachable);
+  });
 }
 
 auto TargetConnectionPool::CloseTarget(const TargetId& target) -> void {
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -36,6 +36,10 @@
   // address can't be parsed.
   auto Check(const TargetRow& target, std::function<void(bool)> on_result)
       -> void;
+  // Finds out whether the process of the target lives on after an answer that
+  // ended with its connection. `on_result` is called once.
+  auto ConfirmAlive(const TargetRow& target,
+                    std::function<void(bool)> on_result) -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
   // Closes idle connections that can't be reused any more.
@@ -56,6 +60,10 @@
     std::list<IdleConnection> idle;
   };
 
+  // Connects to the target; calls `on_result` once with whether it accepted.
+  auto Probe(const tcp::endpoint& endpoint, std::function<void(bool)> on_result)
+      -> void;
+
   asio::io_context& io_;
   std::unordered_map<TargetId, TargetEntry> targets_;
   // Targets with a check in progress.
