Relay: an error of the next target finished a begun stream as complete

What callers saw: a stream broke off after event 3 of 10, and the closing chunk followed.

Cause: a whole answer with any status below 500 counts as complete, and Complete finishes the answer that has started, whatever that one was. Class: the end of one message taken for the end of another.

Evidence: test_broken_streams, test_an_error_never_ends_a_begun_stream _as_complete, failing on every try: True is not false : 204 (and 400, 404, 409, 422, 429; 500 and 503 were cut). Only an answer with the status that the caller got can continue its stream now; any other is broken, so the stream goes on at a further target or is cut. That test passes; 8 others of the file still fail.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -252,6 +252,7 @@
 auto RelayedRequest::BeginAnswer() -> void {
   if (answer_state_ != AnswerState::kNotStarted) return;
   answer_state_ = AnswerState::kStarted;
+  begun_status_ = answer_.status;
   caller_->BeginAnswer(answer_.status, HeaderLines(answer_.forwarded));
   if (accepted_request_.route->is_resumable) return;
   // The answer has started, so the request can't be sent to another target.
@@ -265,6 +266,10 @@
   if (end == TransferEnd::kBroken || !IsFromTarget()) {
     return AttemptOutcome::kBroken;
   }
+  if (is_stream_ && answer_state_ == AnswerState::kStarted &&
+      !(is_success_from_target_ && answer_.status == begun_status_)) {
+    return AttemptOutcome::kBroken;
+  }
   if (answer_.status >= kFirstServerError) return AttemptOutcome::kServerError;
   if (is_stream_ && is_success_from_target_) {
     // A target that crashes on the first event may close an empty answer.
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -101,6 +101,9 @@
   // Value of the Retry-After header that the caller got; zero for none.
   Duration retry_after_{};
   AnswerState answer_state_ = AnswerState::kNotStarted;
+  // Status that the caller got, if the answer has started. Only an answer with
+  // the same status can continue a stream.
+  int begun_status_ = 0;
   // Whether the core counts an attempt that has not ended.
   bool has_open_attempt_ = false;
   // Whether a target may have executed the request in any attempt so far.
