Relay: runs of a stream were joined without looking at what the caller has

What callers saw: after Last-Event-Id 4, events 1 to 10 (a number goes back) or 7 to 10 (two are missing); an error's text in the middle of a stream; events without ids twice; a stream that ended as complete with a run shorter than what they had; events that arrived with a gap behind them were lost, although a later run went on after them; no target could go on after a gap.

Cause, one for all: the splitter compared ids with those it had passed on in this answer only, took any block of lines for an event, kept the gap of one run for the next, and dropped good events that arrived together with a bad one after it had counted them. Class: state of a stream that was kept by run instead of by what the caller has.

The assertion has_gap() of DetectsMissingEvent is is_out_of_order() now, the same state under its wider name.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -77,6 +77,9 @@
     return caller_->Close();
   }
   is_stream_ = accepted_request_.route->kind == RequestKind::kStream;
+  if (is_stream_ && request_.last_event_id) {
+    event_splitter_.ContinueAfter(*request_.last_event_id);
+  }
   caller_->SetCallerLeftHook(
       [self = shared_from_this()] { self->OnCallerLeft(); });
   ArmDeadline();
@@ -202,18 +205,19 @@
                            complete_events.append(event);
                            ++relayed_events_;
                          });
+  if (!complete_events.empty()) {
+    has_attempt_events_ = true;
+    if (relayed_before == 0) {
+      BeginAnswer();
+      RecordFirstByte();
+    }
+    // The core uses only the first call of an attempt.
+    context_.core.RecordFirstToken(placement_, MonotonicClock::now());
+    AppendToAnswer(complete_events);
+  }
   const auto is_endless =
       event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
-  if (event_splitter_.has_gap() || is_endless) return BreakAttempt();
-  if (complete_events.empty()) return;
-  has_attempt_events_ = true;
-  if (relayed_before == 0) {
-    BeginAnswer();
-    RecordFirstByte();
-  }
-  // The core uses only the first call of an attempt.
-  context_.core.RecordFirstToken(placement_, MonotonicClock::now());
-  AppendToAnswer(complete_events);
+  if (event_splitter_.is_out_of_order() || is_endless) BreakAttempt();
 }
 
 auto RelayedRequest::BreakAttempt() -> void {
@@ -275,7 +279,8 @@
     // A target that crashes on the first event may close an empty answer.
     const auto is_empty =
         end == TransferEnd::kCompleteAtClose && !has_attempt_events_;
-    if (is_empty || event_splitter_.has_partial_event()) {
+    if (is_empty || event_splitter_.has_partial_event() ||
+        event_splitter_.is_short()) {
       return AttemptOutcome::kBroken;
     }
   }
@@ -359,11 +364,10 @@
 auto RelayedRequest::RetryOrFail(AttemptOutcome outcome) -> void {
   if (answer_state_ == AnswerState::kEnded) return;
   const auto now = MonotonicClock::now();
-  const auto is_non_stream_started =
-      answer_state_ == AnswerState::kStarted && !is_stream_;
-  if (!is_non_stream_started &&
-      context_.core.MayRetry(accepted_request_, outcome, relayed_events_ > 0,
-                             now)) {
+  const auto can_go_on = answer_state_ == AnswerState::kNotStarted ||
+                         (is_stream_ && event_splitter_.can_continue());
+  if (can_go_on && context_.core.MayRetry(accepted_request_, outcome,
+                                          relayed_events_ > 0, now)) {
     return StartAttempt();
   }
   if (answer_state_ == AnswerState::kStarted) {
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -105,7 +105,65 @@
   EventSplitter splitter;
   Split(splitter, "id: 1\ndata: a\n\n");
   EXPECT_EQ(Split(splitter, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"), "");
-  EXPECT_TRUE(splitter.has_gap());
+  EXPECT_TRUE(splitter.is_out_of_order());
+}
+
+TEST(EventSplitterTest, AnotherRunMendsAGap) {
+  EventSplitter splitter;
+  EXPECT_EQ(Split(splitter, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n"),
+            "id: 1\ndata: a\n\n");
+  splitter.Restart();
+  EXPECT_FALSE(splitter.is_out_of_order());
+  EXPECT_EQ(Split(splitter, "id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
+TEST(EventSplitterTest, ContinuesAfterTheEventThatTheCallerHas) {
+  EventSplitter splitter;
+  splitter.ContinueAfter(4);
+  EXPECT_EQ(Split(splitter, "id: 4\ndata: d\n\nid: 5\ndata: e\n\n"),
+            "id: 5\ndata: e\n\n");
+  EXPECT_FALSE(splitter.is_out_of_order());
+  splitter.ContinueAfter(4);
+  EXPECT_EQ(Split(splitter, "id: 7\ndata: g\n\n"), "");
+  EXPECT_TRUE(splitter.is_out_of_order());
+}
+
+TEST(EventSplitterTest, ARunThatEndsBeforeTheLastEventIsShort) {
+  EventSplitter splitter;
+  Split(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_FALSE(splitter.is_short());
+  splitter.Restart();
+  EXPECT_FALSE(splitter.is_short());
+  Split(splitter, "id: 1\ndata: a\n\n");
+  EXPECT_TRUE(splitter.is_short());
+  Split(splitter, "id: 2\ndata: b\n\n");
+  EXPECT_FALSE(splitter.is_short());
+}
+
+TEST(EventSplitterTest, TextIsNoEvent) {
+  for (const auto* text :
+       {"internal error\n\n", "{\"error\": 1}\n\n",
+        "HTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\n"}) {
+    EventSplitter splitter;
+    EXPECT_EQ(Split(splitter, text), "") << text;
+    EXPECT_TRUE(splitter.is_out_of_order()) << text;
+  }
+  EventSplitter splitter;
+  const std::string_view rest = ": comment\n\nretry: 30\n\ndata\n\n";
+  EXPECT_EQ(Split(splitter, rest), rest);
+  EXPECT_FALSE(splitter.is_out_of_order());
+}
+
+TEST(EventSplitterTest, OnlyNumberedEventsContinueAStream) {
+  EventSplitter splitter;
+  Split(splitter, "id: 1\ndata: a\n\n");
+  EXPECT_TRUE(splitter.can_continue());
+  splitter.Restart();
+  EXPECT_EQ(Split(splitter, ": comment\n\ndata: b\n\n"), ": comment\n\n");
+  EXPECT_TRUE(splitter.is_out_of_order());
+  EventSplitter unnumbered;
+  Split(unnumbered, "data: a\n\n");
+  EXPECT_FALSE(unnumbered.can_continue());
 }
 
 }  // namespace
