Relay: two events became one where line ends were mixed

What callers saw: after a resumption an event came twice, or the stream was cut for a gap that it didn't have.

Cause: the end of an event was looked for as LF LF or CR LF CR LF; server-sent events allow either end for each line, so "\n\r\n" and "\r\n\n" end one too. Two events were passed on as one block with the first one's id.

--- a/relay/event_splitter.cpp
+++ b/relay/event_splitter.cpp
@@ -17,15 +17,15 @@
 };
 
 // Position after the empty line that ends the first event; 0 if none is
-// complete.
+// complete. Lines end with LF or CR LF.
 auto FindEventEnd(std::string_view bytes) -> std::size_t {
-  const auto lf_end = bytes.find("\n\n");
-  const auto crlf_end = bytes.find("\r\n\r\n");
-  if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-    return 0;
+  for (auto at = bytes.find('\n'); at != std::string_view::npos;
+       at = bytes.find('\n', at + 1)) {
+    const auto next = bytes.substr(at + 1, 2);
+    if (!next.empty() && next[0] == '\n') return at + 2;
+    if (next == "\r\n") return at + 3;
   }
-  if (lf_end < crlf_end) return lf_end + 2;
-  return crlf_end + 4;
+  return 0;
 }
 
 // Whether the line is the field, with or without a value.
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -140,6 +140,23 @@
   EXPECT_FALSE(splitter.is_short());
 }
 
+TEST(EventSplitterTest, LinesMayEndInEitherWay) {
+  for (const std::string_view bytes :
+       {"id: 1\ndata: a\n\r\nid: 2\ndata: b\n\n",
+        "id: 1\r\ndata: a\r\n\nid: 2\ndata: b\n\n",
+        "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\n\r\n"}) {
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+      EventSplitter splitter;
+      auto count = 0;
+      const auto on_event = [&count](std::string_view) { ++count; };
+      splitter.Append(bytes.substr(0, cut), on_event);
+      splitter.Append(bytes.substr(cut), on_event);
+      EXPECT_EQ(count, 2) << bytes << " cut at " << cut;
+      EXPECT_FALSE(splitter.has_partial_event());
+    }
+  }
+}
+
 TEST(EventSplitterTest, TextIsNoEvent) {
   for (const auto* text :
        {"internal error\n\n", "{\"error\": 1}\n\n",
