Gateway: a route's fourth attempt was never made

What callers saw: a stream that broke off three times was cut although its route allows four attempts and a fourth target was there.

Cause: kMaxAttemptsPerRequest, meant for attempts that targets refused, capped all of them at 3 whatever the route says.

Evidence: test_every_attempt_of_the_route_is_used in test_broken_streams: (200, False) != (200, True) before, sends=3 in the answer_cut line; passes now. The cap is the larger of 3 and the route's own number; the retry budget bounds both as before.

--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -11,8 +11,8 @@
 // sending of a request to its arrival here, and a read of the configuration
 // that is in progress.
 constexpr Duration kRevocationMargin = milliseconds(400);
-// Includes attempts that a target refused. After an attempt that may have run,
-// `Route::max_attempts` applies as well.
+// Includes attempts that a target refused; a route may allow more. After an
+// attempt that may have run, `Route::max_attempts` is the only bound.
 constexpr int kMaxAttemptsPerRequest = 3;
 // Cooldown of a target after it refused a request or was not reached.
 constexpr Duration kRefusalCooldown = milliseconds(100);
@@ -387,10 +387,12 @@
       outcome == AttemptOutcome::kCancelled) {
     return false;
   }
-  if (now >= request.deadline || request.attempts >= kMaxAttemptsPerRequest) {
+  const auto& route = *request.route;
+  if (now >= request.deadline ||
+      request.attempts >=
+          std::max(kMaxAttemptsPerRequest, route.max_attempts)) {
     return false;
   }
-  const auto& route = *request.route;
   const auto has_surely_not_run = HasSurelyNotRun(outcome);
   if (!has_surely_not_run) {
     const auto is_retryable =
