Relay: a target's 429 or 503 for a request that it ran reached the caller

What callers saw: 408, 429 or 503, which promise that the request has not run and never will, for a request that is not idempotent and that its target had run (REFUSED); a caller that trusts them sends it again.

Cause: a signed answer was passed on with its status whatever that means here; only Not-Executed says that a target did not run the request. Class: a status of one hop taken as a statement of the next.

Such an answer is a server error now, so what may be repeated is, and the caller gets 502, which promises nothing. Its own 500, 504 and 4xx still reach it unchanged.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -2,6 +2,7 @@
 #include "relay/relayed_request.h"
 
 #include <algorithm>
+#include <array>
 
 namespace papayaplank {
 namespace {
@@ -26,6 +27,14 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
+// Whether the status promises that the request has not run. The answer of a
+// target that ran it must not reach the caller with such a status.
+auto PromisesNotRun(int status) -> bool {
+  constexpr std::array kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) !=
+         kStatuses.end();
+}
+
 auto HeaderLines(const HttpFields& fields) -> std::string {
   std::string lines;
   for (const auto& [name, value] : fields) {
@@ -274,7 +283,9 @@
       !(is_success_from_target_ && answer_.status == begun_status_)) {
     return AttemptOutcome::kBroken;
   }
-  if (answer_.status >= kFirstServerError) return AttemptOutcome::kServerError;
+  if (answer_.status >= kFirstServerError || PromisesNotRun(answer_.status)) {
+    return AttemptOutcome::kServerError;
+  }
   if (is_stream_ && is_success_from_target_) {
     // A target that crashes on the first event may close an empty answer.
     const auto is_empty =
@@ -373,7 +384,8 @@
   if (answer_state_ == AnswerState::kStarted) {
     return CutAnswer(AttemptOutcomeName(outcome));
   }
-  if (outcome == AttemptOutcome::kServerError) {
+  if (outcome == AttemptOutcome::kServerError &&
+      !PromisesNotRun(answer_.status)) {
     // The target executed the request and failed; the caller gets its answer.
     Log(LogClass::kFailure, "failure_relayed", AttemptOutcomeName(outcome),
         now);
--- a/tests/process/test_broken_streams.py
+++ b/tests/process/test_broken_streams.py
@@ -110,6 +110,15 @@
             error = (status, [TEXT], True, b"")
             self.assert_cut(self.ask(BROKEN_AFTER_3, error), name=status)
 
+    def test_an_error_of_a_target_that_ran_it_is_no_promise(self):
+        for path in ("/write/1", "/stream/once/1"):
+            for status in (408, 429, 503):
+                before = sum(len(target.runs) for target in self.targets)
+                answer = self.ask((status, [TEXT], True, b""), path=path)
+                self.assertEqual(answer, (502, b"", True), status)
+                runs = sum(len(target.runs) for target in self.targets)
+                self.assertEqual(runs - before, 1)
+
     def test_text_never_continues_a_begun_stream(self):
         for text in (TEXT, b"error\n\n", b"data: no such stream\n\n"):
             self.assert_cut(self.ask(BROKEN_AFTER_3, (200, [text], True, b"")),
