Relay: a target that crashed during a pause of the router counted as alive

What callers saw: an answer without framing that ended too early looked whole when the router had been paused (SIGSTOP, a suspended machine, no processor) while its target crashed and started again under its address.

Cause: the check after the end of such an answer asks whether the target listens now; the end may be old by then. Class: a statement about now taken for one about the past.

LoopWatch notices that the timer of the event loop was overdue by more than a process needs to start again; ends that are handled then are broken. Ruled out: the row's start time, which is read seconds later.

--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -10,6 +10,7 @@
 #include "relay/configuration_reader.h"
 #include "relay/http_server.h"
 #include "relay/info_service.h"
+#include "relay/loop_watch.h"
 #include "relay/peer_link.h"
 #include "relay/quarantine_store.h"
 #include "relay/relay_context.h"
@@ -96,7 +97,11 @@
                  target_connections_,
                  request_metrics_,
                  permit_waits_,
-                 [this] { peer_link_.SendPermitRequests(); }},
+                 [this] { peer_link_.SendPermitRequests(); },
+                 [this] {
+                   return loop_watch_.MayBeLate(MonotonicClock::now(),
+                                                BootTime());
+                 }},
         caller_server_(
             io_, [this] { return Limits(); },
             [this](auto caller, auto request) {
@@ -191,6 +196,7 @@
   Time stop_began_at_{};
   bool is_accepting_ = true;
   Time last_tick_{};
+  LoopWatch loop_watch_;
   Time limit_shares_logged_at_{};
   // Boot time minus monotonic time at the start or the last reported pause: the
   // time for which the machine had been suspended since its boot.
@@ -221,6 +227,7 @@
   if (!IsOk(listening)) return listening;
   last_tick_ = MonotonicClock::now();
   last_boot_offset_ = BootTime() - last_tick_.time_since_epoch();
+  loop_watch_.Start(last_tick_, BootTime());
   WaitForSignal();
   configuration_reader_.SetQueryHook(
       [this] { peer_link_.SendQueries(MonotonicClock::now()); });
@@ -264,6 +271,7 @@
 
 auto RelayProcess::TickReports() -> void {
   const auto now = MonotonicClock::now();
+  loop_watch_.RecordTick(now, BootTime());
   DetectPause(now);
   core_.RecordLateness(std::max(Duration{}, now - last_tick_ - kReportPeriod),
                        now);
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -318,7 +318,11 @@
 }
 
 auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome) -> void {
-  // The connections of a killed process end like such an answer.
+  // The connections of a killed process end like such an answer. If the end is
+  // old, another process may listen there by now.
+  if (context_.has_stood_still()) {
+    return EndAnswer(AttemptOutcome::kBroken);
+  }
   context_.target_connections.ConfirmAlive(
       placement_.target, [self = shared_from_this(), outcome](bool is_alive) {
         // The caller has left, or the deadline has passed.
