Relay: answers of workers that ended behind a living listener looked whole

What callers saw: an unframed stream that ended after event 1 of 10 as complete, while another stream of the same target was cut.

Cause: the check after such an end asks for the listener, which may belong to another process than the workers that answered.

Left: an unframed answer that alone breaks off, with its target listening on, can't be told from a whole one.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -303,6 +303,9 @@
   const auto outcome = ClassifyAnswer(end);
   transfer_end_ = end;
   context_.metrics.RecordTransferEnd(TransferEndName(end));
+  if (end == TransferEnd::kBroken) {
+    context_.target_connections.RecordBreak(placement_.target.id, now);
+  }
   const auto connection = std::exchange(target_connection_, nullptr);
   if (connection != nullptr) {
     context_.target_connections.Release(
@@ -324,7 +327,8 @@
     return EndAnswer(AttemptOutcome::kBroken);
   }
   context_.target_connections.ConfirmAlive(
-      placement_.target, [self = shared_from_this(), outcome](bool is_alive) {
+      placement_.target, MonotonicClock::now(),
+      [self = shared_from_this(), outcome](bool is_alive) {
         // The caller has left, or the deadline has passed.
         if (!self->has_open_attempt_) return;
         self->EndAnswer(is_alive ? outcome : AttemptOutcome::kBroken);
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -75,15 +75,23 @@
   });
 }
 
-auto TargetConnectionPool::ConfirmAlive(const TargetRow& target,
+auto TargetConnectionPool::RecordBreak(const TargetId& target, Time now)
+    -> void {
+  broken_at_[target] = now;
+}
+
+auto TargetConnectionPool::ConfirmAlive(const TargetRow& target, Time now,
                                         std::function<void(bool)> on_result)
     -> void {
   const auto timer = std::make_shared<asio::steady_timer>(io_);
   timer->expires_after(kProcessEndTime);
-  timer->async_wait([this, timer, address = target.address,
+  timer->async_wait([this, timer, id = target.id, address = target.address, now,
                      on_result = std::move(on_result)](error_code error) {
     const auto endpoint = ParseTcpEndpoint(address);
-    if (error || !endpoint) return on_result(false);
+    const auto broken = broken_at_.find(id);
+    const auto has_broken =
+        broken != broken_at_.end() && broken->second >= now - kProcessEndTime;
+    if (error || !endpoint || has_broken) return on_result(false);
     Probe(*endpoint, on_result);
   });
 }
@@ -107,6 +115,9 @@
 }
 
 auto TargetConnectionPool::CloseExpired(Time now) -> void {
+  std::erase_if(broken_at_, [now](const auto& entry) {
+    return entry.second < now - 2 * kProcessEndTime;
+  });
   for (auto& [id, target] : targets_) {
     std::erase_if(target.idle, [now](const IdleConnection& idle) {
       const auto is_expired =
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -36,9 +36,12 @@
   // address can't be parsed.
   auto Check(const TargetRow& target, std::function<void(bool)> on_result)
       -> void;
+  // An answer of the target has broken off.
+  auto RecordBreak(const TargetId& target, Time now) -> void;
   // Finds out whether the process of the target lives on after an answer that
-  // ended with its connection. `on_result` is called once.
-  auto ConfirmAlive(const TargetRow& target,
+  // ended with its connection: it accepts connections, and no other answer of
+  // it has broken off at the same time. `on_result` is called once.
+  auto ConfirmAlive(const TargetRow& target, Time now,
                     std::function<void(bool)> on_result) -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
@@ -66,6 +69,9 @@
 
   asio::io_context& io_;
   std::unordered_map<TargetId, TargetEntry> targets_;
+  // When an answer of each target broke off last; entries are dropped when they
+  // can't matter any more.
+  std::unordered_map<TargetId, Time> broken_at_;
   // Targets with a check in progress.
   std::set<TargetId> checked_;
   std::uint64_t opened_ = 0;
--- a/tests/process/test_killed_targets.py
+++ b/tests/process/test_killed_targets.py
@@ -4,7 +4,10 @@
 
 import http.client
 import os
+import socket
 import sys
+import threading
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -16,6 +19,34 @@
 KILL_AT = 3  # Event after which the targets are killed.
 
 
+class WorkersTarget(standin.Target):
+    """Listens in one process; the workers that answer end together."""
+
+    def __init__(self, store, name):
+        self.answers = 0
+        self.has_ended = threading.Event()
+        super().__init__(store, name, "s")
+
+    def serve(self, connection, start, headers, body):
+        if headers.get("expect-runner") != self.name:
+            connection.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self.answers += 1
+        is_unframed = self.answers % 2 == 0
+        event = b"id: 1\ndata: event 1\n\n"
+        connection.sendall(self.response_head(headers) + (
+            b"\r\n" + event if is_unframed else
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
+            % (len(event), event)))
+        self.has_ended.wait()
+        return False
+
+    def end_workers(self):
+        for connection in list(self.connections):
+            connection.shutdown(socket.SHUT_RDWR)
+        self.has_ended.set()
+
+
 class KilledTargetsTest(unittest.TestCase):
     def setUp(self):
         self.store = standin.Store()
@@ -47,6 +78,9 @@
         finally:
             connection.close()
 
+    def count(self, event):
+        return sum(line["event"] == event for line in self.edge.lines)
+
     def runs(self):
         return [run for target in self.targets for run in target.runs]
 
@@ -91,6 +125,27 @@
             self.assertEqual((status, body), (502, b""),
                              f"unframed: {is_unframed}")
 
+    def test_workers_that_end_behind_a_listener_are_noticed(self):
+        for target in self.targets:
+            self.store.remove("servers", target.name)
+        workers = WorkersTarget(self.store, "w0")
+        self.addCleanup(workers.stop)
+        wait_for(lambda: self.count("target_left") == len(self.targets) and
+                 self.count("target_joined") == len(self.targets) + 1,
+                 "the router knows only the new target")
+        answers = []
+        callers = [threading.Thread(target=lambda: answers.append(
+            self.ask("/stream/once/1"))) for _ in range(4)]
+        for caller in callers:
+            caller.start()
+        wait_for(lambda: workers.answers == len(callers), "all streams began")
+        time.sleep(0.2)
+        workers.end_workers()
+        for caller in callers:
+            caller.join()
+        self.assertEqual([is_complete for _, _, is_complete in answers],
+                         [False] * len(callers))
+
     def test_whole_unframed_answers_are_relayed(self):
         self.restart_targets({"unframed": True}, {"unframed": True})
         self.assertEqual(self.ask("/write/1"), (200, b"answer to id1", True))
