Router: a request that ran was called not run after a later refusal

Callers got 502 or 504 with `X-Papayaplank-Ran: no` for requests that a target had run. The state machine judged by the last attempt alone: a lost first attempt (unknown) followed by refusals, or by the deadline while the request waited for its next attempt, gave "no".

The request now keeps what all its attempts show: `ran` only grows, and tokens make it "yes". All ends of a request use it, the release of claims included. Ruled out: claimed requests running twice this way; keys are claimed only for classes that are not idempotent, and these have no attempt after a lost one.

--- a/router/router_core.cpp
+++ b/router/router_core.cpp
@@ -147,7 +147,7 @@
   if (!candidate) return;
   auto& request = requests_.at(*candidate);
   pool.queue.Remove(*candidate);
-  Fail(request, FailReason::kShed, Ran::kNo, kDefaultRetryAfter);
+  Fail(request, FailReason::kShed, kDefaultRetryAfter);
 }
 
 auto RouterCore::Enqueue(Request& request) -> void {
@@ -181,9 +181,10 @@
   commands_.push_back(FailRequest{id, reason, Ran::kNo, retry_after});
 }
 
-auto RouterCore::Fail(Request& request, FailReason reason, Ran ran,
-                      Duration retry_after) -> void {
+auto RouterCore::Fail(Request& request, FailReason reason, Duration retry_after)
+    -> void {
   const auto id = request.arrival.id;
+  const auto ran = request.ran;
   ++counters_.failed;
   if (request.has_claim && ran == Ran::kNo) {
     commands_.push_back(ReleaseClaim{id, request.arrival.idempotency_key});
@@ -208,10 +209,10 @@
       return;
     case Stage::kWaiting:
       FindOrAddPool(request.arrival.pool).queue.Remove(message.id);
-      Fail(request, FailReason::kDeadline, Ran::kNo, {});
+      Fail(request, FailReason::kDeadline, {});
       return;
     case Stage::kDelayed:
-      Fail(request, FailReason::kDeadline, Ran::kNo, {});
+      Fail(request, FailReason::kDeadline, {});
       return;
     case Stage::kRunning:
       // A claimed request runs to its end, so that its outcome can be stored.
@@ -226,12 +227,11 @@
   if (found == requests_.end()) return;
   auto& request = found->second;
   if (message.result == ClaimResult::kUnavailable) {
-    return Fail(request, FailReason::kTableUnavailable, Ran::kNo,
-                kDefaultRetryAfter);
+    return Fail(request, FailReason::kTableUnavailable, kDefaultRetryAfter);
   }
   if (message.result == ClaimResult::kInProgress) {
-    return Fail(request, FailReason::kOutcomeUnknown, Ran::kUnknown,
-                kDefaultRetryAfter);
+    request.ran = Ran::kUnknown;
+    return Fail(request, FailReason::kOutcomeUnknown, kDefaultRetryAfter);
   }
   if (message.result == ClaimResult::kReplay) {
     commands_.push_back(
@@ -241,7 +241,7 @@
   }
   request.has_claim = true;
   if (request.is_caller_gone || now >= request.deadline) {
-    return Fail(request, FailReason::kDeadline, Ran::kNo, {});
+    return Fail(request, FailReason::kDeadline, {});
   }
   const auto pool = request.arrival.pool;
   Enqueue(request);
@@ -256,6 +256,7 @@
   if (request.attempts != message.attempt) return;
   request.tokens += message.new_tokens;
   request.attempt_tokens += message.new_tokens;
+  if (message.new_tokens > 0) request.ran = Ran::kYes;
   owner_.Observe(request.target, message.latency);
   // Tokens beyond the estimate are charged as they arrive.
   const auto served = static_cast<double>(request.attempt_tokens);
@@ -328,9 +329,9 @@
 auto RouterCore::RetryOrFail(Request& request, const AttemptReport& report,
                              Time now) -> void {
   const auto& arrival = request.arrival;
-  const auto ran = RanAfter(report.result);
+  request.ran = std::max(request.ran, RanAfter(report.result));
   if (request.is_caller_gone) {
-    return Fail(request, FailReason::kTargetFailed, ran, {});
+    return Fail(request, FailReason::kTargetFailed, {});
   }
   if (request.is_preempted) {
     request.is_preempted = false;
@@ -349,7 +350,7 @@
                          retry_budget_.TrySpend(arrival.customer->id.value(),
                                                 request.target.value());
   if (!may_retry) {
-    return Fail(request, FailReason::kTargetFailed, ran, kDefaultRetryAfter);
+    return Fail(request, FailReason::kTargetFailed, kDefaultRetryAfter);
   }
   ++counters_.retries;
   if (report.has_caller_seen_head) ++counters_.resumed;
@@ -373,9 +374,7 @@
     for (const auto& expired : pool.queue.RemoveExpired(now)) {
       const auto found = requests_.find(expired.id);
       if (found == requests_.end()) continue;
-      // Tokens received prove that an earlier attempt ran.
-      const auto ran = found->second.tokens > 0 ? Ran::kYes : Ran::kNo;
-      Fail(found->second, FailReason::kDeadline, ran,
+      Fail(found->second, FailReason::kDeadline,
            ExpectedWait(pool, *found->second.arrival.customer));
     }
   }
--- a/router/router_core.h
+++ b/router/router_core.h
@@ -161,6 +161,8 @@
     bool has_claim = false;
     std::set<TargetId> failed_targets;
     Time started_at{};
+    // Whether the request ran, as far as all attempts show that have ended.
+    Ran ran = Ran::kNo;
   };
 
   struct Pool {
@@ -192,8 +194,7 @@
   auto Reject(const RequestId& id, FailReason reason, Duration retry_after)
       -> void;
   // Ends an admitted request with an error and erases it.
-  auto Fail(Request& request, FailReason reason, Ran ran, Duration retry_after)
-      -> void;
+  auto Fail(Request& request, FailReason reason, Duration retry_after) -> void;
   auto Complete(Request& request, const AttemptReport& report) -> void;
   auto ReleaseSlot(Request& request) -> void;
   // Replaces the charges of the attempt by its actual cost.
