Transport: a repeated refusal or a stray answer was taken for the next one

Shown on with raw targets on kept connections. A target that wrote its refusal once more, with the id of the other request, with none, or with the id of the same request whose next attempt it was running, made the router say "not run" for a request that ran. An answer without an id that arrived twice or late reached another caller as its answer:

Fix: a connection is kept only after answers that name their request and are no refusal; on a reused one an answer without the id is crossed; a retry uses a new connection. So an old refusal has no connection to arrive on. The id alone is not enough: attempts of one request share it. Marks of an interim head no longer count for the final one, and trailers are not read as headers.

Requests that must run once were and are sent on new connections, so libcurl does not resend them: 10 requests, 10 runs, 10 connections in test_request_that_must_run_once_is_not_sent_again_by_the_client, which passed before. The cost in new connections is not measured.

--- a/router/core_messages.h
+++ b/router/core_messages.h
@@ -129,8 +129,9 @@
   TargetInfo target;
   // Tokens that the caller already has; the target continues after them.
   int resume_after_tokens = 0;
-  // Use a new connection, because the HTTP library resends a request if a
-  // reused connection turns out to be closed; this one must not run twice.
+  // Use a new connection: the HTTP library resends a request if a reused
+  // connection turns out to be closed, and this one must not run twice; or an
+  // earlier attempt failed, perhaps because of what a reused connection held.
   bool is_single_use_connection = false;
 };
 
--- a/router/router_core.cpp
+++ b/router/router_core.cpp
@@ -474,9 +474,11 @@
   }
   accounts_.AddLocal(customer.id, arrival.pool, customer.weight,
                      queued.estimate);
-  commands_.push_back(StartAttempt{
-      arrival.id, request.attempts, *fleet_.FindTarget(request.target),
-      request.tokens, !arrival.request_class->is_idempotent});
+  const auto is_single_use_connection =
+      !arrival.request_class->is_idempotent || request.attempts > 1;
+  commands_.push_back(StartAttempt{arrival.id, request.attempts,
+                                   *fleet_.FindTarget(request.target),
+                                   request.tokens, is_single_use_connection});
 }
 
 auto RouterCore::PreemptBatchStream(Time now) -> void {
--- a/tests/process/test_router_refusals.py
+++ b/tests/process/test_router_refusals.py
@@ -75,6 +75,84 @@
         self.assertEqual(answer.status, 504)
         self.check(answer, "/desk/lookup")
 
+    def test_repeated_refusals_are_never_believed(self):
+        self.start(targets=20)
+        for has_id in (True, False):
+            for moment in ("early", "at once", "late"):
+                for path in ("/desk/lookup", "/desk/capture"):
+                    with self.subTest(has_id=has_id, moment=moment, path=path):
+                        self.repeat_refusals(has_id, moment, path)
+
+    def repeat_refusals(self, has_id, moment, path):
+        """Each connection refuses its first request and runs the next ones, and
+        repeats its refusal at the given moment."""
+        refusals = {}
+
+        def serve(connection, request):
+            old = refusals.get(connection)
+            if old is None:
+                old = refusals[connection] = refuse(request, 503, has_id)
+                connection.sendall(old)
+                if moment == "early":
+                    connection.sendall(old)
+                return True
+            if moment == "late":
+                time.sleep(0.1)
+            connection.sendall(old)
+            self.run_request(connection, request, has_id, 0.1)
+            return True
+        self.target.serve = serve
+        for i in range(8):
+            own_path = f"{path}/{has_id}/{moment.replace(' ', '-')}/{i}"
+            self.check(self.ask(own_path), own_path)
+
+    def test_answers_without_an_id_reach_no_other_request(self):
+        self.start(targets=1)
+        # An answer that was not asked for precedes the next one.
+        for moment in ("early", "at once"):
+            def serve(connection, request, moment=moment):
+                stray = raw.answer(request, 200, b"stray", has_id=False)
+                if moment == "at once" and self.target.attempts(request) > 1:
+                    connection.sendall(stray)
+                self.run_request(connection, request, has_id=False)
+                if moment == "early":
+                    connection.sendall(stray)
+                return True
+            self.target.serve = serve
+            for i in range(6):
+                path = f"/desk/lookup/{i}"
+                with self.subTest(moment=moment, path=path):
+                    self.check(self.ask(path), path)
+
+    def test_refusal_of_an_interim_answer_is_not_believed(self):
+        self.start(targets=4)
+
+        def serve(connection, request):
+            self.ran.append(request.id)
+            connection.sendall(b"HTTP/1.1 103 Early\r\n" + NOT_RUN.encode()
+                               + b"\r\n" + raw.answer(request, 503, b"failed"))
+            return True
+        self.target.serve = serve
+        answer = self.ask("/desk/capture")
+        self.check(answer, "/desk/capture")
+        self.assertEqual((answer.status, answer.body), (503, b"failed"))
+
+    def test_request_that_must_run_once_is_not_sent_again_by_the_client(self):
+        self.start(targets=4)
+
+        def serve(connection, request):
+            self.ran.append(request.id)
+            if len(self.ran) % 2 == 0:
+                return False  # On a kept connection a client would resend.
+            connection.sendall(raw.answer(request, 200, request.path.encode()))
+            return True
+        self.target.serve = serve
+        for _ in range(10):
+            self.check(self.ask("/desk/capture"), "/desk/capture")
+        self.assertEqual(len(self.ran), 10)
+        self.assertEqual(self.target.connections, 10)
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main()
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -145,15 +145,9 @@
 
 auto TargetTransfer::ProcessHeader(std::string_view line) -> void {
   last_arrival_ = MonotonicClock::now();
-  if (line.substr(0, 5) == "HTTP/") {
-    head_ = AnswerHead{};
-    const auto space = line.find(' ');
-    if (space != std::string_view::npos) {
-      const auto* begin = line.data() + space + 1;
-      std::from_chars(begin, line.data() + line.size(), head_.status);
-    }
-    return;
-  }
+  if (is_head_complete_) return;
+  if (line.substr(0, 5) == "HTTP/") return BeginHead(line);
+  if (TrimWhitespace(line).empty()) return EndHead();
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) return;
   const auto name = line.substr(0, colon);
@@ -166,7 +160,8 @@
   }
   if (EqualsIgnoringCase(name, "transfer-encoding")) is_chunked_ = true;
   if (EqualsIgnoringCase(name, "x-request-id")) {
-    has_wrong_request_id_ = value != request_.id.value();
+    has_request_id_ = true;
+    is_crossed_ |= value != request_.id.value();
   }
   if (EqualsIgnoringCase(name, "x-papayaplank-ran")) {
     target_reports_not_run_ = value == "no";
@@ -183,6 +178,35 @@
   head_.headers.push_back({std::string(name), std::string(value)});
 }
 
+auto TargetTransfer::BeginHead(std::string_view status_line) -> void {
+  head_ = AnswerHead{};
+  is_event_stream_ = false;
+  is_chunked_ = false;
+  target_reports_not_run_ = false;
+  has_request_id_ = false;
+  const auto space = status_line.find(' ');
+  if (space == std::string_view::npos) return;
+  std::from_chars(status_line.data() + space + 1,
+                  status_line.data() + status_line.size(), head_.status);
+}
+
+auto TargetTransfer::EndHead() -> void {
+  if (head_.status < kFirstFinalStatus) return;
+  is_head_complete_ = true;
+  if (!has_request_id_ && IsReusedConnection()) is_crossed_ = true;
+  // A connection is kept only while each of its answers names its request. A
+  // repeated refusal may name it too: that of its next attempt.
+  if (!has_request_id_ || is_crossed_ || IsRefused()) {
+    curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+auto TargetTransfer::IsReusedConnection() const -> bool {
+  long opened = 0;  // NOLINT: libcurl's type
+  curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &opened);
+  return opened == 0;
+}
+
 auto TargetTransfer::IsRefused() const -> bool {
   const auto is_refusal =
       head_.status == kTooManyRequests || head_.status == kServiceUnavailable;
@@ -201,8 +225,8 @@
 
 auto TargetTransfer::ProcessBody(std::string_view bytes) -> std::size_t {
   // Returning a count other than the offered one ends the transfer.
-  if (has_wrong_request_id_ || CannotContinueAnswer()) return 0;
-  if (IsRefused()) return bytes.size();
+  if (IsRefused() && !is_crossed_) return bytes.size();
+  if (is_crossed_ || CannotContinueAnswer()) return 0;
   if (request_.answer->SuspendWriterIfFull()) {
     is_paused_ = true;
     return CURL_WRITEFUNC_PAUSE;
@@ -262,7 +286,7 @@
 }
 
 auto TargetTransfer::Finish(CURLcode code) -> AttemptReport {
-  if (has_wrong_request_id_) return Report(AttemptResult::kCrossed);
+  if (is_crossed_) return Report(AttemptResult::kCrossed);
   if (code == CURLE_COULDNT_CONNECT) return Report(AttemptResult::kNotReached);
   if (code == CURLE_OPERATION_TIMEDOUT) {
     curl_off_t connected = 0;
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -46,10 +46,14 @@
   auto SetUp() -> void;
   auto SetHeaders() -> void;
   auto ProcessHeader(std::string_view line) -> void;
+  auto BeginHead(std::string_view status_line) -> void;
+  auto EndHead() -> void;
   auto ProcessBody(std::string_view bytes) -> std::size_t;
   auto ObserveArrival() -> void;
   auto SendHead() -> void;
   auto IsRefused() const -> bool;
+  // Whether an earlier answer has used the connection.
+  auto IsReusedConnection() const -> bool;
   // Whether a short answer is held back until it is complete, so that a retry
   // can replace an incomplete one.
   auto ShouldHoldBody() const -> bool;
@@ -68,7 +72,12 @@
   bool is_event_stream_ = false;
   bool is_chunked_ = false;
   bool target_reports_not_run_ = false;
-  bool has_wrong_request_id_ = false;
+  bool has_request_id_ = false;
+  // The members above describe the current head; this one is set at the end of
+  // the final one. Later lines are trailers.
+  bool is_head_complete_ = false;
+  // The answer names another request, or may be a late one to another request.
+  bool is_crossed_ = false;
   // The caller has received a part of the answer from an earlier attempt: only
   // the remainder of that stream may follow.
   const bool is_continuation_;
