Transport: a break at the end mark ended a stream twice

The connection decided where a stream ends, not its `data: [DONE]`. When a target closed or reset its connection behind the mark, the stream was resumed elsewhere and ended twice; whatever followed the mark was passed on; and a target that kept the connection open kept the caller waiting.

test_stream_broken_at_the_end_mark_ends_once (close, reset) AssertionError: ... data: [DONE]\n\ndata: [DONE]\n\n test_bytes_after_the_end_mark_are_not_passed_on AssertionError: ... data: [DONE]\n\nsome text\n\n test_stream_ends_with_its_end_mark AssertionError: True is not false (cut after the timeout)

The mark now ends the caller's answer at once; later bytes are dropped, and the attempt is complete however it ends. A transfer that did not take a part of the body takes no later part: curl_easy_pause reports such a failure to its caller only and then goes on, which would leave a gap (read in libcurl, not shown).

Shown as sound before: errors and other answers of the next target in a begun stream (60 cases, always cut), ends without the mark, streams of another length, slow callers, and positions that callers send, which no target sees.

--- /dev/null
+++ b/tests/process/test_router_streams.py
@@ -0,0 +1,216 @@
+"""Tests of streams through papayaplank_router when targets break off: events
+without a gap or a repeat, and complete only with the end mark."""
+
+import os
+import re
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import raw_targets as raw  # noqa: E402
+
+TOKENS = 10
+WHOLE = raw.tokens(1, TOKENS) + raw.END_MARK
+USAGE = b'data: {"usage": {"completion_tokens": 10, "prompt_tokens": 1}}\n\n'
+ENDINGS = {"close": raw.close, "reset": raw.reset}
+
+
+class StreamTest(unittest.TestCase):
+    def setUp(self):
+        # Many targets: each has its own retry budget and health.
+        self.engine = raw.RawTarget(count=60)
+        self.service = raw.RawTarget(count=20)
+        self.fleet = raw.RawFleet(BUILD, self.engine, self.service)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def ask(self, first, then=None, **headers):
+        """Asks for a stream; `first` serves its first attempt, `then` the
+        others."""
+        def serve(connection, request):
+            if self.engine.attempts(request) == 1:
+                return first(connection, request)
+            return (then or self.resume)(connection, request)
+        self.engine.serve = serve
+        return raw.ask(self.fleet.routers[0], **headers)
+
+    @staticmethod
+    def resume(connection, request):
+        """Serves the rest of the stream."""
+        rest = raw.tokens(request.resumes_after + 1, TOKENS) + raw.END_MARK
+        connection.sendall(raw.stream_head(request) + raw.chunk(rest)
+                           + raw.chunk(b""))
+        return True
+
+    @staticmethod
+    def broken(sent, ending, headers=""):
+        """Serves these bytes of a stream and breaks it off."""
+        def serve(connection, request):
+            data = raw.chunk(sent) if sent else b""
+            connection.sendall(raw.stream_head(request, headers) + data)
+            ending(connection)
+            return False
+        return serve
+
+    def attempts(self, answer):
+        """The requests that targets got for an answer."""
+        return [each for each in self.engine.requests
+                if each.id == answer.headers["x-request-id"]]
+
+    def assert_in_order(self, answer):
+        """Checks the tokens of an answer, and that only the end mark makes it
+        complete."""
+        numbers = [int(each) for each in
+                   re.findall(rb'"token": (\d+)', answer.body)]
+        self.assertEqual(numbers, list(range(1, len(numbers) + 1)), answer)
+        expected = raw.tokens(1, len(numbers))
+        if answer.is_whole:
+            expected += raw.END_MARK
+        self.assertEqual(answer.body, expected, answer)
+
+    def test_error_after_a_broken_stream_is_never_in_it(self):
+        def error(status):
+            return lambda connection, request: connection.sendall(
+                raw.answer(request, status, b"some text\n\n"))
+
+        def refuse(connection, request):
+            connection.sendall(raw.answer(request, 503, b"busy\n\n",
+                                          "X-Papayaplank-Ran: no\r\n"))
+
+        def no_content(connection, request):
+            connection.sendall(raw.head(request, 204))
+        others = {str(status): error(status)
+                  for status in (200, 400, 404, 409, 422, 429, 500, 503)}
+        others["refusal"] = refuse
+        others["204"] = no_content
+        sent = {"between": raw.tokens(1, 3), "before": b": ping\n\n",
+                "inside": raw.tokens(1, 3) + b'data: {"tok'}
+        for ending in ENDINGS:
+            for place, data in sent.items():
+                for name, other in others.items():
+                    with self.subTest(ending=ending, place=place, then=name):
+                        answer = self.ask(self.broken(data, ENDINGS[ending]),
+                                          other)
+                        self.assertGreater(len(self.attempts(answer)), 1)
+                        self.assertEqual(answer.status, 200)
+                        self.assertFalse(answer.is_whole, answer)
+                        self.assertTrue(data.startswith(answer.body), answer)
+
+    def test_stream_broken_at_the_end_mark_ends_once(self):
+        for ending in ENDINGS:
+            for sent in (WHOLE, raw.tokens(1, TOKENS), WHOLE[:-1]):
+                with self.subTest(ending=ending, sent=sent[-10:]):
+                    answer = self.ask(self.broken(sent, ENDINGS[ending]))
+                    self.assert_in_order(answer)
+                    self.assertTrue(answer.is_whole, answer)
+                    self.assertEqual(answer.body, WHOLE)
+
+    def test_bytes_after_the_end_mark_are_not_passed_on(self):
+        after = (b"", b"\n", raw.token(1), raw.END_MARK, b"some text\n\n")
+        for data in after:
+            for is_one_chunk in (True, False):
+                def first(connection, request):
+                    connection.sendall(raw.stream_head(request))
+                    if is_one_chunk:
+                        connection.sendall(raw.chunk(WHOLE + data))
+                    else:
+                        connection.sendall(raw.chunk(WHOLE))
+                        time.sleep(0.1)
+                        if data:
+                            connection.sendall(raw.chunk(data))
+                    connection.sendall(raw.chunk(b""))
+                    return True
+                with self.subTest(data=data, is_one_chunk=is_one_chunk):
+                    answer = self.ask(first)
+                    self.assertEqual(answer.body, WHOLE)
+                    self.assertTrue(answer.is_whole)
+
+    def test_stream_ends_with_its_end_mark(self):
+        def first(connection, request):
+            connection.sendall(raw.stream_head(request) + raw.chunk(WHOLE))
+            time.sleep(5)
+            return False
+        begin = time.monotonic()
+        answer = self.ask(first)
+        self.assertEqual(answer.body, WHOLE)
+        self.assertTrue(answer.is_whole)
+        # Before the progress timeout of the router.
+        self.assertLess(time.monotonic() - begin, 1.5)
+
+    def test_orderly_end_without_the_end_mark_is_not_complete(self):
+        def short(connection, request):
+            last = min(request.resumes_after + 2, TOKENS - 1)
+            data = raw.tokens(request.resumes_after + 1, last)
+            connection.sendall(raw.stream_head(request)
+                               + (raw.chunk(data) if data else b"")
+                               + raw.chunk(b""))
+
+        def unframed(connection, request):
+            connection.sendall(raw.head(request, 200, raw.EVENT_STREAM)
+                               + raw.tokens(1, 3))
+            return False
+
+        def with_length(connection, request):
+            connection.sendall(raw.answer(request, 200, raw.tokens(1, 3),
+                                          raw.EVENT_STREAM))
+        for first in (short, unframed, with_length):
+            with self.subTest(first=first.__name__):
+                answer = self.ask(first, short)
+                self.assert_in_order(answer)
+                self.assertFalse(answer.is_whole, answer)
+                self.assertEqual(self.ask(first).body, WHOLE)
+
+    def test_stream_of_another_length_is_passed_on_from_its_position(self):
+        for last in (3, 4, 20):
+            def then(connection, request, last=last):
+                data = raw.tokens(request.resumes_after + 1, last)
+                connection.sendall(raw.stream_head(request)
+                                   + raw.chunk(data + raw.END_MARK)
+                                   + raw.chunk(b""))
+            with self.subTest(last=last):
+                answer = self.ask(self.broken(raw.tokens(1, 3), raw.close),
+                                  then)
+                self.assert_in_order(answer)
+                self.assertTrue(answer.is_whole)
+
+    def test_position_of_a_caller_is_not_passed_on(self):
+        for position in ("4", "0", "-1", "99999999999999999999", "x"):
+            with self.subTest(position=position):
+                answer = self.ask(self.resume, X_Resume_After_Tokens=position)
+                self.assertNotIn("x-resume-after-tokens",
+                                 self.attempts(answer)[0].headers)
+                self.assertEqual(answer.body, WHOLE)
+                self.assertTrue(answer.is_whole)
+                broken = self.ask(self.broken(raw.tokens(1, 3), raw.close),
+                                  X_Resume_After_Tokens=position)
+                self.assertEqual(
+                    [each.resumes_after for each in self.attempts(broken)],
+                    [0, 3])
+                self.assertEqual(broken.body, WHOLE)
+                self.assertNotIn("x-resume-after-tokens", broken.headers)
+
+    def test_slow_caller_gets_each_event_of_a_resumed_stream(self):
+        last = 40000  # Far beyond the buffers between target and caller.
+
+        def serve(connection, request):
+            first = request.resumes_after + 1
+            data = raw.tokens(first, last) + raw.END_MARK
+            if self.engine.attempts(request) < 4:
+                data = data[:len(data) // 3]
+            connection.sendall(raw.stream_head(request) + raw.chunk(data))
+            if self.engine.attempts(request) < 4:
+                return False
+            connection.sendall(raw.chunk(b""))
+            return True
+        self.engine.serve = serve
+        connection = raw.send(self.fleet.routers[0], "/v1/chat/completions",
+                              raw.prompt())
+        answer = raw.receive(connection, pause=2)
+        self.assert_in_order(answer)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, raw.tokens(1, last) + raw.END_MARK)
+
+if __name__ == "__main__":
+    BUILD = sys.argv.pop(1)
+    unittest.main()
--- a/transport/stream_parser.cpp
+++ b/transport/stream_parser.cpp
@@ -29,11 +29,12 @@
 
 auto StreamParser::Feed(std::string_view bytes) -> CompletedEvents {
   CompletedEvents completed;
+  if (is_done_) return completed;
   // The end of an event may span the buffered bytes and the new ones.
   auto search_from = partial_event_.empty() ? 0 : partial_event_.size() - 1;
   partial_event_.append(bytes);
   std::size_t start = 0;
-  for (;;) {
+  while (!is_done_) {
     const auto end = partial_event_.find(kEventEnd, search_from);
     if (end == std::string::npos) break;
     const auto next = end + kEventEnd.size();
--- a/transport/stream_parser.h
+++ b/transport/stream_parser.h
@@ -25,7 +25,8 @@
   // A longer event makes the stream invalid (`is_too_long`).
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
 
-  // Appends bytes and returns the events that they complete.
+  // Appends bytes and returns the events that they complete. Bytes after the
+  // closing event are dropped.
   auto Feed(std::string_view bytes) -> CompletedEvents;
 
   // Whether the closing event "data: [DONE]" was received.
--- a/transport/target_client.cpp
+++ b/transport/target_client.cpp
@@ -183,7 +183,9 @@
 
   auto Handle(ResumeTransfer& resume) -> void {
     const auto found = transfers_.find(resume.id);
-    if (found != transfers_.end()) found->second->Resume(MonotonicClock::now());
+    if (found == transfers_.end()) return;
+    if (found->second->Resume(MonotonicClock::now())) return;
+    EndTransfer(found, found->second->Finish(CURLE_WRITE_ERROR));
   }
 
   auto CollectFinished() -> void {
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -207,6 +207,11 @@
   return opened == 0;
 }
 
+auto TargetTransfer::IsTokenStream() const -> bool {
+  // The events of a service are no tokens and are relayed as they are.
+  return is_event_stream_ && !request_.target.is_service;
+}
+
 auto TargetTransfer::IsRefused() const -> bool {
   const auto is_refusal =
       head_.status == kTooManyRequests || head_.status == kServiceUnavailable;
@@ -219,14 +224,20 @@
 }
 
 auto TargetTransfer::CannotContinueAnswer() const -> bool {
-  if (!is_continuation_) return false;
-  return head_.status != kOk || !is_event_stream_;
+  return is_continuation_ && (head_.status != kOk || !IsTokenStream());
+}
+
+auto TargetTransfer::IsUnusable() const -> bool {
+  return is_abandoned_ || is_crossed_ || CannotContinueAnswer();
 }
 
 auto TargetTransfer::ProcessBody(std::string_view bytes) -> std::size_t {
   // Returning a count other than the offered one ends the transfer.
   if (IsRefused() && !is_crossed_) return bytes.size();
-  if (is_crossed_ || CannotContinueAnswer()) return 0;
+  if (IsUnusable() || parser_.is_done()) {
+    is_abandoned_ = true;
+    return 0;
+  }
   if (request_.answer->SuspendWriterIfFull()) {
     is_paused_ = true;
     return CURL_WRITEFUNC_PAUSE;
@@ -237,8 +248,7 @@
     return bytes.size();
   }
   SendHead();
-  // The events of a service are no tokens and are relayed as they are.
-  if (!is_event_stream_ || request_.target.is_service) {
+  if (!IsTokenStream()) {
     if (body_.size() + bytes.size() <= kMaxUsageBodyBytes) {
       body_.append(bytes);
     }
@@ -246,10 +256,14 @@
     return bytes.size();
   }
   const auto completed = parser_.Feed(bytes);
-  if (parser_.is_too_long()) return 0;
+  if (parser_.is_too_long()) {
+    is_abandoned_ = true;
+    return 0;
+  }
   tokens_ += completed.tokens;
   progress_.new_tokens += completed.tokens;
   if (!completed.events.empty()) request_.answer->Append(completed.events);
+  if (parser_.is_done()) request_.answer->End();
   return bytes.size();
 }
 
@@ -276,7 +290,7 @@
   has_sent_head_ = true;
   auto head = head_;
   // A stream may continue at another target, so its length is not announced.
-  if (is_event_stream_) head.length.reset();
+  if (IsTokenStream()) head.length.reset();
   request_.answer->SetHead(std::move(head));
 }
 
@@ -286,6 +300,8 @@
 }
 
 auto TargetTransfer::Finish(CURLcode code) -> AttemptReport {
+  // The end mark completes a stream, however its connection ends.
+  if (parser_.is_done()) return Report(AttemptResult::kComplete);
   if (is_crossed_) return Report(AttemptResult::kCrossed);
   if (code == CURLE_COULDNT_CONNECT) return Report(AttemptResult::kNotReached);
   if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -299,13 +315,13 @@
     return Report(AttemptResult::kBroken);
   }
   if (IsRefused()) return Report(AttemptResult::kRefused);
-  if (CannotContinueAnswer()) return Report(AttemptResult::kBroken);
-  const auto is_stream = is_event_stream_ && !request_.target.is_service;
-  const auto is_framed = is_chunked_ || head_.length.has_value();
+  // A stream without its end mark is incomplete.
+  if (IsUnusable() || IsTokenStream()) return Report(AttemptResult::kBroken);
   // A body that ends with its connection may be incomplete.
-  const auto is_complete =
-      is_stream ? parser_.is_done() : is_framed || IsCompleteWithoutFraming();
-  if (!is_complete) return Report(AttemptResult::kBroken);
+  const auto is_framed = is_chunked_ || head_.length.has_value();
+  if (!is_framed && !IsCompleteWithoutFraming()) {
+    return Report(AttemptResult::kBroken);
+  }
   const auto should_hold = ShouldHoldBody();
   if (!has_sent_head_ && !is_chunked_ && !should_hold) head_.length = 0;
   SendHead();
@@ -315,7 +331,7 @@
 }
 
 auto TargetTransfer::ReportEnd(AttemptResult result) -> AttemptReport {
-  return Report(result);
+  return Report(parser_.is_done() ? AttemptResult::kComplete : result);
 }
 
 auto TargetTransfer::Report(AttemptResult result) const -> AttemptReport {
@@ -338,11 +354,11 @@
   return report;
 }
 
-auto TargetTransfer::Resume(Time now) -> void {
-  if (!is_paused_) return;
+auto TargetTransfer::Resume(Time now) -> bool {
+  if (!is_paused_) return true;
   is_paused_ = false;
   last_arrival_ = now;
-  curl_easy_pause(easy_, CURLPAUSE_CONT);
+  return curl_easy_pause(easy_, CURLPAUSE_CONT) == CURLE_OK;
 }
 
 auto TargetTransfer::IsStalled(Time now) const -> bool {
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -30,8 +30,9 @@
   auto Finish(CURLcode code) -> AttemptReport;
   // Reports a transfer that the client ends because of `result`.
   auto ReportEnd(AttemptResult result) -> AttemptReport;
-  // Continues a paused transfer after the answer buffer has drained.
-  auto Resume(Time now) -> void;
+  // Continues a paused transfer after the answer buffer has drained. Returns
+  // false if it can't go on: the caller has to end it.
+  auto Resume(Time now) -> bool;
   // Whether no byte has arrived for longer than the progress timeout.
   auto IsStalled(Time now) const -> bool;
   // Returns the observations since the previous call.
@@ -54,11 +55,15 @@
   auto IsRefused() const -> bool;
   // Whether an earlier answer has used the connection.
   auto IsReusedConnection() const -> bool;
+  // Whether the answer is a stream that another target can continue.
+  auto IsTokenStream() const -> bool;
   // Whether a short answer is held back until it is complete, so that a retry
   // can replace an incomplete one.
   auto ShouldHoldBody() const -> bool;
   // Whether this answer cannot continue the part that the caller has received.
   auto CannotContinueAnswer() const -> bool;
+  // Whether nothing of the body may reach the caller.
+  auto IsUnusable() const -> bool;
   auto IsCompleteWithoutFraming() const -> bool;
   auto Report(AttemptResult result) const -> AttemptReport;
 
@@ -82,6 +87,8 @@
   // the remainder of that stream may follow.
   const bool is_continuation_;
   bool is_paused_ = false;
+  // A part of the body was not taken, so no later part may be either.
+  bool is_abandoned_ = false;
   bool has_sent_head_ = false;
   StreamParser parser_;
   // Body of an answer that is no stream of tokens, to hold it back or to read
