Transport: a target that starts elsewhere gave repeats or gaps

A resumed stream was passed on from wherever the next target began. On with a target that ignores X-Resume-After-Tokens, or goes on elsewhere:

test_target_that_starts_elsewhere_is_not_passed_on AssertionError: [1, 2, 3, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10] AssertionError: [1, 2, 3, 3, 4, 5, 6, 7, 8, 9, 10] AssertionError: [1, 2, 3, 6, 7, 8, 9, 10]

Events carry no number, so the answer has to say where it begins: it repeats the header with the same number, else it counts as broken. The engine stand-in does. Comparing the events instead was ruled out: another engine may draw other tokens. An engine that goes on rightly but does not say so is no longer resumed from; its broken streams are cut.

--- a/standins/engine_standin.cpp
+++ b/standins/engine_standin.cpp
@@ -218,6 +218,11 @@
                         ? "somebody-else"
                         : Header(connection, "X-Request-Id");
     MHD_add_response_header(response, "X-Request-Id", id.c_str());
+    const auto position = Header(connection, "X-Resume-After-Tokens");
+    if (is_stream && !position.empty()) {
+      MHD_add_response_header(response, "X-Resume-After-Tokens",
+                              position.c_str());
+    }
     MHD_add_response_header(response, "X-Answer-Sha256",
                             Sha256Hex(complete_body).c_str());
     MHD_add_response_header(
--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -161,6 +161,25 @@
                 self.assertFalse(answer.is_whole, answer)
                 self.assertEqual(self.ask(first).body, WHOLE)
 
+    def test_target_that_starts_elsewhere_is_not_passed_on(self):
+        for position in ("", "X-Resume-After-Tokens: 0\r\n",
+                         "X-Resume-After-Tokens: 2\r\n",
+                         "X-Resume-After-Tokens: 5\r\n"):
+            def then(connection, request, position=position):
+                begin = re.search(r"\d+", position)
+                begin = int(begin.group()) if begin else 0
+                data = raw.tokens(begin + 1, TOKENS) + raw.END_MARK
+                connection.sendall(
+                    raw.stream_head(request, position=position)
+                    + raw.chunk(data) + raw.chunk(b""))
+                return True
+            for ending in ENDINGS:
+                with self.subTest(position=position, ending=ending):
+                    answer = self.ask(
+                        self.broken(raw.tokens(1, 3), ENDINGS[ending]), then)
+                    self.assert_in_order(answer)
+                    self.assertFalse(answer.is_whole)
+
     def test_stream_of_another_length_is_passed_on_from_its_position(self):
         for last in (3, 4, 20):
             def then(connection, request, last=last):
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -33,7 +33,7 @@
   for (const auto* each :
        {"connection", "keep-alive", "transfer-encoding", "te", "trailer",
         "upgrade", "proxy-connection", "content-length", "x-request-id",
-        "x-papayaplank-ran", "date", "server"}) {
+        "x-papayaplank-ran", "x-resume-after-tokens", "date", "server"}) {
     if (EqualsIgnoringCase(name, each)) return true;
   }
   return false;
@@ -163,6 +163,10 @@
     has_request_id_ = true;
     is_crossed_ |= value != request_.id.value();
   }
+  if (EqualsIgnoringCase(name, "x-resume-after-tokens")) {
+    std::from_chars(value.data(), value.data() + value.size(),
+                    begins_after_tokens_);
+  }
   if (EqualsIgnoringCase(name, "x-papayaplank-ran")) {
     target_reports_not_run_ = value == "no";
   }
@@ -184,6 +188,7 @@
   is_chunked_ = false;
   target_reports_not_run_ = false;
   has_request_id_ = false;
+  begins_after_tokens_ = 0;
   const auto space = status_line.find(' ');
   if (space == std::string_view::npos) return;
   std::from_chars(status_line.data() + space + 1,
@@ -228,7 +233,9 @@
 }
 
 auto TargetTransfer::IsUnusable() const -> bool {
-  return is_abandoned_ || is_crossed_ || CannotContinueAnswer();
+  if (is_abandoned_ || is_crossed_ || CannotContinueAnswer()) return true;
+  return IsTokenStream() &&
+         begins_after_tokens_ != request_.resume_after_tokens;
 }
 
 auto TargetTransfer::ProcessBody(std::string_view bytes) -> std::size_t {
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -78,6 +78,8 @@
   bool is_chunked_ = false;
   bool target_reports_not_run_ = false;
   bool has_request_id_ = false;
+  // The tokens after which the answer says that it begins.
+  int begins_after_tokens_ = 0;
   // The members above describe the current head; this one is set at the end of
   // the final one. Later lines are trailers.
   bool is_head_complete_ = false;
