Dispatch: a resumption that failed was not tried elsewhere

A begun stream was given up when the next target refused it, failed, or could not be reached, although attempts were left: whether a stream can be resumed was read from the answer of the failed attempt, which was none.

test_resumption_that_fails_is_tried_elsewhere (refuse, fail, vanish) AssertionError: False is not true : 200 whole=False ...

Only a stream of tokens is ever continued, so an attempt that continues one may be followed by another. The second case is the other side: an error (500) that is sent as events was continued by the tokens of another target.

--- a/dispatch/retry_policy.cpp
+++ b/dispatch/retry_policy.cpp
@@ -68,9 +68,8 @@
   if (report.result == AttemptResult::kCancelled) return false;
   if (context.now >= context.deadline) return false;
   if (context.attempts >= context.max_attempts) return false;
-  if (RanAfter(report.result) == Ran::kNo) return !report.has_caller_seen_head;
-  if (!context.is_idempotent) return false;
-  return !report.has_caller_seen_head || report.is_resumable;
+  if (report.has_caller_seen_head && !report.is_resumable) return false;
+  return context.is_idempotent || RanAfter(report.result) == Ran::kNo;
 }
 
 auto RetryDelay(int attempts, Random& random) -> Duration {
--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -97,6 +97,28 @@
                         self.assertFalse(answer.is_whole, answer)
                         self.assertTrue(data.startswith(answer.body), answer)
 
+    def test_resumption_that_fails_is_tried_elsewhere(self):
+        def refuse(connection, request):
+            connection.sendall(raw.answer(request, 503, b"",
+                                          "X-Papayaplank-Ran: no\r\n"))
+
+        def fail(connection, request):
+            connection.sendall(raw.answer(request, 500, b"failed"))
+
+        def vanish(connection, _):
+            raw.close(connection)
+            return False
+        for other in (refuse, fail, vanish):
+            def then(connection, request, other=other):
+                if self.engine.attempts(request) < 4:
+                    return other(connection, request)
+                return self.resume(connection, request)
+            with self.subTest(other=other.__name__):
+                answer = self.ask(self.broken(raw.tokens(1, 3), raw.close),
+                                  then)
+                self.assert_in_order(answer)
+                self.assertTrue(answer.is_whole, answer)
+
     def test_stream_broken_at_the_end_mark_ends_once(self):
         for ending in ENDINGS:
             for sent in (WHOLE, raw.tokens(1, TOKENS), WHOLE[:-1]):
@@ -193,6 +215,17 @@
                 self.assert_in_order(answer)
                 self.assertTrue(answer.is_whole)
 
+    def test_error_with_events_is_not_continued(self):
+        def first(connection, request):
+            connection.sendall(
+                raw.head(request, 500, raw.EVENT_STREAM + raw.CHUNKED)
+                + raw.chunk(b"data: failed\n\n"))
+            return False
+        answer = self.ask(first)
+        self.assertNotIn(b"token", answer.body, answer)
+        if answer.status != 200:
+            self.assertFalse(answer.is_whole)
+
     def test_position_of_a_caller_is_not_passed_on(self):
         for position in ("4", "0", "-1", "99999999999999999999", "x"):
             with self.subTest(position=position):
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -214,7 +214,7 @@
 
 auto TargetTransfer::IsTokenStream() const -> bool {
   // The events of a service are no tokens and are relayed as they are.
-  return is_event_stream_ && !request_.target.is_service;
+  return is_event_stream_ && head_.status == kOk && !request_.target.is_service;
 }
 
 auto TargetTransfer::IsRefused() const -> bool {
@@ -229,7 +229,7 @@
 }
 
 auto TargetTransfer::CannotContinueAnswer() const -> bool {
-  return is_continuation_ && (head_.status != kOk || !IsTokenStream());
+  return is_continuation_ && !IsTokenStream();
 }
 
 auto TargetTransfer::IsUnusable() const -> bool {
@@ -347,7 +347,8 @@
   report.status = head_.status;
   report.tokens = tokens_;
   report.has_caller_seen_head = request_.answer->HasHead();
-  report.is_resumable = is_event_stream_ && !request_.target.is_service;
+  // Only such a stream is ever continued.
+  report.is_resumable = IsTokenStream() || is_continuation_;
   if (request_.target.is_service) {
     report.cost = Cost{result == AttemptResult::kNotReached ||
                                result == AttemptResult::kRefused
