Transport: events with further fields were repeated after a break

A resumption asks for what follows N tokens, but events that begin with `id:`, `event:` or a comment, `data:` without a space, and tokens that report the usage so far were passed on and not counted.

test_events_with_further_fields_count_as_tokens (5 forms) AssertionError: id: 1, 2, 3, 1, 2 ... != id: 1, 2, 3, 4, 5 ... test_usage_is_not_repeated (close, reset) AssertionError: usage, usage, [DONE] != usage, [DONE]

The usage event is held back until the end mark or a token: if the stream breaks between them, the next target sends it again.

--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -215,6 +215,43 @@
                 self.assert_in_order(answer)
                 self.assertTrue(answer.is_whole)
 
+    def test_events_with_further_fields_count_as_tokens(self):
+        def event(form, number):
+            return form % number
+        forms = (b"id: %d\ndata: token\n\n", b"event: token\ndata: %d\n\n",
+                 b"data:%d\n\n", b": note\ndata: %d\n\n",
+                 b'data: {"choices": [{"text": "%d"}], "usage": '
+                 b'{"completion_tokens": 1}}\n\n')
+        for form in forms:
+            def events(first, form=form):
+                return b"".join(event(form, i)
+                                for i in range(first, TOKENS + 1))
+
+            def then(connection, request):
+                data = events(request.resumes_after + 1) + raw.END_MARK
+                connection.sendall(raw.stream_head(request) + raw.chunk(data)
+                                   + raw.chunk(b""))
+            with self.subTest(form=form):
+                sent = b"".join(event(form, i) for i in range(1, 4))
+                answer = self.ask(self.broken(sent, raw.close), then)
+                self.assertTrue(answer.is_whole, answer)
+                self.assertEqual(answer.body, events(1) + raw.END_MARK)
+
+    def test_usage_is_not_repeated(self):
+        def then(connection, request):
+            data = raw.tokens(request.resumes_after + 1, TOKENS) + USAGE
+            connection.sendall(raw.stream_head(request)
+                               + raw.chunk(data + raw.END_MARK)
+                               + raw.chunk(b""))
+        for ending in ENDINGS:
+            with self.subTest(ending=ending):
+                answer = self.ask(
+                    self.broken(raw.tokens(1, TOKENS) + USAGE,
+                                ENDINGS[ending]), then)
+                self.assertEqual(answer.body, raw.tokens(1, TOKENS) + USAGE
+                                 + raw.END_MARK)
+                self.assertTrue(answer.is_whole)
+
     def test_error_with_events_is_not_continued(self):
         def first(connection, request):
             connection.sendall(
--- a/transport/stream_parser.cpp
+++ b/transport/stream_parser.cpp
@@ -1,7 +1,9 @@
 // Splits server-sent events and reads their costs.
 #include "transport/stream_parser.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace papayaplank {
 namespace {
@@ -9,7 +11,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kEventEnd = "\n\n";
-constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kDone = "[DONE]";
 // A prompt token costs a tenth of a generated one.
 constexpr double kPromptTokenCost = 0.1;
@@ -25,6 +27,28 @@
   return count("completion_tokens") + kPromptTokenCost * count("prompt_tokens");
 }
 
+// Whether an event that reports a cost carries a token as well.
+auto HasChoices(const Json& json) -> bool {
+  return json.contains("choices") && !json["choices"].empty();
+}
+
+// The data of an event: its data lines without the name of the field; none if
+// it has no such line.
+auto EventData(std::string_view event) -> std::optional<std::string> {
+  std::optional<std::string> data;
+  while (!event.empty()) {
+    const auto end = std::min(event.find('\n'), event.size() - 1);
+    auto line = event.substr(0, end);
+    event.remove_prefix(end + 1);
+    if (line.substr(0, kDataField.size()) != kDataField) continue;
+    line.remove_prefix(kDataField.size());
+    if (line.substr(0, 1) == " ") line.remove_prefix(1);
+    data = data ? *data + "\n" : std::string();
+    data->append(line);
+  }
+  return data;
+}
+
 }  // namespace
 
 auto StreamParser::Feed(std::string_view bytes) -> CompletedEvents {
@@ -49,22 +73,26 @@
 
 auto StreamParser::ProcessEvent(std::string_view event,
                                 CompletedEvents& completed) -> void {
-  completed.events.append(event);
-  if (event.substr(0, kDataPrefix.size()) != kDataPrefix) return;
-  auto data = event.substr(kDataPrefix.size());
-  data.remove_suffix(kEventEnd.size());
-  if (data == kDone) {
-    is_done_ = true;
-    return;
-  }
-  if (data.find("\"usage\"") != std::string_view::npos) {
-    const auto cost = ParseUsageCost(Json::parse(data, nullptr, false));
-    if (cost) {
-      reported_cost_ = cost;
+  const auto data = EventData(event);
+  is_done_ = data == kDone;
+  auto is_token = data.has_value() && !is_done_;
+  if (is_token && data->find("\"usage\"") != std::string::npos) {
+    const auto json = Json::parse(*data, nullptr, false);
+    const auto cost = ParseUsageCost(json);
+    if (cost) reported_cost_ = cost;
+    if (cost && !HasChoices(json)) {
+      held_events_.append(event);
       return;
     }
   }
-  ++completed.tokens;
+  if (!is_token && !is_done_ && !held_events_.empty()) {
+    held_events_.append(event);
+    return;
+  }
+  completed.events.append(held_events_);
+  held_events_.clear();
+  completed.events.append(event);
+  if (is_token) ++completed.tokens;
 }
 
 auto ParseAnswerCost(std::string_view body) -> std::optional<double> {
--- a/transport/stream_parser.h
+++ b/transport/stream_parser.h
@@ -14,8 +14,8 @@
 struct CompletedEvents {
   // Complete events, byte for byte as received.
   std::string events;
-  // Every data event counts as a token, except those that report a cost and the
-  // closing event.
+  // Every event with data counts as a token, except those that only report a
+  // cost and the closing event.
   int tokens = 0;
 };
 
@@ -26,13 +26,14 @@
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
 
   // Appends bytes and returns the events that they complete. Bytes after the
-  // closing event are dropped.
+  // closing event are dropped. A cost event is held back until a token or the
+  // closing event follows: a target that continues the stream sends it again.
   auto Feed(std::string_view bytes) -> CompletedEvents;
 
   // Whether the closing event "data: [DONE]" was received.
   auto is_done() const -> bool { return is_done_; }
   auto is_too_long() const -> bool {
-    return partial_event_.size() > kMaxEventBytes;
+    return partial_event_.size() + held_events_.size() > kMaxEventBytes;
   }
   // Cost that the stream reported in a `usage` member, in cost units.
   auto reported_cost() const -> std::optional<double> { return reported_cost_; }
@@ -42,6 +43,8 @@
 
   // The beginning of an event that is not complete.
   std::string partial_event_;
+  // A cost event and the events without data after it.
+  std::string held_events_;
   bool is_done_ = false;
   std::optional<double> reported_cost_;
 };
