Transport: a broken answer in identity coding looked complete

Any Transfer-Encoding counted as chunks, so an answer with `identity`, which ends with its connection, was complete when its target died; and a length beside chunks shortened the answer.

test_answers_of_services_that_break_off_are_not_complete (identity, close) AssertionError: True is not false : 200 whole=True test_length_beside_chunks_does_not_shorten_an_answer AssertionError: (200, b'first') != (200, b'first second')

Only `chunked` frames an answer, and then alone. Shown as sound before: chunks, lengths and unframed answers of services, by close and reset, as streams and plain, for both kinds of classes.

--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -300,6 +300,57 @@
         self.assertTrue(answer.is_whole)
         self.assertEqual(answer.body, raw.tokens(1, last) + raw.END_MARK)
 
+    def test_answers_of_services_that_break_off_are_not_complete(self):
+        body = b"data: 1\n\ndata: 2\n\n"
+        forms = {
+            "chunks": (raw.CHUNKED, raw.chunk(body)),
+            "unframed": ("", body),
+            "identity": ("Transfer-Encoding: identity\r\n", body),
+            "length": ("Content-Length: 100\r\n", body),
+        }
+        for name, (framing, data) in forms.items():
+            for kind in (raw.EVENT_STREAM, "Content-Type: text/plain\r\n"):
+                for ending in ENDINGS:
+                    for path in ("/desk/lookup", "/desk/capture"):
+                        def serve(connection, request):
+                            connection.sendall(
+                                raw.head(request, 200, kind + framing) + data)
+                            ENDINGS[ending](connection)
+                            return False
+                        self.service.serve = serve
+                        with self.subTest(framing=name, kind=kind,
+                                          ending=ending, path=path):
+                            answer = raw.ask(self.fleet.routers[0], path)
+                            if answer.status == 502:
+                                self.assertEqual(answer.ran, "unknown")
+                                continue
+                            self.assertFalse(answer.is_whole, answer)
+                            self.assertTrue(body.startswith(answer.body))
+
+    def test_length_beside_chunks_does_not_shorten_an_answer(self):
+        def serve(connection, request):
+            connection.sendall(
+                raw.head(request, 200, raw.CHUNKED + "Content-Length: 5\r\n")
+                + raw.chunk(b"first ") + raw.chunk(b"second")
+                + raw.chunk(b""))
+        self.service.serve = serve
+        answer = raw.ask(self.fleet.routers[0], "/desk/lookup")
+        self.assertEqual((answer.status, answer.body),
+                         (200, b"first second"))
+
+    def capture(self, key):
+        """Sends a request that must run once; returns its connection."""
+        return raw.send(self.fleet.routers[0], "/desk/capture", b"{}",
+                        Idempotency_Key=key, customer=raw.CUSTOMERS[0])
+
+    def assert_stored(self, key, body):
+        """Checks the stored answer of a request."""
+        answer = raw.receive(self.capture(key))
+        self.assertEqual(answer.headers.get("x-papayaplank-repeated"), "true",
+                         answer)
+        self.assertEqual((answer.status, answer.body, answer.is_whole),
+                         (200, body, True))
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main()
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -158,7 +158,9 @@
         std::from_chars(value.data(), value.data() + value.size(), length);
     if (parsed.ec == std::errc()) head_.length = length;
   }
-  if (EqualsIgnoringCase(name, "transfer-encoding")) is_chunked_ = true;
+  if (EqualsIgnoringCase(name, "transfer-encoding")) {
+    is_chunked_ = EqualsIgnoringCase(value, "chunked");
+  }
   if (EqualsIgnoringCase(name, "x-request-id")) {
     has_request_id_ = true;
     is_crossed_ |= value != request_.id.value();
@@ -198,6 +200,8 @@
 auto TargetTransfer::EndHead() -> void {
   if (head_.status < kFirstFinalStatus) return;
   is_head_complete_ = true;
+  // The chunks decide if a target sends both.
+  if (is_chunked_) head_.length.reset();
   if (!has_request_id_ && IsReusedConnection()) is_crossed_ = true;
   // A connection is kept only while each of its answers names its request. A
   // repeated refusal may name it too: that of its next attempt.
