Answer buffer: a repeated key got a part of its answer as the whole

The stored answer of a request with an idempotency key stopped growing when its caller left, and was cut at 64 KiB; both were replayed as complete. A caller that left before the head got no answer at all; and the answer for a slow caller that left was never read to its end, so its outcome stayed unknown.

The copy goes on after an abort, an abort wakes a suspended writer, and in place of an answer that was too long an error is stored that says that the request ran.

--- a/tasks/core_task.cpp
+++ b/tasks/core_task.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = milliseconds(25);
+constexpr int kOutcomeNotStored = 409;
 
 auto Seconds(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
@@ -37,6 +38,15 @@
   return "unknown";
 }
 
+// What a repeated request gets in place of an answer that was not kept whole.
+auto AnswerTooLongToStore(const RequestId& id) -> RecordedAnswer {
+  return {kOutcomeNotStored, "application/json",
+          FormatErrorBody(id, "outcome_too_long",
+                          "the request ran; its answer was too long to store",
+                          std::string(RanName(Ran::kYes))),
+          false};
+}
+
 }  // namespace
 
 auto AnswerWithFailure(AnswerBuffer& answer, const FailRequest& failure)
@@ -202,7 +212,9 @@
 auto CoreTask::Execute(const StoreOutcome& command) -> void {
   const auto found = open_.find(command.id);
   if (found == open_.end()) return;
-  hooks_.store_outcome(command, found->second.caller.answer->recorded());
+  const auto answer = found->second.caller.answer->recorded();
+  hooks_.store_outcome(
+      command, answer.is_truncated ? AnswerTooLongToStore(command.id) : answer);
 }
 
 auto CoreTask::Execute(const ReleaseClaim& command) -> void {
--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -351,6 +351,55 @@
         self.assertEqual((answer.status, answer.body, answer.is_whole),
                          (200, body, True))
 
+    def test_stored_answer_of_a_caller_that_left_is_whole(self):
+        for sent in (b"", WHOLE[:60]):
+            def serve(connection, request, sent=sent):
+                connection.sendall(raw.stream_head(request)
+                                   + (raw.chunk(sent) if sent else b""))
+                time.sleep(1)
+                connection.sendall(raw.chunk(WHOLE[len(sent):])
+                                   + raw.chunk(b""))
+            self.service.serve = serve
+            with self.subTest(sent=sent):
+                key = f"left-{len(sent)}"
+                connection = self.capture(key)
+                if sent:
+                    connection.recv(1000)
+                time.sleep(0.1)
+                connection.close()
+                time.sleep(2.5)
+                self.assert_stored(key, WHOLE)
+
+    def test_answer_goes_on_for_a_slow_caller_that_left(self):
+        ended = []
+
+        def serve(connection, request):
+            body = b"x" * 1000
+            connection.sendall(raw.stream_head(request))
+            for _ in range(20000):
+                connection.sendall(raw.chunk(body))
+            connection.sendall(raw.chunk(b""))
+            ended.append(request.id)
+        self.service.serve = serve
+        connection = self.capture("slow")
+        connection.recv(1000)
+        # The buffers between target and caller are full.
+        time.sleep(1)
+        self.assertEqual(ended, [])
+        connection.close()
+        raw.fleets.wait_until(lambda: ended, 10, "the answer has ended")
+
+    def test_stored_answer_that_was_too_long_is_not_complete(self):
+        long = raw.tokens(1, 5000) + raw.END_MARK
+        self.service.serve = lambda connection, request: connection.sendall(
+            raw.stream_head(request) + raw.chunk(long) + raw.chunk(b""))
+        first = raw.receive(self.capture("long"))
+        self.assertEqual((first.body, first.is_whole), (long, True))
+        time.sleep(1)
+        again = raw.receive(self.capture("long"))
+        self.assertEqual((again.status, again.ran), (409, "yes"), again)
+        self.assertNotIn(b"token", again.body)
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main()
--- a/transport/answer_buffer.cpp
+++ b/transport/answer_buffer.cpp
@@ -24,19 +24,19 @@
 
 auto AnswerBuffer::SetHead(AnswerHead head) -> void {
   const std::lock_guard lock(mutex_);
-  if (head_ || state_ != State::kOpen) return;
+  if (head_ || state_ == State::kEnded) return;
   if (is_recorded_) {
     recorded_.status = head.status;
     for (const auto& header : head.headers) {
       if (header.name == "Content-Type") recorded_.content_type = header.value;
     }
   }
+  if (state_ != State::kOpen) return;
   head_ = std::move(head);
   WakeReader();
 }
 
-auto AnswerBuffer::AppendLocked(std::string_view bytes) -> void {
-  buffer_.append(bytes);
+auto AnswerBuffer::Record(std::string_view bytes) -> void {
   if (!is_recorded_) return;
   const auto room = kMaxRecordedBytes - recorded_.body.size();
   recorded_.body.append(bytes.substr(0, room));
@@ -45,8 +45,10 @@
 
 auto AnswerBuffer::Append(std::string_view bytes) -> void {
   const std::lock_guard lock(mutex_);
+  if (state_ == State::kEnded) return;
+  Record(bytes);
   if (state_ != State::kOpen) return;
-  AppendLocked(bytes);
+  buffer_.append(bytes);
   WakeReader();
 }
 
@@ -60,6 +62,10 @@
   const std::lock_guard lock(mutex_);
   if (state_ == State::kOpen) state_ = State::kAborted;
   WakeReader();
+  // The answer may still be recorded, and nobody reads any more.
+  if (std::exchange(is_writer_suspended_, false) && on_writable_) {
+    on_writable_();
+  }
 }
 
 auto AnswerBuffer::SetCompleteAnswer(AnswerHead head, std::string_view body)
--- a/transport/answer_buffer.h
+++ b/transport/answer_buffer.h
@@ -63,7 +63,7 @@
   AnswerBuffer(RequestId id, bool is_recorded);
 
   // Target side. Once the answer has ended, `SetHead`, `Append`, `End` and
-  // `Abort` do nothing.
+  // `Abort` do nothing, except that the copy of an aborted answer goes on.
   // Sets status and headers; only the first call has an effect.
   auto SetHead(AnswerHead head) -> void;
   // Adds bytes of the body, also if the buffer is full.
@@ -102,7 +102,8 @@
   enum class State { kOpen, kEnded, kAborted };
 
   auto WakeReader() -> void;
-  auto AppendLocked(std::string_view bytes) -> void;
+  // Adds bytes to the copy; `mutex_` must be held.
+  auto Record(std::string_view bytes) -> void;
 
   const RequestId id_;
   const bool is_recorded_;
