Caller server: a cut answer looked complete to callers of HTTP/1.0

Such a caller, a proxy for instance, knows no chunks: an answer without a length ends with its connection, and a cut one ended in an orderly way.

Its connection is now reset. libmicrohttpd shuts a socket down before it closes it, so lingering options come too late. When the router itself is killed, the kernel still ends the connection in an orderly way: such a caller has to look for the end mark. `Connection: close` with HTTP/1.1 keeps chunks and was sound.

--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -400,6 +400,17 @@
         self.assertEqual((again.status, again.ran), (409, "yes"), again)
         self.assertNotIn(b"token", again.body)
 
+    def test_cut_answer_looks_cut_to_callers_of_each_version(self):
+        for version, headers in (("1.1", {}), ("1.1", {"Connection": "close"}),
+                                 ("1.0", {})):
+            with self.subTest(version=version, headers=headers):
+                answer = self.ask(self.broken(raw.tokens(1, 3), raw.close),
+                                  self.broken(b"", raw.close),
+                                  version=version, **headers)
+                self.assert_in_order(answer)
+                self.assertFalse(answer.is_whole, answer)
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main()
--- a/transport/caller_server.cpp
+++ b/transport/caller_server.cpp
@@ -67,6 +67,9 @@
   std::string body;
   RequestId id;
   int refusal_status = 0;
+  // Such a caller knows no chunks: without a length, the end of the connection
+  // ends the answer.
+  bool is_http_1_0 = false;
   // Whether the request was passed to `on_request`.
   bool is_passed_on = false;
   int socket = -1;
@@ -179,13 +182,14 @@
   }
 
   static auto OnAccess(void* user, MHD_Connection* connection, const char* url,
-                       const char* method, const char* /*version*/,
+                       const char* method, const char* version,
                        const char* upload, std::size_t* upload_size,
                        void** state) -> MHD_Result {
     auto* server = static_cast<Server*>(user);
     auto* call = static_cast<Call*>(*state);
     if (call == nullptr) return MHD_NO;
     if (call->http.method.empty()) {
+      call->is_http_1_0 = std::string_view(version) == MHD_HTTP_VERSION_1_0;
       return server->BeginCall(*call, connection, url, method);
     }
     if (*upload_size != 0) {
@@ -322,6 +326,8 @@
   struct Reader {
     std::shared_ptr<AnswerBuffer> answer;
     MHD_Connection* connection;
+    // Whether the end of the connection is all that ends the answer.
+    bool is_unframed;
   };
 
   static auto OnRead(void* user, std::uint64_t /*position*/, char* buffer,
@@ -337,18 +343,32 @@
       case ReadState::kEnd:
         return MHD_CONTENT_READER_END_OF_STREAM;
       case ReadState::kAborted:
+        if (reader->is_unframed) Reset(reader->connection);
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     return MHD_CONTENT_READER_END_WITH_ERROR;
   }
 
+  // Resets a connection, so that its end doesn't look like that of an answer.
+  static auto Reset(MHD_Connection* connection) -> void {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    // libmicrohttpd shuts a socket down before it closes it, which ends the
+    // connection in an orderly way; Linux resets it for this address.
+    sockaddr address{};
+    address.sa_family = AF_UNSPEC;
+    // If it fails, the connection has ended already.
+    static_cast<void>(connect(info->connect_fd, &address, sizeof(address)));
+  }
+
   static auto OnReaderFreed(void* user) -> void {
     delete static_cast<Reader*>(user);
   }
 
   auto QueueStreamedAnswer(MHD_Connection* connection, const Call& call,
                            const AnswerHead& head) -> MHD_Result {
-    auto* reader = new Reader{call.request.answer, connection};
+    auto* reader = new Reader{call.request.answer, connection,
+                              call.is_http_1_0 && !head.length};
     auto* response = MHD_create_response_from_callback(
         head.length.value_or(MHD_SIZE_UNKNOWN), kResponseBlockBytes,
         &Server::OnRead, reader, &Server::OnReaderFreed);
