Relay: a cut stream looked complete to callers of HTTP/1.0

What callers saw: a caller that speaks HTTP/1.0 got chunks, which it can't read, and a connection that ended in an orderly way whether the answer was whole or not.

Cause: answers of unknown length were always chunked, and a cut one was shown by the missing last chunk only.

Evidence: test_a_cut_stream_never_looks_complete_to_http_1_0 failed before: b'Transfer-Encoding' unexpectedly found in b'HTTP/1.1 200 OK..'. Such a caller now gets the bytes as they are; their end is the end of the connection, which is reset if the answer is incomplete. A router that is killed still ends it in an orderly way.

--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -50,6 +50,10 @@
   // The hooks may drop the last reference to the connection.
   const auto self = shared_from_this();
   error_code ignored;  // The socket is closed whatever its state.
+  if (is_unframed_ && is_answering_) {
+    // An orderly end would complete the answer; this one resets the connection.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   socket_.close(ignored);
   is_answering_ = false;
   on_all_sent_ = nullptr;
@@ -142,6 +146,7 @@
   request.body = std::move(body_);
   body_ = std::string();
   if (!reader_->keep_alive()) is_last_answer_ = true;
+  is_http_1_0_ = reader_->is_http_1_0();
   is_head_request_ = request.method == "HEAD";
   reader_.reset();
   is_answering_ = true;
@@ -171,12 +176,18 @@
 
 auto HttpConnection::BeginAnswer(int status, std::string_view headers) -> void {
   if (!is_answering_) return;
+  if (is_http_1_0_) {
+    is_unframed_ = true;
+    is_last_answer_ = true;
+    return Write(AnswerHead(status, headers) + "\r\n");
+  }
   is_chunked_ = true;
   Write(AnswerHead(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 auto HttpConnection::Append(std::string_view bytes) -> void {
   if (!is_answering_ || bytes.empty() || is_head_request_) return;
+  if (is_unframed_) return Write(bytes);
   std::array<char, 20> size{};
   const auto length =
       std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -53,7 +53,8 @@
   // Writes a complete answer. `headers` are lines that end with CR LF.
   auto Answer(int status, std::string_view headers, std::string_view body)
       -> void;
-  // Writes an answer of unknown length in chunks: begin, append, finish.
+  // Writes an answer of unknown length: begin, append, finish. It is chunked,
+  // or ends with the connection for a caller of HTTP/1.0.
   auto BeginAnswer(int status, std::string_view headers) -> void;
   auto Append(std::string_view bytes) -> void;
   auto FinishAnswer() -> void;
@@ -109,7 +110,10 @@
   Time request_began_at_{};
   // A request is complete and its answer is not.
   bool is_answering_ = false;
+  // How the answer that has begun is framed; at most one is true.
   bool is_chunked_ = false;
+  bool is_unframed_ = false;
+  bool is_http_1_0_ = false;
   // The current or next answer is the last one of the connection.
   bool is_last_answer_ = false;
   // The last answer is complete; nothing more is read.
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -9,6 +9,9 @@
 
 namespace http = boost::beast::http;
 
+// HTTP/1.0, as Beast writes versions.
+constexpr int kHttp10 = 10;
+
 template <typename Progress>
 auto ToProgress(const boost::beast::error_code& error) -> Progress {
   if (error == http::error::body_limit) return Progress::kBodyTooLarge;
@@ -66,8 +69,10 @@
 
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::on_request_impl(http::verb, Text method,
-                                                Text request_target, int,
-                                                ParseError&) -> void {
+                                                Text request_target,
+                                                int version, ParseError&)
+    -> void {
+  is_http_1_0_ = version == kHttp10;
   method_.assign(method.data(), method.size());
   request_target_.assign(request_target.data(), request_target.size());
 }
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -44,6 +44,8 @@
   auto method() const -> const std::string& { return method_; }
   auto request_target() const -> const std::string& { return request_target_; }
   auto status() const -> int { return status_; }
+  // Whether a request is of HTTP/1.0, whose clients know no chunks.
+  auto is_http_1_0() const -> bool { return is_http_1_0_; }
 
  private:
   using Base = boost::beast::http::basic_parser<kIsRequest>;
@@ -75,6 +77,7 @@
   std::string request_target_;
   int status_ = 0;
   bool is_header_reported_ = false;
+  bool is_http_1_0_ = false;
 };
 
 using RequestReader = MessageReader<true>;
--- a/tests/process/test_broken_streams.py
+++ b/tests/process/test_broken_streams.py
@@ -4,6 +4,7 @@
 
 import http.client
 import os
+import socket
 import sys
 import unittest
 
@@ -105,6 +106,35 @@
             event(n) for n in range(first, last + 1))), name)
         self.assertFalse(is_complete, name)
 
+    def ask_by_http_1_0(self, *script):
+        """Returns head and body of the answer, and whether it looked complete:
+        its connection ended in an orderly way."""
+        ScriptedTarget.script = list(script)
+        self.requests += 1
+        with socket.create_connection(("127.0.0.1", self.edge.caller),
+                                      timeout=20) as connection:
+            connection.sendall(
+                b"POST /stream/once/1 HTTP/1.0\r\nHost: shop.example\r\n"
+                b"Attempt-Id: id%d\r\nCredential: key-1\r\n"
+                b"Deadline-Ms: 6000\r\nContent-Length: 1\r\n\r\nx"
+                % self.requests)
+            data = b""
+            try:
+                while block := connection.recv(65536):
+                    data += block
+            except ConnectionResetError:
+                return *data.split(b"\r\n\r\n", 1), False
+            return *data.split(b"\r\n\r\n", 1), True
+
+    def test_a_cut_stream_never_looks_complete_to_http_1_0(self):
+        head, body, is_complete = self.ask_by_http_1_0()
+        self.assertNotIn(b"Transfer-Encoding", head)
+        self.assertTrue(is_complete)
+        self.assertEqual(body, b"".join(event(n)
+                                        for n in range(1, EVENTS + 1)))
+        _, _, is_complete = self.ask_by_http_1_0(BROKEN_AFTER_3)
+        self.assertFalse(is_complete)
+
     def test_an_error_never_ends_a_begun_stream_as_complete(self):
         for status in (204, 400, 404, 409, 422, 429, 500, 503):
             error = (status, [TEXT], True, b"")
