Soak: targets that die as processes, callers that resume, series of faults

The soak kept its guarantees while streams broke on real machines: its targets are threads of one process behind a proxy, its callers never resume, and its faults come one by one. A second service now has targets as processes that are killed, stopped and paused, and raw callers that check each byte over all answers of a stream; faults come in series and overlap. The callers move to a file of their own; the bounds of the older checks are as they were.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -11,6 +11,7 @@
 
 import argparse
 import http.client
+import json
 import os
 import random
 import signal
@@ -23,6 +24,12 @@
 from edge_process import Edge, configuration, route, wait_for  # noqa: E402
 from fault_link import FaultLink  # noqa: E402
 from fragile_target import FATAL_PART, FragileTarget  # noqa: E402
+from soak_callers import CALL_TIMEOUT, Caller, prompt  # noqa: E402
+from stream_callers import NOT_EXECUTED_STATUSES  # noqa: E402
+from stream_callers import Caller as StreamCaller  # noqa: E402
+from stream_fleet import (RESUMABLE_ATTEMPTS, TargetGroup,  # noqa: E402
+                          pause)
+from stream_plans import draw_stream  # noqa: E402
 
 # Seeds that failed before, each with its cause; every run repeats them.
 REGRESSION_SEEDS = {}
@@ -31,6 +38,11 @@
 # The users allow three requests with the part later than this after five ends.
 CONTACT_SECONDS = 3
 ALLOWED_AFTER_BOUND = 3
+# Callers with raw sockets, and targets as processes of their own.
+STREAM_HOST = "streams.example"
+STREAM_CALLERS = 6
+STREAM_TARGETS = 3
+MOST_IN_SERIES = 5  # Faults that follow each other without a pause.
 TARGETS = 4
 # The users allow 1.5 times a limit and 5 requests in 4 s, from this long after
 # it was first named.
@@ -38,89 +50,11 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXCESS = 5
 LIMITS = ("0", "0.5", "3", "12.5", "many")  # The last one can't be read.
-CALL_TIMEOUT = 7  # Seconds a caller waits.
 REVOCATION_BOUND = 5  # Seconds; the router's default.
-# Statuses which guarantee that the request has not run and never will.
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 TARGET_FAULTS = ("lost", "shed", "reset", "truncated", "crossed", "extra",
                  "cut", "error", "slow")
 
 
-class Call:
-    """One request of a caller and its answer."""
-
-    def __init__(self, number, kind, key):
-        self.id = f"call{number}"
-        self.kind = kind
-        self.key = key
-        self.sent_at = time.monotonic()
-        self.status = None  # None: no complete answer.
-        self.body = b""
-
-    @property
-    def runs_once(self):
-        return self.kind in ("write", "stream/once")
-
-
-def prompt(*shared_parts):
-    """Headers of a prompt that ends with a part of its own."""
-    parts = [*shared_parts, f"{random.getrandbits(60):x}"]
-    return {"Token-Counts": "30,10",
-            "Prefix-Hash": ",".join(f"{part}:10" for part in parts)}
-
-
-class Caller(threading.Thread):
-    """Sends one request after another, over open connections if possible."""
-
-    numbers = iter(range(1, 1 << 60))
-
-    def __init__(self, soak, seed):
-        super().__init__(daemon=True)
-        self.soak = soak
-        self.random = random.Random(seed)
-        self.calls = []
-        self.connection = None
-
-    def run(self):
-        while not self.soak.is_over:
-            kind = self.random.choice(("read", "write", "stream",
-                                       "stream/once"))
-            call = Call(next(self.numbers), kind,
-                        self.soak.choose_key(self.random))
-            self.calls.append(call)
-            self.send(call)
-            time.sleep(self.random.uniform(0, 0.03))
-
-    def send(self, call):
-        if self.connection is None or self.random.random() < 0.1:
-            self.disconnect()
-            edge = self.random.choice(self.soak.edges)
-            self.connection = http.client.HTTPConnection(
-                "127.0.0.1", edge.caller, timeout=CALL_TIMEOUT)
-        try:
-            self.connection.request(
-                "POST", f"/{call.kind}/1", b"x" * self.random.choice((5, 5000)),
-                {"Host": "shop.example", "Attempt-Id": call.id,
-                 "Credential": call.key, "Deadline-Ms": "6000",
-                 **prompt("a1", call.id.encode().hex()[-4:-2])})
-            answer = self.connection.getresponse()
-            if self.random.random() < 0.03:
-                return self.disconnect()  # The caller leaves.
-            call.body = answer.read()
-            call.status = answer.status
-            call.answered_id = answer.headers["Attempt-Id"]
-            call.is_signed = "Runner-Signature" in answer.headers
-            if answer.headers["Connection"] == "close":
-                self.disconnect()
-        except (OSError, http.client.HTTPException):
-            self.disconnect()
-
-    def disconnect(self):
-        if self.connection is not None:
-            self.connection.close()
-        self.connection = None
-
-
 class Soak:
     """The routers (`edges`), faults and results of one seed."""
 
@@ -139,6 +73,8 @@
         self.fatal_runs = []  # Times at which requests with it reached targets.
         self.targets = [FragileTarget(self, f"t{i}") for i in range(TARGETS)]
         self.target_links = [target.link for target in self.targets]
+        self.stream_targets = TargetGroup(
+            self.store, "streams", [f"p{i}" for i in range(STREAM_TARGETS)])
         self.store_links = [FaultLink(self.store.address)
                             for _ in range(routers)]
         self.edges = [Edge(link, f"e{i}")
@@ -154,9 +90,16 @@
         return generator.choice(self.keys + list(self.revoked) + ["stolen"])
 
     def publish(self, keys=None):
-        self.store.put("op", "config", configuration(
+        document = configuration(
             self.version, keys=keys or self.keys,
-            extra=[route(f"/new{self.version}/", "idempotent")]))
+            extra=[route(f"/new{self.version}/", "idempotent")])
+        document["services"].append({"name": "streams", "max-conns": 100})
+        document["routes"] += [
+            dict(row, name="streams" + row["name"], host=STREAM_HOST,
+                 service="streams", **{"max-attempts": RESUMABLE_ATTEMPTS})
+            for row in document["routes"] if "once" in row["prefix"]
+            or row["prefix"] in ("/read/", "/write/", "/stream/")]
+        self.store.put("op", "config", document)
 
     def run(self):
         try:
@@ -164,7 +107,11 @@
                 wait_for(edge.is_ready, "the routers are ready")
             callers = [Caller(self, self.random.random())
                        for _ in range(CALLERS)]
-            for caller in callers:
+            stream_callers = [StreamCaller(
+                f"c{i}", self.random.random(), self.choose_port, draw_stream,
+                lambda: self.is_over, STREAM_HOST)
+                for i in range(STREAM_CALLERS)]
+            for caller in callers + stream_callers:
                 caller.start()
             self.inject()
             self.end_faults()
@@ -175,6 +122,10 @@
             for caller in callers:
                 caller.join(timeout=CALL_TIMEOUT + 2)
             self.check([call for caller in callers for call in caller.calls])
+            for caller in stream_callers:
+                caller.join(timeout=2 * CALL_TIMEOUT)
+            self.check_streams([stream for caller in stream_callers
+                                for stream in caller.streams])
         finally:
             self.stop()
         return self.violations
@@ -184,15 +135,18 @@
     def inject(self):
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
-            fault = self.random.choice((
-                self.disturb_store_link, self.disturb_store_link,
-                self.make_store_fail, self.disturb_target_link,
-                self.make_target_fail, self.make_target_fail,
-                self.pause_router, self.kill_router, self.stop_router,
-                self.send_fatal_part, self.name_limit,
-                self.reload_router, self.publish_version, self.revoke_key))
-            self.faults.append(fault.__name__)
-            fault()
+            # Faults of a series overlap, also those of one router.
+            for _ in range(self.random.choice((1, 1, 1, MOST_IN_SERIES))):
+                fault = self.random.choice((
+                    self.disturb_store_link, self.disturb_store_link,
+                    self.make_store_fail, self.disturb_target_link,
+                    self.make_target_fail, self.make_target_fail,
+                    self.pause_router, self.kill_router, self.stop_router,
+                    self.send_fatal_part, self.name_limit,
+                    self.reload_router, self.publish_version, self.revoke_key,
+                    self.kill_target, self.stop_target, self.pause_target))
+                self.faults.append(fault.__name__)
+                fault()
             time.sleep(self.random.uniform(0, 0.5))
 
     def run_later(self, seconds, action):
@@ -238,12 +192,21 @@
     def choose_router(self):
         return self.random.choice(self.edges)
 
+    def choose_port(self, generator, other):
+        ports = [edge.caller for edge in self.edges if edge.caller != other]
+        return generator.choice(ports or [other])
+
     def pause_router(self):
-        edge = self.choose_router()
-        process = edge.process
-        process.send_signal(signal.SIGSTOP)
-        self.run_later(self.random.uniform(0.1, 3),
-                       lambda: process.send_signal(signal.SIGCONT))
+        pause(self.choose_router().process, self.random.uniform(0.1, 3))
+
+    def kill_target(self):
+        self.stream_targets.kill_one(self.random)
+
+    def stop_target(self):
+        self.stream_targets.stop_one(self.random)
+
+    def pause_target(self):
+        self.stream_targets.pause_one(self.random)
 
     def restart(self, edge, signal_number):
         edge.process.send_signal(signal_number)
@@ -384,6 +347,16 @@
             for violation in self.violations_of(call, runs.get(call.id, [])):
                 self.violations.append(f"{call.id} {call.kind}: {violation}")
 
+    def check_streams(self, streams):
+        streams = [stream for stream in streams if stream.attempts]
+        self.stream_targets.check(streams)
+        for stream in streams:
+            self.violations.extend(
+                f"{stream.path} {kind}: {what}, plans "
+                f"{json.dumps(stream.plans)}, runs "
+                f"{json.dumps(self.stream_targets.runs(stream))}"
+                for kind, what in stream.violations)
+
     def violations_of(self, call, runs):
         """Violated guarantees; `runs` lists (target, first event) per run."""
         if call.runs_once and len(runs) > 1:
@@ -417,6 +390,7 @@
             self.is_stopped = True
             for edge in self.edges:
                 edge.stop()
+        self.stream_targets.stop()
         for server in [self.store, *self.targets, *self.store_links,
                        *self.target_links]:
             server.stop()
--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -235,22 +235,24 @@
     """Asks for one stream after another.
 
     `choose_router` returns the port of a router, another one than its argument
-    if possible.
+    if possible; `is_over` says when to ask for no further stream.
     """
 
-    def __init__(self, name, seed, choose_router, draw_stream, until):
+    def __init__(self, name, seed, choose_router, draw_stream, is_over,
+                 host="shop.example"):
         super().__init__(daemon=True)
         self.caller_name = name
         self.random = random.Random(seed)
         self.choose_router = choose_router
         self.draw_stream = draw_stream
-        self.until = until
+        self.is_over = is_over
+        self.host = host
         self.streams = []
         self.connection = None
         self.port = None
 
     def run(self):
-        while time.monotonic() < self.until:
+        while not self.is_over():
             stream = self.draw_stream(
                 self.random, f"{self.caller_name}.{len(self.streams)}")
             self.streams.append(stream)
@@ -260,7 +262,8 @@
 
     def connect(self):
         """Connects to a router, to a new one after a failure."""
-        while self.connection is None and time.monotonic() < self.until + 5:
+        until = time.monotonic() + CALL_TIMEOUT
+        while self.connection is None and time.monotonic() < until:
             self.port = self.choose_router(self.random, self.port)
             try:
                 self.connection = RawConnection(self.port,
@@ -306,7 +309,7 @@
             body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
             framing = "Transfer-Encoding: chunked"
         resume = f"Last-Event-Id: {stream.last}\r\n" if stream.last else ""
-        request = (f"POST {stream.path} HTTP/1.1\r\nHost: shop.example\r\n"
+        request = (f"POST {stream.path} HTTP/1.1\r\nHost: {self.host}\r\n"
                    f"Attempt-Id: {attempt}\r\nCredential: key-1\r\n"
                    f"Deadline-Ms: 6000\r\nPlan: {json.dumps(stream.plans)}\r\n"
                    f"{resume}{framing}\r\n\r\n").encode()
--- a/tests/process/stream_fleet.py
+++ b/tests/process/stream_fleet.py
@@ -19,6 +19,7 @@
 from loopback_ports import claim_port
 
 TARGETS = 4
+DOWN_SECONDS = (0.3, 0.6, 1)  # From the end of a target to its next start.
 RESUMABLE_ATTEMPTS = 4  # Sends of one request for a stream that may resume.
 
 
@@ -28,21 +29,22 @@
     program = os.path.join(os.path.dirname(os.path.abspath(__file__)),
                            "stream_target.py")
 
-    def __init__(self, store, name, records):
+    def __init__(self, store, service, name, records):
         self.store = store
         self.name = name
         self.records = records
         self.port = claim_port()
-        self.row = {"service": "s", "address": f"127.0.0.1:{self.port}",
+        self.row = {"service": service, "address": f"127.0.0.1:{self.port}",
                     "zone": "west", "version": "v1", "slots": 32,
                     "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1}
         self.ended_at = None
         self.start()
 
     def start(self):
+        # A target ends when the end of this pipe closes with this process.
         self.process = subprocess.Popen(
             [sys.executable, self.program, self.name, str(self.port),
-             self.records])
+             self.records], stdin=subprocess.PIPE)
         self.ended_at = None
         self.row.update(state="ready", born=self.row["born"] + 1)
         self.store.put("servers", self.name, self.row)
@@ -63,12 +65,76 @@
         if self.process.poll() is None:
             return
         now = time.monotonic()
+        self.process.stdin.close()
         if self.ended_at is None:
             self.ended_at = now
         if now > self.ended_at + pause:
             self.start()
 
 
+class TargetGroup:
+    """Targets of a service, which are started again whenever they end."""
+
+    def __init__(self, store, service, names):
+        self.records = tempfile.mkdtemp(prefix="streams")
+        self.lock = threading.Lock()  # Held while targets start or stop.
+        self.is_over = False
+        self.targets = [TargetProcess(store, service, name, self.records)
+                        for name in names]
+        for target in self.targets:
+            wait_for(target.is_listening, "the targets listen")
+        threading.Thread(target=self.revive, daemon=True).start()
+
+    def revive(self):
+        generator = random.Random(0)
+        while not self.is_over:
+            with self.lock:
+                for target in self.targets:
+                    if not self.is_over:
+                        target.revive(generator.choice(DOWN_SECONDS))
+            time.sleep(0.05)
+
+    def stop(self):
+        with self.lock:
+            self.is_over = True
+            for target in self.targets:
+                target.process.kill()
+                target.process.wait()
+                target.process.stdin.close()
+        shutil.rmtree(self.records)
+
+    def runs(self, stream):
+        """What the targets recorded of a stream."""
+        path = os.path.join(self.records, stream.path.replace("/", "_"))
+        if not os.path.exists(path):
+            return []
+        with open(path, encoding="ascii") as file:
+            return [json.loads(line) for line in file]
+
+    def check(self, streams):
+        time.sleep(0.5)  # Requests that were sent may still run.
+        for stream in streams:
+            stream.check_runs(self.runs(stream))
+
+    def kill_one(self, generator):
+        generator.choice(self.targets).process.kill()
+
+    def stop_one(self, generator):
+        generator.choice(self.targets).leave()
+
+    def pause_one(self, generator):
+        pause(generator.choice(self.targets).process,
+              generator.uniform(0.1, 2))
+
+
+def pause(process, seconds):
+    process.send_signal(signal.SIGSTOP)
+    timer = threading.Timer(seconds,
+                            lambda: process.send_signal(signal.SIGCONT))
+    timer.daemon = True
+    timer.start()
+
+
 class Fleet:
     """Routers, targets and callers of one seed."""
 
@@ -76,14 +142,12 @@
         self.random = random.Random(seed)
         self.seconds = seconds
         self.routers = routers or self.random.randint(2, 4)
-        self.records = tempfile.mkdtemp(prefix="streams")
         self.store = standin.Store()
         document = configuration(1)
         for route in document["routes"]:
             if route["prefix"] == "/stream/":
                 route["max-attempts"] = RESUMABLE_ATTEMPTS
         self.store.put("op", "config", document)
-        self.targets = []
         self.edges = []
         self.faults = collections.Counter()
         self.lines = []  # Log of routers that ended.
@@ -91,15 +155,11 @@
         self.is_over = False
 
     def __enter__(self):
-        self.targets = [TargetProcess(self.store, f"t{i}", self.records)
-                        for i in range(TARGETS)]
-        self.edges = [Edge(self.store, f"e{i}")
-                      for i in range(self.routers)]
-        for target in self.targets:
-            wait_for(target.is_listening, "the targets listen")
+        self.targets = TargetGroup(self.store, "s",
+                                   [f"t{i}" for i in range(TARGETS)])
+        self.edges = [Edge(self.store, f"e{i}") for i in range(self.routers)]
         for edge in self.edges:
             wait_for(edge.is_ready, "the routers are ready")
-        threading.Thread(target=self.revive_targets, daemon=True).start()
         return self
 
     def __exit__(self, *_):
@@ -108,20 +168,8 @@
             for edge in self.edges:
                 self.lines.extend(edge.lines)
                 edge.stop()
-            for target in self.targets:
-                target.process.kill()
-                target.process.wait()
+        self.targets.stop()
         self.store.stop()
-        shutil.rmtree(self.records)
-
-    def revive_targets(self):
-        generator = random.Random(0)
-        while not self.is_over:
-            with self.lock:
-                for target in self.targets:
-                    if not self.is_over:
-                        target.revive(generator.choice((0.3, 0.6, 1)))
-            time.sleep(0.05)
 
     def choose_router(self, generator, other):
         ports = [edge.caller for edge in self.edges if edge.caller != other]
@@ -132,7 +180,7 @@
         until = time.monotonic() + self.seconds
         callers = [stream_callers.Caller(
             f"c{i}", self.random.random(), self.choose_router, draw_stream,
-            until) for i in range(callers)]
+            lambda: time.monotonic() > until) for i in range(callers)]
         for caller in callers:
             caller.start()
         while time.monotonic() < until:
@@ -147,25 +195,9 @@
             caller.join(timeout=stream_callers.CALL_TIMEOUT * 2)
         streams = [stream for caller in callers for stream in caller.streams
                    if stream.attempts]
-        time.sleep(0.5)  # Requests that were sent may still run.
-        for stream in streams:
-            stream.check_runs(self.runs(stream))
+        self.targets.check(streams)
         return streams
 
-    def runs(self, stream):
-        path = os.path.join(self.records, stream.path.replace("/", "_"))
-        if not os.path.exists(path):
-            return []
-        with open(path, encoding="ascii") as file:
-            return [json.loads(line) for line in file]
-
-    def pause(self, process, seconds):
-        process.send_signal(signal.SIGSTOP)
-        timer = threading.Timer(
-            seconds, lambda: process.send_signal(signal.SIGCONT))
-        timer.daemon = True
-        timer.start()
-
     def end_router(self, signal_number):
         edge = self.random.choice(self.edges)
         process = edge.process
@@ -186,18 +218,17 @@
         self.end_router(signal.SIGTERM)
 
     def pause_router(self):
-        self.pause(self.random.choice(self.edges).process,
-                   self.random.uniform(0.1, 2))
+        pause(self.random.choice(self.edges).process,
+              self.random.uniform(0.1, 2))
 
     def reload_router(self):
         self.random.choice(self.edges).process.send_signal(signal.SIGHUP)
 
     def kill_target(self):
-        self.random.choice(self.targets).process.kill()
+        self.targets.kill_one(self.random)
 
     def stop_target(self):
-        self.random.choice(self.targets).leave()
+        self.targets.stop_one(self.random)
 
     def pause_target(self):
-        self.pause(self.random.choice(self.targets).process,
-                   self.random.uniform(0.1, 2))
+        self.targets.pause_one(self.random)
--- a/tests/process/stream_target.py
+++ b/tests/process/stream_target.py
@@ -261,7 +261,13 @@
         os.write(file, json.dumps(run).encode() + b"\n")
         os.close(file)
 
+    @staticmethod
+    def end_with_parent():
+        sys.stdin.read()
+        os._exit(1)
+
     def run(self):
+        threading.Thread(target=self.end_with_parent, daemon=True).start()
         while True:
             peer, _ = self.listener.accept()
             threading.Thread(target=Connection(self, peer).run,
--- a/tests/process/test_broken_streams.py
+++ b/tests/process/test_broken_streams.py
@@ -31,15 +31,15 @@
                                        [*plans, {}])
         stream.last = last
         caller = stream_callers.Caller("c", 1, self.choose_router, None,
-                                       float("inf"))
+                                       lambda: False)
         self.assertTrue(caller.connect())
         caller.exchange(stream, f"id{self.streams}", None)
         caller.disconnect()
-        stream.check_runs(self.fleet.runs(stream))
+        stream.check_runs(self.fleet.targets.runs(stream))
         return stream
 
     def choose_router(self, generator, other):
-        for target in self.fleet.targets:
+        for target in self.fleet.targets.targets:
             wait_for(target.is_listening, "the targets listen")
         return self.fleet.edges[0].caller
 
@@ -48,7 +48,7 @@
             with self.subTest(plans=plans, number=number, **arguments):
                 stream = self.ask(*plans, **arguments)
                 self.assertEqual(stream.violations, [])
-                self.assertNotEqual(self.fleet.runs(stream), [])
+                self.assertNotEqual(self.fleet.targets.runs(stream), [])
 
     def assert_whole(self, *plans, **arguments):
         for number in range(TRIES):
