--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -188,7 +188,7 @@
             if block != f": idle {self.path}\n":
                 self.report("foreign bytes", repr(block[:80]))
             return
-        number = re.search("^id: ([0-9]+)$", block, re.MULTILINE)
+        number = re.search("^id: ?([0-9]+)$", block, re.MULTILINE)
         number = int(number.group(1)) if number else 0
         if not 1 <= number <= stream_target.total_events(self.path) or (
                 block != "\n".join(stream_target.event_lines(
--- a/tests/process/stream_target.py
+++ b/tests/process/stream_target.py
@@ -50,10 +50,17 @@
     """Lines of an event; anyone who knows path and number can tell them."""
     generator = random.Random(f"{path} {number}")
     size = 6000 if path.endswith("L") else 30
-    lines = [f"id: {number}"]
+    lines = [generator.choice(("id: ", "id: ", "id: ", "id:")) + str(number)]
     for token in range(generator.choice((1, 1, 1, 2, 6))):
+        text = generator.choice(("x", "x", "x", "id: 7", "data: x"))
         lines.append(f"data: {path} {number}.{token} "
-                     + "x" * generator.randrange(size))
+                     + text * (generator.randrange(size) // len(text)))
+    if generator.random() < 0.05:
+        lines.append("data: id: 1")
+    if generator.random() < 0.05:
+        lines.append("data")  # A line of the data that is empty.
+    if generator.random() < 0.2:
+        lines.append(lines.pop(0))  # The id may come last.
     if generator.random() < 0.2:
         lines.insert(generator.randrange(len(lines) + 1), f": note of {path}")
     if generator.random() < 0.2:
