--- a/tests/process/stream_plans.py
+++ b/tests/process/stream_plans.py
@@ -29,7 +29,8 @@
     elif chance < (0.4 if is_first else 0.6):
         plan.update(generator.choice((
             {"first": "one"}, {"first": "skip"}, {"first": "back"},
-            {"text": "plain"}, {"text": "block"}, {"text": "head"})))
+            {"first": "few"}, {"text": "plain"}, {"text": "block"},
+            {"text": "head"})))
     elif chance < 0.63:
         plan[generator.choice(("hole", "again"))] = generator.randrange(6)
     elif chance < 0.66:
--- a/tests/process/stream_target.py
+++ b/tests/process/stream_target.py
@@ -12,8 +12,8 @@
     cut       [n, part, how]: ends before event n of the run (part 0) or within
               it, by "fin", "reset", "crash" (the process ends) or "ragged" (fin
               within the framing, if there is one)
-    first     "one" (starts at event 1), "skip" or "back" (one event later or
-              earlier than asked)
+    first     "one" (starts at event 1), "few" (sends only events before the
+              one asked for), "skip" or "back" (one event later or earlier)
     hole      leaves out the n-th event of the run
     again     sends the n-th event of the run twice
     text      a success without events: "plain", "block" or "head"
@@ -155,6 +155,8 @@
         first = max(1, {"one": 1, "skip": last + 2, "back": last - 1}.get(
             plan.get("first"), last + 1))
         numbers = list(range(first, total_events(path) + 1))
+        if plan.get("first") == "few" and last:
+            numbers = list(range(1, last))
         # A router cannot know the first id of a stream.
         if plan.get("hole") in range(0 if last else 1, len(numbers)):
             del numbers[plan["hole"]]
--- a/tests/process/test_broken_streams.py
+++ b/tests/process/test_stream_runs.py
@@ -1,5 +1,6 @@
-"""Tests of streams that break off: what the next target sends, how connections
-end, and which refusals may be believed."""
+"""Tests of the single faults that test_stream_order draws at random: how a run
+of a stream ends, what the next target sends, which refusals are true.
+"""
 
 import os
 import sys
@@ -16,7 +17,7 @@
 CUT = {"cut": [3, 0.5, "fin"]}
 
 
-class BrokenStreamsTest(unittest.TestCase):
+class StreamRunsTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
         cls.fleet = Fleet(seed=1, seconds=0, routers=1)
@@ -83,11 +84,11 @@
             self.assert_kept({"text": text}, last=4)
 
     def test_a_target_that_starts_elsewhere_continues_no_stream(self):
-        for first in ("one", "skip", "back"):
+        for first in ("one", "few", "skip", "back"):
             self.assert_kept(CUT, {"first": first})
 
     def test_a_target_that_starts_elsewhere_continues_no_callers_stream(self):
-        for first in ("one", "skip", "back"):
+        for first in ("one", "few", "skip", "back"):
             self.assert_kept({"first": first}, last=4)
 
     def test_a_skipped_or_repeated_event_is_not_passed_on(self):
