Tests: a target that crashes and is back before a paused router goes on, failing

An answer without framing whose target crashes between two events, and is listening again before the router runs on: ('cut as complete', 'id1: event 3 of 10') on.

--- a/tests/process/stream_fleet.py
+++ b/tests/process/stream_fleet.py
@@ -38,6 +38,7 @@
                     "zone": "west", "version": "v1", "slots": 32,
                     "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1}
         self.ended_at = None
+        self.ends = {}  # Time of the end of each process.
         self.start()
 
     def start(self):
@@ -68,6 +69,7 @@
         self.process.stdin.close()
         if self.ended_at is None:
             self.ended_at = now
+            self.ends[self.process.pid] = time.time()
         if now > self.ended_at + pause:
             self.start()
 
@@ -108,8 +110,11 @@
         path = os.path.join(self.records, stream.path.replace("/", "_"))
         if not os.path.exists(path):
             return []
+        ends = {pid: end for target in self.targets
+                for pid, end in target.ends.items()}
         with open(path, encoding="ascii") as file:
-            return [json.loads(line) for line in file]
+            runs = [json.loads(line) for line in file]
+        return [dict(run, ended_at=ends.get(run["pid"])) for run in runs]
 
     def check(self, streams):
         time.sleep(0.5)  # Requests that were sent may still run.
--- a/tests/process/test_stream_runs.py
+++ b/tests/process/test_stream_runs.py
@@ -3,7 +3,10 @@
 """
 
 import os
+import signal
 import sys
+import threading
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -108,6 +111,30 @@
             self.assert_kept({"framing": "closed", "cut": [3, 0, "crash"]},
                              kind=kind)
 
+    def test_a_crash_during_a_pause_does_not_complete_a_stream(self):
+        plan = {"framing": "closed", "cut": [3, 0, "crash"], "ms": 1000}
+        for _ in range(TRIES):
+            edge = self.fleet.edges[0]
+            wait_for(edge.is_ready, "the router is ready")
+            streams = []
+            asking = threading.Thread(
+                target=lambda: streams.append(self.ask(plan)))
+            ends = self.ends()
+            asking.start()
+            time.sleep(0.5)  # The stream has begun.
+            edge.process.send_signal(signal.SIGSTOP)
+            try:
+                wait_for(lambda: self.ends() > ends, "the target crashes")
+                for target in self.fleet.targets.targets:
+                    wait_for(target.is_listening, "the target is back")
+            finally:
+                edge.process.send_signal(signal.SIGCONT)
+            asking.join()
+            self.assertEqual(streams[0].violations, [])
+
+    def ends(self):
+        return sum(len(target.ends) for target in self.fleet.targets.targets)
+
     def test_a_crash_does_not_complete_an_answer_without_framing(self):
         for kind in ("/read/", "/write/"):
             self.assert_kept({"framing": "closed", "cut": [0, 0.5, "crash"]},
