--- a/tests/process/test_stream_runs.py
+++ b/tests/process/test_stream_runs.py
@@ -45,7 +45,9 @@
     def choose_router(self, generator, other):
         for target in self.fleet.targets.targets:
             wait_for(target.is_listening, "the targets listen")
-        return self.fleet.edges[0].caller
+        edge = self.fleet.edges[0]
+        wait_for(edge.is_ready, "the router is ready")
+        return edge.caller
 
     def assert_kept(self, *plans, **arguments):
         for number in range(TRIES):
@@ -115,7 +117,6 @@
         plan = {"framing": "closed", "cut": [3, 0, "crash"], "ms": 1000}
         for _ in range(TRIES):
             edge = self.fleet.edges[0]
-            wait_for(edge.is_ready, "the router is ready")
             streams = []
             asking = threading.Thread(
                 target=lambda: streams.append(self.ask(plan)))
