--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -2,6 +2,7 @@
 #include "relay/relayed_request.h"
 
 #include <algorithm>
+#include <array>
 
 namespace papayaplank {
 namespace {
@@ -26,6 +27,14 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
+// Whether the status promises that the request has not run. The answer of a
+// target that ran it must not reach the caller with such a status.
+auto PromisesNotRun(int status) -> bool {
+  constexpr std::array kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) !=
+         kStatuses.end();
+}
+
 auto HeaderLines(const HttpFields& fields) -> std::string {
   std::string lines;
   for (const auto& [name, value] : fields) {
@@ -77,6 +86,9 @@
     return caller_->Close();
   }
   is_stream_ = accepted_request_.route->kind == RequestKind::kStream;
+  if (is_stream_ && request_.last_event_id) {
+    event_splitter_.ContinueAfter(*request_.last_event_id);
+  }
   caller_->SetCallerLeftHook(
       [self = shared_from_this()] { self->OnCallerLeft(); });
   ArmDeadline();
@@ -202,18 +214,19 @@
                            complete_events.append(event);
                            ++relayed_events_;
                          });
+  if (!complete_events.empty()) {
+    has_attempt_events_ = true;
+    if (relayed_before == 0) {
+      BeginAnswer();
+      RecordFirstByte();
+    }
+    // The core uses only the first call of an attempt.
+    context_.core.RecordFirstToken(placement_, MonotonicClock::now());
+    AppendToAnswer(complete_events);
+  }
   const auto is_endless =
       event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
-  if (event_splitter_.has_gap() || is_endless) return BreakAttempt();
-  if (complete_events.empty()) return;
-  has_attempt_events_ = true;
-  if (relayed_before == 0) {
-    BeginAnswer();
-    RecordFirstByte();
-  }
-  // The core uses only the first call of an attempt.
-  context_.core.RecordFirstToken(placement_, MonotonicClock::now());
-  AppendToAnswer(complete_events);
+  if (event_splitter_.is_out_of_order() || is_endless) BreakAttempt();
 }
 
 auto RelayedRequest::BreakAttempt() -> void {
@@ -252,6 +265,7 @@
 auto RelayedRequest::BeginAnswer() -> void {
   if (answer_state_ != AnswerState::kNotStarted) return;
   answer_state_ = AnswerState::kStarted;
+  begun_status_ = answer_.status;
   caller_->BeginAnswer(answer_.status, HeaderLines(answer_.forwarded));
   if (accepted_request_.route->is_resumable) return;
   // The answer has started, so the request can't be sent to another target.
@@ -265,12 +279,19 @@
   if (end == TransferEnd::kBroken || !IsFromTarget()) {
     return AttemptOutcome::kBroken;
   }
-  if (answer_.status >= kFirstServerError) return AttemptOutcome::kServerError;
+  if (is_stream_ && answer_state_ == AnswerState::kStarted &&
+      !(is_success_from_target_ && answer_.status == begun_status_)) {
+    return AttemptOutcome::kBroken;
+  }
+  if (answer_.status >= kFirstServerError || PromisesNotRun(answer_.status)) {
+    return AttemptOutcome::kServerError;
+  }
   if (is_stream_ && is_success_from_target_) {
     // A target that crashes on the first event may close an empty answer.
     const auto is_empty =
         end == TransferEnd::kCompleteAtClose && !has_attempt_events_;
-    if (is_empty || event_splitter_.has_partial_event()) {
+    if (is_empty || event_splitter_.has_partial_event() ||
+        event_splitter_.is_short()) {
       return AttemptOutcome::kBroken;
     }
   }
@@ -354,17 +375,17 @@
 auto RelayedRequest::RetryOrFail(AttemptOutcome outcome) -> void {
   if (answer_state_ == AnswerState::kEnded) return;
   const auto now = MonotonicClock::now();
-  const auto is_non_stream_started =
-      answer_state_ == AnswerState::kStarted && !is_stream_;
-  if (!is_non_stream_started &&
-      context_.core.MayRetry(accepted_request_, outcome, relayed_events_ > 0,
-                             now)) {
+  const auto can_go_on = answer_state_ == AnswerState::kNotStarted ||
+                         (is_stream_ && event_splitter_.can_continue());
+  if (can_go_on && context_.core.MayRetry(accepted_request_, outcome,
+                                          relayed_events_ > 0, now)) {
     return StartAttempt();
   }
   if (answer_state_ == AnswerState::kStarted) {
     return CutAnswer(AttemptOutcomeName(outcome));
   }
-  if (outcome == AttemptOutcome::kServerError) {
+  if (outcome == AttemptOutcome::kServerError &&
+      !PromisesNotRun(answer_.status)) {
     // The target executed the request and failed; the caller gets its answer.
     Log(LogClass::kFailure, "failure_relayed", AttemptOutcomeName(outcome),
         now);
