--- a/tests/process/stream_fleet.py
+++ b/tests/process/stream_fleet.py
@@ -143,10 +143,11 @@
 class Fleet:
     """Routers, targets and callers of one seed."""
 
-    def __init__(self, seed, seconds, routers=None):
+    def __init__(self, seed, seconds, routers=None, targets=TARGETS):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.routers = routers or self.random.randint(2, 4)
+        self.target_names = [f"t{i}" for i in range(targets)]
         self.store = standin.Store()
         document = configuration(1)
         for route in document["routes"]:
@@ -160,8 +161,7 @@
         self.is_over = False
 
     def __enter__(self):
-        self.targets = TargetGroup(self.store, "s",
-                                   [f"t{i}" for i in range(TARGETS)])
+        self.targets = TargetGroup(self.store, "s", self.target_names)
         self.edges = [Edge(self.store, f"e{i}") for i in range(self.routers)]
         for edge in self.edges:
             wait_for(edge.is_ready, "the routers are ready")
--- a/tests/process/test_stream_order.py
+++ b/tests/process/test_stream_order.py
@@ -23,7 +23,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import stream_plans  # noqa: E402
 from edge_process import Edge  # noqa: E402
-from stream_fleet import Fleet  # noqa: E402
+from stream_fleet import TARGETS, Fleet  # noqa: E402
 
 # Seeds that failed before, each with its cause; every run repeats them.
 REGRESSION_SEEDS = {}
@@ -44,9 +44,9 @@
 
 
 def run_seed(seed, options):
-    fleet = Fleet(seed, options.seconds)
+    fleet = Fleet(seed, options.seconds, options.routers, options.targets)
     with fleet:
-        streams = fleet.run(CALLERS, functools.partial(
+        streams = fleet.run(options.callers, functools.partial(
             stream_plans.draw_stream, without=options.without.split(",")))
         runs = {stream: fleet.targets.runs(stream) for stream in streams}
     broken = [stream for stream in streams if stream.violations]
@@ -83,6 +83,9 @@
     parser.add_argument("--seeds", default="1-3", help="such as 1-50 or 3,7")
     parser.add_argument("--seconds", type=float, default=8,
                         help="seconds of faults per seed")
+    parser.add_argument("--routers", type=int, help="by default 2 to 4")
+    parser.add_argument("--targets", type=int, default=TARGETS)
+    parser.add_argument("--callers", type=int, default=CALLERS)
     parser.add_argument("--logs", help="folder for what is known of violations")
     parser.add_argument("--stories", type=int, default=3,
                         help="violations to print per seed")
--- a/tests/process/test_stream_runs.py
+++ b/tests/process/test_stream_runs.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 import threading
-import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -117,12 +116,16 @@
         plan = {"framing": "closed", "cut": [3, 0, "crash"], "ms": 1000}
         for _ in range(TRIES):
             edge = self.fleet.edges[0]
+            wait_for(lambda: self.ask().is_whole, "streams are whole")
             streams = []
             asking = threading.Thread(
                 target=lambda: streams.append(self.ask(plan)))
+            next_stream = stream_callers.Stream(
+                f"/stream/{self.streams + 1}-10", [])
             ends = self.ends()
             asking.start()
-            time.sleep(0.5)  # The stream has begun.
+            wait_for(lambda: self.fleet.targets.runs(next_stream),
+                     "the stream begins")
             edge.process.send_signal(signal.SIGSTOP)
             try:
                 wait_for(lambda: self.ends() > ends, "the target crashes")
