--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -33,7 +33,7 @@
   for (const auto* each :
        {"connection", "keep-alive", "transfer-encoding", "te", "trailer",
         "upgrade", "proxy-connection", "content-length", "x-request-id",
-        "x-papayaplank-ran", "date", "server"}) {
+        "x-papayaplank-ran", "x-resume-after-tokens", "date", "server"}) {
     if (EqualsIgnoringCase(name, each)) return true;
   }
   return false;
@@ -145,15 +145,9 @@
 
 auto TargetTransfer::ProcessHeader(std::string_view line) -> void {
   last_arrival_ = MonotonicClock::now();
-  if (line.substr(0, 5) == "HTTP/") {
-    head_ = AnswerHead{};
-    const auto space = line.find(' ');
-    if (space != std::string_view::npos) {
-      const auto* begin = line.data() + space + 1;
-      std::from_chars(begin, line.data() + line.size(), head_.status);
-    }
-    return;
-  }
+  if (is_head_complete_) return;
+  if (line.substr(0, 5) == "HTTP/") return BeginHead(line);
+  if (TrimWhitespace(line).empty()) return EndHead();
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) return;
   const auto name = line.substr(0, colon);
@@ -164,9 +158,16 @@
         std::from_chars(value.data(), value.data() + value.size(), length);
     if (parsed.ec == std::errc()) head_.length = length;
   }
-  if (EqualsIgnoringCase(name, "transfer-encoding")) is_chunked_ = true;
+  if (EqualsIgnoringCase(name, "transfer-encoding")) {
+    is_chunked_ = EqualsIgnoringCase(value, "chunked");
+  }
   if (EqualsIgnoringCase(name, "x-request-id")) {
-    has_wrong_request_id_ = value != request_.id.value();
+    has_request_id_ = true;
+    is_crossed_ |= value != request_.id.value();
+  }
+  if (EqualsIgnoringCase(name, "x-resume-after-tokens")) {
+    std::from_chars(value.data(), value.data() + value.size(),
+                    begins_after_tokens_);
   }
   if (EqualsIgnoringCase(name, "x-papayaplank-ran")) {
     target_reports_not_run_ = value == "no";
@@ -183,6 +184,43 @@
   head_.headers.push_back({std::string(name), std::string(value)});
 }
 
+auto TargetTransfer::BeginHead(std::string_view status_line) -> void {
+  head_ = AnswerHead{};
+  is_event_stream_ = false;
+  is_chunked_ = false;
+  target_reports_not_run_ = false;
+  has_request_id_ = false;
+  begins_after_tokens_ = 0;
+  const auto space = status_line.find(' ');
+  if (space == std::string_view::npos) return;
+  std::from_chars(status_line.data() + space + 1,
+                  status_line.data() + status_line.size(), head_.status);
+}
+
+auto TargetTransfer::EndHead() -> void {
+  if (head_.status < kFirstFinalStatus) return;
+  is_head_complete_ = true;
+  // The chunks decide if a target sends both.
+  if (is_chunked_) head_.length.reset();
+  if (!has_request_id_ && IsReusedConnection()) is_crossed_ = true;
+  // A connection is kept only while each of its answers names its request. A
+  // repeated refusal may name it too: that of its next attempt.
+  if (!has_request_id_ || is_crossed_ || IsRefused()) {
+    curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+auto TargetTransfer::IsReusedConnection() const -> bool {
+  long opened = 0;  // NOLINT: libcurl's type
+  curl_easy_getinfo(easy_, CURLINFO_NUM_CONNECTS, &opened);
+  return opened == 0;
+}
+
+auto TargetTransfer::IsTokenStream() const -> bool {
+  // The events of a service are no tokens and are relayed as they are.
+  return is_event_stream_ && head_.status == kOk && !request_.target.is_service;
+}
+
 auto TargetTransfer::IsRefused() const -> bool {
   const auto is_refusal =
       head_.status == kTooManyRequests || head_.status == kServiceUnavailable;
@@ -195,14 +233,22 @@
 }
 
 auto TargetTransfer::CannotContinueAnswer() const -> bool {
-  if (!is_continuation_) return false;
-  return head_.status != kOk || !is_event_stream_;
+  return is_continuation_ && !IsTokenStream();
+}
+
+auto TargetTransfer::IsUnusable() const -> bool {
+  if (is_abandoned_ || is_crossed_ || CannotContinueAnswer()) return true;
+  return IsTokenStream() &&
+         begins_after_tokens_ != request_.resume_after_tokens;
 }
 
 auto TargetTransfer::ProcessBody(std::string_view bytes) -> std::size_t {
   // Returning a count other than the offered one ends the transfer.
-  if (has_wrong_request_id_ || CannotContinueAnswer()) return 0;
-  if (IsRefused()) return bytes.size();
+  if (IsRefused() && !is_crossed_) return bytes.size();
+  if (IsUnusable() || parser_.is_done()) {
+    is_abandoned_ = true;
+    return 0;
+  }
   if (request_.answer->SuspendWriterIfFull()) {
     is_paused_ = true;
     return CURL_WRITEFUNC_PAUSE;
@@ -213,8 +259,7 @@
     return bytes.size();
   }
   SendHead();
-  // The events of a service are no tokens and are relayed as they are.
-  if (!is_event_stream_ || request_.target.is_service) {
+  if (!IsTokenStream()) {
     if (body_.size() + bytes.size() <= kMaxUsageBodyBytes) {
       body_.append(bytes);
     }
@@ -222,10 +267,14 @@
     return bytes.size();
   }
   const auto completed = parser_.Feed(bytes);
-  if (parser_.is_too_long()) return 0;
+  if (parser_.is_too_long()) {
+    is_abandoned_ = true;
+    return 0;
+  }
   tokens_ += completed.tokens;
   progress_.new_tokens += completed.tokens;
   if (!completed.events.empty()) request_.answer->Append(completed.events);
+  if (parser_.is_done()) request_.answer->End();
   return bytes.size();
 }
 
@@ -252,7 +301,7 @@
   has_sent_head_ = true;
   auto head = head_;
   // A stream may continue at another target, so its length is not announced.
-  if (is_event_stream_) head.length.reset();
+  if (IsTokenStream()) head.length.reset();
   request_.answer->SetHead(std::move(head));
 }
 
@@ -262,7 +311,9 @@
 }
 
 auto TargetTransfer::Finish(CURLcode code) -> AttemptReport {
-  if (has_wrong_request_id_) return Report(AttemptResult::kCrossed);
+  // The end mark completes a stream, however its connection ends.
+  if (parser_.is_done()) return Report(AttemptResult::kComplete);
+  if (is_crossed_) return Report(AttemptResult::kCrossed);
   if (code == CURLE_COULDNT_CONNECT) return Report(AttemptResult::kNotReached);
   if (code == CURLE_OPERATION_TIMEDOUT) {
     curl_off_t connected = 0;
@@ -275,13 +326,13 @@
     return Report(AttemptResult::kBroken);
   }
   if (IsRefused()) return Report(AttemptResult::kRefused);
-  if (CannotContinueAnswer()) return Report(AttemptResult::kBroken);
-  const auto is_stream = is_event_stream_ && !request_.target.is_service;
-  const auto is_framed = is_chunked_ || head_.length.has_value();
+  // A stream without its end mark is incomplete.
+  if (IsUnusable() || IsTokenStream()) return Report(AttemptResult::kBroken);
   // A body that ends with its connection may be incomplete.
-  const auto is_complete =
-      is_stream ? parser_.is_done() : is_framed || IsCompleteWithoutFraming();
-  if (!is_complete) return Report(AttemptResult::kBroken);
+  const auto is_framed = is_chunked_ || head_.length.has_value();
+  if (!is_framed && !IsCompleteWithoutFraming()) {
+    return Report(AttemptResult::kBroken);
+  }
   const auto should_hold = ShouldHoldBody();
   if (!has_sent_head_ && !is_chunked_ && !should_hold) head_.length = 0;
   SendHead();
@@ -291,7 +342,7 @@
 }
 
 auto TargetTransfer::ReportEnd(AttemptResult result) -> AttemptReport {
-  return Report(result);
+  return Report(parser_.is_done() ? AttemptResult::kComplete : result);
 }
 
 auto TargetTransfer::Report(AttemptResult result) const -> AttemptReport {
@@ -300,7 +351,8 @@
   report.status = head_.status;
   report.tokens = tokens_;
   report.has_caller_seen_head = request_.answer->HasHead();
-  report.is_resumable = is_event_stream_ && !request_.target.is_service;
+  // Only such a stream is ever continued.
+  report.is_resumable = IsTokenStream() || is_continuation_;
   if (request_.target.is_service) {
     report.cost = Cost{result == AttemptResult::kNotReached ||
                                result == AttemptResult::kRefused
@@ -314,11 +366,11 @@
   return report;
 }
 
-auto TargetTransfer::Resume(Time now) -> void {
-  if (!is_paused_) return;
+auto TargetTransfer::Resume(Time now) -> bool {
+  if (!is_paused_) return true;
   is_paused_ = false;
   last_arrival_ = now;
-  curl_easy_pause(easy_, CURLPAUSE_CONT);
+  return curl_easy_pause(easy_, CURLPAUSE_CONT) == CURLE_OK;
 }
 
 auto TargetTransfer::IsStalled(Time now) const -> bool {
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -30,8 +30,9 @@
   auto Finish(CURLcode code) -> AttemptReport;
   // Reports a transfer that the client ends because of `result`.
   auto ReportEnd(AttemptResult result) -> AttemptReport;
-  // Continues a paused transfer after the answer buffer has drained.
-  auto Resume(Time now) -> void;
+  // Continues a paused transfer after the answer buffer has drained. Returns
+  // false if it can't go on: the caller has to end it.
+  auto Resume(Time now) -> bool;
   // Whether no byte has arrived for longer than the progress timeout.
   auto IsStalled(Time now) const -> bool;
   // Returns the observations since the previous call.
@@ -46,15 +47,23 @@
   auto SetUp() -> void;
   auto SetHeaders() -> void;
   auto ProcessHeader(std::string_view line) -> void;
+  auto BeginHead(std::string_view status_line) -> void;
+  auto EndHead() -> void;
   auto ProcessBody(std::string_view bytes) -> std::size_t;
   auto ObserveArrival() -> void;
   auto SendHead() -> void;
   auto IsRefused() const -> bool;
+  // Whether an earlier answer has used the connection.
+  auto IsReusedConnection() const -> bool;
+  // Whether the answer is a stream that another target can continue.
+  auto IsTokenStream() const -> bool;
   // Whether a short answer is held back until it is complete, so that a retry
   // can replace an incomplete one.
   auto ShouldHoldBody() const -> bool;
   // Whether this answer cannot continue the part that the caller has received.
   auto CannotContinueAnswer() const -> bool;
+  // Whether nothing of the body may reach the caller.
+  auto IsUnusable() const -> bool;
   auto IsCompleteWithoutFraming() const -> bool;
   auto Report(AttemptResult result) const -> AttemptReport;
 
@@ -68,11 +77,20 @@
   bool is_event_stream_ = false;
   bool is_chunked_ = false;
   bool target_reports_not_run_ = false;
-  bool has_wrong_request_id_ = false;
+  bool has_request_id_ = false;
+  // The tokens after which the answer says that it begins.
+  int begins_after_tokens_ = 0;
+  // The members above describe the current head; this one is set at the end of
+  // the final one. Later lines are trailers.
+  bool is_head_complete_ = false;
+  // The answer names another request, or may be a late one to another request.
+  bool is_crossed_ = false;
   // The caller has received a part of the answer from an earlier attempt: only
   // the remainder of that stream may follow.
   const bool is_continuation_;
   bool is_paused_ = false;
+  // A part of the body was not taken, so no later part may be either.
+  bool is_abandoned_ = false;
   bool has_sent_head_ = false;
   StreamParser parser_;
   // Body of an answer that is no stream of tokens, to hold it back or to read
