Tests: a target that crashes while a slow caller holds its answer back, failing

The router had paused reading, so it saw the end of the connection only after the target was back: ('cut as complete', 'id2: event 390 of 400') on.

--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -39,6 +39,7 @@
         self.socket.connect(("127.0.0.1", port))
         self.is_slow = is_slow
         self.slow_reads = 60 if is_slow else 0
+        self.before_reading = lambda: None
         self.unread = b""
         self.answer = None
 
@@ -90,6 +91,7 @@
         self.answer = answer = Answer()
         try:
             self.socket.sendall(request)
+            self.before_reading()
             self.read(answer, most)
         except (OSError, ValueError):
             pass
--- a/tests/process/test_stream_runs.py
+++ b/tests/process/test_stream_runs.py
@@ -27,15 +27,17 @@
         cls.fleet.__enter__()
         cls.streams = 0
 
-    def ask(self, *plans, kind="/stream/", last=0):
+    def ask(self, *plans, kind="/stream/", last=0, events="10",
+            before_reading=lambda: None):
         """Asks once on a new connection; the last event so far is `last`."""
         type(self).streams += 1
-        stream = stream_callers.Stream(f"{kind}{self.streams}-10",
+        stream = stream_callers.Stream(f"{kind}{self.streams}-{events}",
                                        [*plans, {}])
         stream.last = last
         caller = stream_callers.Caller("c", 1, self.choose_router, None,
                                        lambda: False)
         self.assertTrue(caller.connect())
+        caller.connection.before_reading = before_reading
         caller.exchange(stream, f"id{self.streams}", None)
         caller.disconnect()
         stream.check_runs(self.fleet.targets.runs(stream))
@@ -136,6 +138,19 @@
             asking.join()
             self.assertEqual(streams[0].violations, [])
 
+    def test_a_crash_behind_a_slow_caller_does_not_complete_a_stream(self):
+        # More than the router holds for the caller, so it reads no further.
+        plan = {"framing": "closed", "cut": [390, 0, "crash"]}
+        for _ in range(TRIES):
+            ends = self.ends()
+
+            def wait():
+                wait_for(lambda: self.ends() > ends, "the target crashes")
+                for target in self.fleet.targets.targets:
+                    wait_for(target.is_listening, "the target is back")
+            stream = self.ask(plan, events="400L", before_reading=wait)
+            self.assertEqual(stream.violations, [])
+
     def ends(self):
         return sum(len(target.ends) for target in self.fleet.targets.targets)
 
