--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -1,5 +1,6 @@
 """Callers with raw sockets, which check every byte of their answers."""
 
+import functools
 import json
 import random
 import re
@@ -16,6 +17,7 @@
 # Statuses which promise that the request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 KEEP_SHARE = 0.7  # Of the callers' requests, over a kept connection.
+STALL_SHARE = 0.05  # Of the callers' requests, whose answers wait to be read.
 
 
 class Answer:
@@ -39,7 +41,6 @@
         self.socket.connect(("127.0.0.1", port))
         self.is_slow = is_slow
         self.slow_reads = 60 if is_slow else 0
-        self.before_reading = lambda: None
         self.unread = b""
         self.answer = None
 
@@ -86,12 +87,12 @@
                 return False
         return True
 
-    def ask(self, request, most=None):
+    def ask(self, request, most, before_reading):
         """Sends a request and reads its answer, at most `most` bytes of it."""
         self.answer = answer = Answer()
         try:
             self.socket.sendall(request)
-            self.before_reading()
+            before_reading()
             self.read(answer, most)
         except (OSError, ValueError):
             pass
@@ -289,7 +290,11 @@
             if self.random.random() < 0.08:
                 most = self.random.choice((1, 100, 3000))
             attempt = f"{stream.path[1:].replace('/', '-')}.{number}"
-            answer = self.exchange(stream, attempt, most)
+            stall = 0
+            if self.random.random() < STALL_SHARE:
+                stall = self.random.uniform(0.3, 1.5)
+            answer = self.exchange(stream, attempt, most,
+                                   functools.partial(time.sleep, stall))
             if answer is None:
                 return
             was_refused = answer.status in NOT_EXECUTED_STATUSES
@@ -299,7 +304,7 @@
                 return
             time.sleep(self.random.uniform(0, 0.1))
 
-    def exchange(self, stream, attempt, most):
+    def exchange(self, stream, attempt, most, before_reading):
         late = self.connection.late_bytes()
         if late or not self.is_open():
             self.disconnect()
@@ -315,7 +320,7 @@
                    f"Attempt-Id: {attempt}\r\nCredential: key-1\r\n"
                    f"Deadline-Ms: 6000\r\nPlan: {json.dumps(stream.plans)}\r\n"
                    f"{resume}{framing}\r\n\r\n").encode()
-        answer = self.connection.ask(request + body, most)
+        answer = self.connection.ask(request + body, most, before_reading)
         stream.attempts.append((attempt, stream.last, answer))
         if late:
             stream.report("late bytes", repr(late[:80]))
--- a/tests/process/stream_plans.py
+++ b/tests/process/stream_plans.py
@@ -17,7 +17,7 @@
         how = generator.choice(HOWS)
         if how == "crash" and generator.random() < 0.8:
             how = "reset"  # A crash ends the other streams of its process.
-        plan["cut"] = [generator.choice((0, 1, 2, 3, 7)),
+        plan["cut"] = [generator.choice((0, 1, 2, 3, 7, 390)),
                        generator.choice((0, 0, round(generator.random(), 2))),
                        how]
     elif chance < (0.39 if is_first else 0.5):
@@ -47,8 +47,11 @@
     kind = generator.choice(("/stream/",) * 6 + ("/stream/once/",) * 2 +
                             ("/read/", "/write/"))
     path = f"{kind}{name}-{generator.choice((1, 3, 10, 25))}"
-    if generator.random() < 0.1:
+    chance = generator.random()
+    if chance < 0.1:
         path += "L"
+    elif chance < 0.11:  # More than the buffers on the way hold.
+        path = f"{kind}{name}-400L"
     plans = [draw_plan(generator, number == 0) for number in range(PLANS)]
     plans = [{key: plan[key] for key in plan if key not in without}
              for plan in plans]
--- a/tests/process/test_stream_runs.py
+++ b/tests/process/test_stream_runs.py
@@ -37,8 +37,7 @@
         caller = stream_callers.Caller("c", 1, self.choose_router, None,
                                        lambda: False)
         self.assertTrue(caller.connect())
-        caller.connection.before_reading = before_reading
-        caller.exchange(stream, f"id{self.streams}", None)
+        caller.exchange(stream, f"id{self.streams}", None, before_reading)
         caller.disconnect()
         stream.check_runs(self.fleet.targets.runs(stream))
         return stream
