Relay: a repeated refusal was taken as the answer to the next request

Callers were told "not run, try again" (503) for requests that a target had run or was running (rule REFUSED), or such a request ran at a second target (rule TWICE). A target had written an earlier refusal once more on a kept connection, with the id of the other request, or without any id on a connection that had carried a refusal.

Cause: ClassifyAnswer looked at Not-Executed and at 421 before it compared the id. A refusal without an id was believed wherever it came. The connection went back to the pool after an answer to another request, while its target still worked on this one, so the next request met that answer in its turn. What lay in the socket of an idle connection when the next request was written counted as its answer. The same class: a limit of a target was taken from such a refusal, and an interim answer (1xx) counted as the answer, with Not-Executed as a refusal.

Evidence, test_stale_refusals on, 9 of its then 15 tests failed: test_with_the_id_of_another_request, test_without_an_id, test_without_its_id: AssertionError: 2 not less than or equal to 1 : ('/write/1', 503, 'at_once', ..): runs of one request that may run once test_bytes_that_arrive_before_the_request_is_written, test_several_in_series: 2 not less than or equal to 1 : ('/write/1', ..) test_other_stale_answers: ('/read/1', 200 with another id): 502 test_an_interim_answer_is_not_the_answer: ('/stream/once/1', 103, ..): 502 test_the_answer_after_one_to_another_request_is_relayed: 502 test_a_limit_in_a_stale_refusal_is_not_believed: requests refused

Now the head of an answer is attributed before anything else reads it: - With another request's id it answers nothing. It is skipped, within bounds, and the next answer is awaited if the request may run once only, or if the connection has carried the request that it names. Otherwise it may be all that the target sends, and the repeatable request goes to another target. - Without an id, only a refusal counts. If the connection has carried a refusal, it says nothing of a request that may run once only: 502, never a promise. - After a refusal without an id, a connection carries repeatable requests alone, which may run again. After a 421, or another answer without an id, it is closed. - The socket of a kept connection is looked at just before a request is written; if anything lies there, another connection is used. HttpClient does the same for calls to the store and to peers. - A refusal that may be an earlier one ends no limit. One that names a limit is still heard for a repeatable request: to miss a true one would break LIMIT. - Interim answers are skipped; 101 breaks the transfer.

Closing each connection after a refusal without an id would open one for every refusal.

Ruled out: TargetConnectionPool::Check reads no answer. A repeated answer of the store or of a peer that arrives while the next call is on its way can't be told from its answer, which carries no id; that stays open.

--- a/relay/http_client.cpp
+++ b/relay/http_client.cpp
@@ -29,6 +29,10 @@
     Finish(
         Error{ErrorCode::kUnknownEffect, address_ + " did not answer in time"});
   });
+  if (connection_ != nullptr && connection_->is_open() &&
+      connection_->HasUnexpectedInput()) {
+    connection_->Close();
+  }
   if (connection_ == nullptr || !connection_->is_open()) {
     const auto endpoint = ParseTcpEndpoint(address_);
     if (!endpoint) {
@@ -49,19 +53,22 @@
   }
   connection_->Send(
       head + "\r\n", body, false,
-      TransferHooks{
-          [this](int status, const HttpFields&) { reply_.status = status; },
-          [this](std::string_view bytes) { AppendBody(bytes); },
-          [this](TransferEnd end) {
-            if (end == TransferEnd::kComplete ||
-                end == TransferEnd::kCompleteAtClose) {
-              return Finish(reply_);
-            }
-            Finish(Error{end == TransferEnd::kNotConnected
-                             ? ErrorCode::kUnavailable
-                             : ErrorCode::kUnknownEffect,
-                         "the connection to " + address_ + " failed"});
-          }});
+      TransferHooks{[this](int status, const HttpFields&) {
+                      reply_.status = status;
+                      return HeadAction::kRead;
+                    },
+                    [this](std::string_view bytes) { AppendBody(bytes); },
+                    [this](TransferEnd end) {
+                      if (end == TransferEnd::kComplete ||
+                          end == TransferEnd::kCompleteAtClose) {
+                        return Finish(reply_);
+                      }
+                      Finish(
+                          Error{end == TransferEnd::kNotConnected
+                                    ? ErrorCode::kUnavailable
+                                    : ErrorCode::kUnknownEffect,
+                                "the connection to " + address_ + " failed"});
+                    }});
 }
 
 auto HttpClient::AppendBody(std::string_view bytes) -> void {
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -142,8 +142,8 @@
 auto RelayedRequest::SendToTarget() -> void {
   const auto now = MonotonicClock::now();
   attempt_started_at_ = now;
-  target_connection_ =
-      context_.target_connections.Acquire(placement_.target, now);
+  target_connection_ = context_.target_connections.Acquire(
+      placement_.target, IsRepeatable(*accepted_request_.route), now);
   if (target_connection_ == nullptr) {
     EndAttempt(AttemptOutcome::kNotReached);
     return RetryOrFail(AttemptOutcome::kNotReached);
@@ -160,10 +160,11 @@
   buffered_body_.clear();
   event_splitter_.Restart();
   const auto self = shared_from_this();
+  target_connection_->RecordRequest(request_.request_id);
   target_connection_->Send(
       EncodeTargetRequest(request_, attempt), body_, request_.method == "HEAD",
       TransferHooks{[self](int status, const HttpFields& fields) {
-                      self->OnHead(status, fields);
+                      return self->OnHead(status, fields);
                     },
                     [self](std::string_view bytes) { self->OnBody(bytes); },
                     [self](TransferEnd end) { self->OnTransferEnd(end); }});
@@ -174,10 +175,31 @@
          answer_.request_id == request_.request_id;
 }
 
-auto RelayedRequest::OnHead(int status, const HttpFields& fields) -> void {
-  answer_ = DecodeTargetAnswer(status, fields);
+auto RelayedRequest::OnHead(int status, const HttpFields& fields)
+    -> HeadAction {
+  auto answer = DecodeTargetAnswer(status, fields);
+  const auto past_refusals = target_connection_->past_refusals();
+  const auto is_repeatable = IsRepeatable(*accepted_request_.route);
+  const auto origin = FindAnswerOrigin(answer, request_.request_id,
+                                       is_repeatable, past_refusals);
+  target_connection_->RecordPastRefusal(RefusalKind(answer));
+  if (origin != AnswerOrigin::kThisRequest) {
+    LogStrayAnswer(context_.log, request_.request_id, placement_.target.id,
+                   answer);
+    // Unless the answer is a late one, it may be all that the target sends; a
+    // repeatable request then gets another sooner elsewhere.
+    const auto may_follow =
+        origin == AnswerOrigin::kOtherRequest &&
+        (!is_repeatable || target_connection_->HasCarried(answer.request_id));
+    return may_follow ? HeadAction::kSkip : HeadAction::kBreak;
+  }
+  answer_ = std::move(answer);
   is_success_from_target_ = IsFromTarget() && IsSuccess(status);
-  RecordLimit();
+  // An earlier refusal ends no limit.
+  if (!MayBeEarlierRefusal(answer_, past_refusals) || answer_.limit) {
+    RecordLimit();
+  }
+  return HeadAction::kRead;
 }
 
 auto RelayedRequest::RecordLimit() -> void {
@@ -280,7 +302,9 @@
   const auto now = MonotonicClock::now();
   const auto outcome = ClassifyAnswer(end);
   const auto connection = std::exchange(target_connection_, nullptr);
-  if (connection != nullptr) {
+  if (connection != nullptr && !IsReusableAfter(answer_)) {
+    connection->Close();
+  } else if (connection != nullptr) {
     context_.target_connections.Release(
         placement_.target, connection, answer_.keep_alive,
         context_.core.ConnectionShare(accepted_request_.pool, now), now);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -9,6 +9,7 @@
 
 #include "gateway/gateway.h"
 #include "platform/platform.h"
+#include "relay/answer_origin.h"
 #include "relay/event_splitter.h"
 #include "relay/http_connection.h"
 #include "relay/relay_context.h"
@@ -37,7 +38,7 @@
   auto WaitForPermit(const PermitWait& wait) -> void;
   auto StopWaitingForPermit() -> void;
   auto SendToTarget() -> void;
-  auto OnHead(int status, const HttpFields& fields) -> void;
+  auto OnHead(int status, const HttpFields& fields) -> HeadAction;
   // Tells the core what limit the target names in its answer.
   auto RecordLimit() -> void;
   auto OnBody(std::string_view bytes) -> void;
@@ -102,7 +103,7 @@
   // Whether a target may have executed the request in any attempt so far.
   bool may_have_run_ = false;
   bool is_stream_ = false;
-  // Head of the answer to the latest attempt.
+  // Head of the answer to the latest attempt; empty until it arrives.
   TargetAnswer answer_;
   // Whether that head has a 2xx status and comes from the target itself.
   bool is_success_from_target_ = false;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -12,6 +12,12 @@
 constexpr std::size_t kMaxAnswerHeaderBytes = 32768;
 // A target that takes longer to accept a connection counts as unreachable.
 constexpr Duration kConnectTimeout = milliseconds(400);
+// Answers, and bytes of their bodies, that are skipped while the one to the
+// request is awaited.
+constexpr int kMaxSkippedAnswers = 16;
+constexpr std::size_t kMaxSkippedBytes = 262144;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstSuccess = 200;
 
 }  // namespace
 
@@ -66,15 +72,26 @@
   is_busy_ = true;
   is_reusable_ = false;
   is_head_request_ = is_head_request;
+  skipped_answers_ = 0;
+  skipped_bytes_ = 0;
+  StartReader();
+  if (is_connected_) WriteMore();
+}
+
+auto TargetConnection::StartReader() -> void {
   is_head_handled_ = false;
+  head_action_ = HeadAction::kRead;
   reader_.emplace(kMaxAnswerHeaderBytes,
                   std::numeric_limits<std::uint64_t>::max(),
                   [this](std::string_view bytes) {
                     HandleHead();
-                    if (hooks_.on_body) hooks_.on_body(bytes);
+                    if (head_action_ != HeadAction::kRead) {
+                      skipped_bytes_ += bytes.size();
+                    } else if (hooks_.on_body) {
+                      hooks_.on_body(bytes);
+                    }
                   });
-  if (is_head_request) reader_->skip(true);
-  if (is_connected_) WriteMore();
+  if (is_head_request_) reader_->skip(true);
 }
 
 auto TargetConnection::WriteMore() -> void {
@@ -135,7 +152,9 @@
     const auto is_orderly = error == asio::error::eof;
     if (is_orderly && reader_->FinishAtEndOfStream()) {
       HandleHead();
-      return End(TransferEnd::kCompleteAtClose);
+      return End(head_action_ == HeadAction::kRead
+                     ? TransferEnd::kCompleteAtClose
+                     : TransferEnd::kBroken);
     }
     return End(TransferEnd::kBroken);
   }
@@ -158,14 +177,18 @@
     case Progress::kBodyTooLarge:
       return End(TransferEnd::kBroken);
     case Progress::kHeader:
-      return HandleHead();
-    case Progress::kNeedMore:
-      return;
     case Progress::kDone:
+      HandleHead();
+      break;
+    case Progress::kNeedMore:
       break;
   }
-  HandleHead();
   if (!is_busy_) return;
+  if (head_action_ == HeadAction::kBreak || skipped_bytes_ > kMaxSkippedBytes) {
+    return End(TransferEnd::kBroken);
+  }
+  if (progress != Progress::kDone) return;
+  if (head_action_ == HeadAction::kSkip) return SkipAnswer();
   const auto total = head_.size() + (body_ ? body_->size() : 0);
   is_reusable_ = in_.empty() && written_ == total && reader_->keep_alive();
   End(TransferEnd::kComplete);
@@ -174,7 +197,23 @@
 auto TargetConnection::HandleHead() -> void {
   if (is_head_handled_) return;
   is_head_handled_ = true;
-  if (hooks_.on_head) hooks_.on_head(reader_->status(), reader_->fields());
+  const auto status = reader_->status();
+  if (status == kSwitchingProtocols) {
+    // The router never asks for another protocol.
+    head_action_ = HeadAction::kBreak;
+  } else if (status < kFirstSuccess) {
+    head_action_ = HeadAction::kSkip;  // An interim answer.
+  } else if (hooks_.on_head) {
+    head_action_ = hooks_.on_head(status, reader_->fields());
+  }
+}
+
+auto TargetConnection::SkipAnswer() -> void {
+  if (++skipped_answers_ > kMaxSkippedAnswers) {
+    return End(TransferEnd::kBroken);
+  }
+  StartReader();
+  HandleInput();
 }
 
 auto TargetConnection::End(TransferEnd end) -> void {
@@ -194,6 +233,23 @@
   WaitReadable();
 }
 
+auto TargetConnection::RecordRequest(std::string_view request_id) -> void {
+  request_ids_[next_request_id_] = StableHash(request_id);
+  next_request_id_ = (next_request_id_ + 1) % kKeptRequestIds;
+}
+
+auto TargetConnection::HasCarried(std::string_view request_id) const -> bool {
+  return std::find(request_ids_.begin(), request_ids_.end(),
+                   StableHash(request_id)) != request_ids_.end();
+}
+
+auto TargetConnection::HasUnexpectedInput() -> bool {
+  std::array<char, 1> byte{};
+  error_code error;
+  socket_.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
 auto TargetConnection::Close() -> void {
   is_busy_ = false;
   is_reusable_ = false;
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -3,6 +3,9 @@
 #ifndef RELAY_TARGET_CONNECTION_H_
 #define RELAY_TARGET_CONNECTION_H_
 
+#include <algorithm>
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,10 +27,25 @@
   kBroken,        // The connection or the answer broke off.
 };
 
+// What the owner of a transfer decides by the head of an answer.
+enum class HeadAction {
+  kRead,
+  kSkip,   // It answers another request; the next answer is read.
+  kBreak,  // The transfer ends as broken.
+};
+
+// Refusals that a connection has carried, as far as they bear on its next
+// answers.
+enum class PastRefusals {
+  kNone,
+  kWithId,     // A repeated one can be told by its id.
+  kWithoutId,  // A repeated one can't be told from the next answer.
+};
+
 // Callbacks to the owner of a transfer. None is called after `on_end` or after
 // `Close`.
 struct TransferHooks {
-  std::function<void(int status, const HttpFields&)> on_head;
+  std::function<HeadAction(int status, const HttpFields&)> on_head;
   std::function<void(std::string_view)> on_body;
   std::function<void(TransferEnd)> on_end;
 };
@@ -54,18 +72,37 @@
   // sends unexpected data.
   auto MarkIdle(std::function<void()> on_lost) -> void;
 
+  // Whether the socket of an idle connection holds bytes, or was closed by the
+  // other end; the connection can't carry another request then.
+  auto HasUnexpectedInput() -> bool;
+
+  // Records the id of a request that was sent; the latest ones are kept.
+  auto RecordRequest(std::string_view request_id) -> void;
+  // Whether the connection has carried the request, as far as is known.
+  auto HasCarried(std::string_view request_id) const -> bool;
+
+  auto RecordPastRefusal(PastRefusals refusal) -> void {
+    past_refusals_ = std::max(past_refusals_, refusal);
+  }
+  auto past_refusals() const -> PastRefusals { return past_refusals_; }
+
   auto is_open() const -> bool { return socket_.is_open(); }
   // Whether the connection can carry another request after a complete answer.
   auto is_reusable() const -> bool { return is_reusable_; }
 
  private:
+  // A late answer follows few other requests.
+  static constexpr std::size_t kKeptRequestIds = 8;
+
   auto OnConnected(error_code error) -> void;
   auto ReportConnected(bool is_connected) -> void;
   auto WriteMore() -> void;
   auto WaitReadable() -> void;
   auto OnReadable() -> void;
+  auto StartReader() -> void;
   auto HandleInput() -> void;
   auto HandleHead() -> void;
+  auto SkipAnswer() -> void;
   auto End(TransferEnd end) -> void;
 
   tcp::socket socket_;
@@ -88,10 +125,18 @@
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_head_handled_ = false;
+  HeadAction head_action_ = HeadAction::kRead;
+  // Answers skipped since the request was sent, and the bytes of their bodies.
+  int skipped_answers_ = 0;
+  std::size_t skipped_bytes_ = 0;
   bool is_reading_ = false;
   bool is_handling_input_ = false;
   bool is_paused_ = false;
   bool is_reusable_ = false;
+  PastRefusals past_refusals_ = PastRefusals::kNone;
+  // Hashes of the ids of the latest requests; zero for none.
+  std::array<std::uint64_t, kKeptRequestIds> request_ids_{};
+  std::size_t next_request_id_ = 0;
 };
 
 }  // namespace papayaplank
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "relay/answer_origin.h"
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -15,9 +16,44 @@
 constexpr Duration kDefaultKeepAlive = milliseconds(2000);
 constexpr std::size_t kMaxIdlePerTarget = 16;
 
+// Whether the connection may carry repeatable requests only.
+auto IsRestricted(const TargetConnection& connection) -> bool {
+  return !MayCarry(connection.past_refusals(), false);
+}
+
 }  // namespace
 
-auto TargetConnectionPool::Acquire(const TargetRow& target, Time now)
+auto TargetConnectionPool::TakeIdle(std::list<IdleConnection>& idle,
+                                    bool is_restricted, Time now)
+    -> std::shared_ptr<TargetConnection> {
+  for (auto entry = idle.end(); entry != idle.begin();) {
+    --entry;
+    if (IsRestricted(*entry->connection) != is_restricted) continue;
+    const auto candidate = *entry;
+    entry = idle.erase(entry);
+    if (candidate.connection->is_open() && now < candidate.usable_until &&
+        !candidate.connection->HasUnexpectedInput()) {
+      return candidate.connection;
+    }
+    candidate.connection->Close();
+  }
+  return nullptr;
+}
+
+auto TargetConnectionPool::CloseRestricted(std::list<IdleConnection>& idle)
+    -> bool {
+  const auto oldest =
+      std::find_if(idle.begin(), idle.end(), [](const IdleConnection& entry) {
+        return IsRestricted(*entry.connection);
+      });
+  if (oldest == idle.end()) return false;
+  oldest->connection->Close();
+  idle.erase(oldest);
+  return true;
+}
+
+auto TargetConnectionPool::Acquire(const TargetRow& target, bool is_repeatable,
+                                   Time now)
     -> std::shared_ptr<TargetConnection> {
   auto& entry = targets_[target.id];
   if (entry.address != target.address) {
@@ -25,15 +61,10 @@
     targets_[target.id].address = target.address;
   }
   auto& idle = targets_[target.id].idle;
-  while (!idle.empty()) {
-    // The one returned last has been idle for the shortest time.
-    const auto newest = idle.back();
-    idle.pop_back();
-    if (newest.connection->is_open() && now < newest.usable_until) {
-      return newest.connection;
-    }
-    newest.connection->Close();
-  }
+  // Leaves the others to requests that need them.
+  auto kept = is_repeatable ? TakeIdle(idle, true, now) : nullptr;
+  if (kept == nullptr) kept = TakeIdle(idle, false, now);
+  if (kept != nullptr) return kept;
   const auto endpoint = ParseTcpEndpoint(target.address);
   if (!endpoint) return nullptr;
   auto connection = std::make_shared<TargetConnection>(io_);
@@ -49,10 +80,13 @@
     -> void {
   const auto entry = targets_.find(target.id);
   if (!connection->is_reusable() || entry == targets_.end() ||
-      entry->second.address != target.address ||
-      entry->second.idle.size() >= std::min(max_idle, kMaxIdlePerTarget)) {
-    connection->Close();
-    return;
+      entry->second.address != target.address) {
+    return connection->Close();
+  }
+  const auto limit = std::min(max_idle, kMaxIdlePerTarget);
+  if (entry->second.idle.size() >= limit &&
+      (IsRestricted(*connection) || !CloseRestricted(entry->second.idle))) {
+    return connection->Close();
   }
   const auto stated = keep_alive.value_or(kDefaultKeepAlive);
   const auto usable = Scale(stated, kUsableKeepAliveShare);
