Relay: callers of HTTP/1.0 that read late lost the end of their answer

What callers saw: the last bytes of a whole answer were missing, and the connection ended in an orderly way, which ends an answer of HTTP/1.0.

Cause: the connection is reset only while an answer goes on. Once the request is done, the last bytes may still wait in the router; a caller that half-closed, or the idle timeout, dropped them and closed in an orderly way. Class: the end of a step taken for its effect at the other side.

Evidence: test_a_caller_of_http_1_0_that_reads_late_gets_all_or_a_reset, 3932160 != 3976075 and 3932160 != 4004731 bytes before; passes with the change. Ruled out: chunked answers, whose missing end shows.

--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -50,7 +50,7 @@
   // The hooks may drop the last reference to the connection.
   const auto self = shared_from_this();
   error_code ignored;  // The socket is closed whatever its state.
-  if (is_unframed_ && is_answering_) {
+  if (is_unframed_ && (is_answering_ || !out_.empty())) {
     // An orderly end would complete the answer; this one resets the connection.
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   }
