Caller connections: a late reader got a 408 after its last answer

What callers saw: a caller of HTTP/1.0 that had sent a byte too many and read its answer late found the head of a 408 at the end of the body.

Cause: the timeout of a request that is being read also held for bytes that arrive after the last answer of a connection, which belong to no request.

--- a/tests/process/test_review_streams.py
+++ b/tests/process/test_review_streams.py
@@ -99,6 +99,16 @@
         self.start(LongTarget)
         self.check_answers_that_wait(check)
 
+    def test_a_caller_that_reads_late_gets_no_408_after_its_answer(self):
+        def check(caller, size):
+            caller.sendall(b"x")
+            time.sleep(1.5)
+            self.check_all_or_reset(caller, size)
+        self.document["limits"]["header-timeout-ms"] = 500
+        self.store.put("op", "config", self.document)
+        self.start(LongTarget)
+        self.check_answers_that_wait(check)
+
 
 if __name__ == "__main__":
     unittest.main()
