Relay: a target that crashed behind a slow caller counted as alive

What callers saw: a slow caller of an answer without framing got the closing chunk although its target had crashed in the middle and had started again since.

Cause: while a caller is slow the router doesn't read from the target, so it learns of the end when the caller has caught up; whether the target listens then says nothing about the time of the end. Class as for a paused router.

A connection whose reading was paused for longer than a process needs to start again takes an orderly end soon after it as broken. A whole answer without framing to so slow a caller is cut as well: it can't be told from the other.

--- a/relay/loop_watch.cpp
+++ b/relay/loop_watch.cpp
@@ -4,15 +4,6 @@
 #include <algorithm>
 
 namespace papayaplank {
-namespace {
-
-// A process that has ended takes longer than this to start again.
-constexpr Duration kLeastRestartTime = milliseconds(250);
-// Time in which a loop that stood still handles what had arrived.
-constexpr Duration kCatchUpTime = milliseconds(500);
-
-}  // namespace
-
 auto LoopWatch::Start(Time now, Duration boot_time) -> void {
   last_tick_ = now;
   boot_offset_ = boot_time - now.time_since_epoch();
--- a/relay/loop_watch.h
+++ b/relay/loop_watch.h
@@ -7,6 +7,11 @@
 
 namespace papayaplank {
 
+// A process that has ended takes longer than this to start again.
+inline constexpr Duration kLeastRestartTime = milliseconds(250);
+// Time in which what had arrived meanwhile is handled after a delay.
+inline constexpr Duration kCatchUpTime = milliseconds(500);
+
 // Fed by a periodic timer of the loop; `boot_time` also counts the time for
 // which the machine was suspended.
 class LoopWatch {
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -339,15 +339,18 @@
   const auto is_whole = outcome == AttemptOutcome::kComplete ||
                         outcome == AttemptOutcome::kServerError;
   if (is_whole && end == TransferEnd::kCompleteAtClose) {
-    return ConfirmEnd(outcome);
+    const auto may_be_late =
+        connection != nullptr && connection->MayBeLate(now);
+    return ConfirmEnd(outcome, may_be_late);
   }
   EndAnswer(outcome);
 }
 
-auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome) -> void {
+auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome, bool may_be_late)
+    -> void {
   // The connections of a killed process end like such an answer. If the end is
   // old, another process may listen there by now.
-  if (context_.has_stood_still()) {
+  if (may_be_late || context_.has_stood_still()) {
     return EndAnswer(AttemptOutcome::kBroken);
   }
   context_.target_connections.ConfirmAlive(
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -45,8 +45,8 @@
   auto OnTransferEnd(TransferEnd end) -> void;
   auto ClassifyAnswer(TransferEnd end) const -> AttemptOutcome;
   // Ends an answer that ended with its connection: as broken if the target
-  // doesn't live on.
-  auto ConfirmEnd(AttemptOutcome outcome) -> void;
+  // doesn't live on, or if the end may be too old to tell.
+  auto ConfirmEnd(AttemptOutcome outcome, bool may_be_late) -> void;
   auto EndAnswer(AttemptOutcome outcome) -> void;
   // Whether the answer was produced by the target for this request, not by a
   // proxy in between.
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <limits>
 
+#include "relay/loop_watch.h"
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -143,9 +144,19 @@
                      });
 }
 
+auto TargetConnection::PauseReading() -> void {
+  if (!is_paused_) paused_at_ = MonotonicClock::now();
+  is_paused_ = true;
+}
+
 auto TargetConnection::ResumeReading() -> void {
   if (!is_paused_) return;
   is_paused_ = false;
+  const auto now = MonotonicClock::now();
+  // A pause within that time prolongs it: the rest may still be unread.
+  if (now - paused_at_ >= kLeastRestartTime || paused_at_ < late_until_) {
+    late_until_ = now + kCatchUpTime;
+  }
   WaitReadable();
 }
 
@@ -244,6 +255,7 @@
   on_lost_ = std::move(on_lost);
   in_ = std::string();
   is_paused_ = false;
+  late_until_ = {};
   WaitReadable();
 }
 
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -68,8 +68,11 @@
   auto Close() -> void;
 
   // Flow control: reading pauses while the caller is slow.
-  auto PauseReading() -> void { is_paused_ = true; }
+  auto PauseReading() -> void;
   auto ResumeReading() -> void;
+  // Whether reading was paused lately for so long that what is read now may
+  // have arrived long ago.
+  auto MayBeLate(Time now) const -> bool { return now < late_until_; }
 
   // Marks the connection idle; `on_lost` is called when the target closes it or
   // sends unexpected data.
@@ -135,6 +138,9 @@
   bool is_reading_ = false;
   bool is_handling_input_ = false;
   bool is_paused_ = false;
+  // When the latest pause began, and until when its delay may show.
+  Time paused_at_{};
+  Time late_until_{};
   bool is_reusable_ = false;
   PastRefusals past_refusals_ = PastRefusals::kNone;
   // Hashes of the ids of the latest requests; zero for none.
