Tests: a preempted stream goes on in order, also for slow callers

Looked for in the state machine: late reports of an attempt that was cancelled, and an answer buffer that two attempts share. The run excludes it: four batch streams and six interactive ones at two slots, half of the callers slow, so that cancelled attempts are suspended.

--- a/tests/process/test_router_streams.py
+++ b/tests/process/test_router_streams.py
@@ -4,6 +4,7 @@
 import os
 import re
 import sys
+import threading
 import time
 import unittest
 
@@ -411,6 +412,50 @@
                 self.assertFalse(answer.is_whole, answer)
 
 
+class PreemptedStreamTest(unittest.TestCase):
+    def test_preempted_stream_goes_on_without_a_gap(self):
+        last = 300
+        padding = b" " * 2000  # So that slow callers suspend the target.
+
+        def event(number):
+            return b'data: {"token": %d}%s\n\n' % (number, padding)
+
+        def serve(connection, request):
+            connection.sendall(raw.stream_head(request))
+            for i in range(request.resumes_after + 1, last + 1):
+                connection.sendall(raw.chunk(event(i)))
+                time.sleep(0.005)
+            connection.sendall(raw.chunk(raw.END_MARK) + raw.chunk(b""))
+        engine = raw.RawTarget(serve)
+        fleet = raw.RawFleet(BUILD, engine, slots=2)
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        router = fleet.routers[0]
+        answers = []
+
+        def ask(headers, pause):
+            connection = raw.send(router, "/v1/chat/completions", raw.prompt(),
+                                  **headers)
+            answers.append(raw.receive(connection, pause))
+        callers = []
+        for i in range(10):
+            headers = {"X_Papayaplank_Class": "report"} if i < 4 else {}
+            callers.append(threading.Thread(target=ask,
+                                            args=(headers, i % 2 * 1.5)))
+            callers[-1].start()
+            time.sleep(0.2 if i == 3 else 0.02)
+        for each in callers:
+            each.join()
+        whole = b"".join(event(i) for i in range(1, last + 1)) + raw.END_MARK
+        for answer in answers:
+            self.assertTrue(answer.is_whole)
+            self.assertTrue(answer.body == whole)
+        self.assertEqual(len(answers), len(callers))
+        metrics = fleet.metrics(router)
+        self.assertGreater(
+            metrics["papayaplank_streams_preempted_total"], 0)
+
+
 if __name__ == "__main__":
     BUILD = sys.argv.pop(1)
     unittest.main()
