Gateway: one nested message ended every router that read it

Routers ended by themselves (SIGSEGV). One datagram of 65,000 bytes 0x81 at the peer port is enough, and so is one row of another writer in table `quarantine`: every watcher reads it a second after its start, also the next one, so processes end again and again.

Cause: the JSON library decodes CBOR by a call for each level (arrays, maps, tags, and texts and bytes in pieces), so bytes of a peer or of a row exhaust the stack. The guard against exceptions doesn't see it. Class: bytes from outside are handed to a recursive decoder before their structure is checked.

IsBoundedCbor walks over the items with a stack of its own: at most 8 levels (messages have 4), stated lengths that the bytes can hold, no tags and nothing without a stated length, as no message has any.

Ruled out: the JSON parser and its destructor, which need no stack (NestedTextTest, up to 2,000,000 levels).

--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -8,6 +8,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "gateway/cbor_structure.h"
+
 namespace papayaplank {
 namespace {
 
@@ -428,6 +430,7 @@
 }
 
 auto DecodePeerMessage(std::string_view bytes) -> std::optional<PeerMessage> {
+  if (!IsBoundedCbor(bytes)) return std::nullopt;
   // The library throws if a member is missing or has the wrong type, and, even
   // if told not to throw, if a stated length is beyond the memory.
   try {
