Gateway: a huge load lost all of a router's reports

A peer drops a whole message for one number above 1e15. A sum of tokens, which callers' headers state, was encoded as it is, so that one request with a token count of 19 digits made all peers drop all reports of its router; without reports a router counts as gone.

Loads and rates are bounded where they are encoded, by the bound of decoding.

Before: PeerMessagesTest.AHugeLoadLosesNoReport Value of: decoded && std::holds_alternative<PeerReport>(*decoded) Actual: false

--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -40,6 +40,9 @@
 // Cores are sent in hundredths.
 constexpr double kCoreSteps = 100;
 
+// Of loads, rates and cores; larger ones would lose whole numbers.
+constexpr double kLargestNumber = 1e15;
+
 // Throws like the library if `json` is not a number of that type and range. The
 // library itself converts other numbers, whatever comes of it.
 template <typename Number>
@@ -53,15 +56,16 @@
       if (std::in_range<Number>(value)) return static_cast<Number>(value);
     }
   } else if (json.is_number()) {
-    // Loads, rates and cores; larger ones would lose whole numbers.
-    constexpr double kLargest = 1e15;
     const auto value = json.get<double>();
-    if (value >= 0 && value <= kLargest) return value;
+    if (value >= 0 && value <= kLargestNumber) return value;
   }
   throw Json::other_error::create(0, "not a number of this range", &json);
 }
 
-auto Rounded(double value) -> std::int64_t { return std::lround(value); }
+// A peer drops a whole message for one number out of range.
+auto Rounded(double value) -> std::int64_t {
+  return value > 0 ? std::lround(std::min(value, kLargestNumber)) : 0;
+}
 
 auto EncodeState(const RouterState& state) -> Json {
   const auto flags = (state.is_leaving ? kLeavingBit : 0) |
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -48,6 +48,19 @@
   EXPECT_TRUE(copy.is_store_continuous);
 }
 
+TEST(PeerMessagesTest, AHugeLoadLosesNoReport) {
+  PeerReport report;
+  report.peer_address = "10.0.0.1:7400";
+  report.sequence = 12;
+  report.loads = {{1, LoadShare{1e18, 3, 1e300}}, {2, LoadShare{5, 1, 7}}};
+  report.rates = {{CustomerId("a"), CustomerRate{1e300, 1e18}}};
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(report));
+  ASSERT_TRUE(decoded && std::holds_alternative<PeerReport>(*decoded));
+  const auto& copy = std::get<PeerReport>(*decoded);
+  EXPECT_GT(copy.loads[0].second.queued_tokens, 1e14);
+  EXPECT_EQ(copy.loads[1].second.memory_tokens, 7);
+}
+
 TEST(PeerMessagesTest, DecodedLimitsAndPermitsEqualTheEncodedOnes) {
   TargetLimitRecord record;
   record.target = 4000000000U;
