Gateway: rows of routers that are gone delayed the list of targets

Routers no longer followed the list of targets: with 300 rows in table `routers` whose routers don't exist, a new target got no request for 20 s and more, and a draining one is left as late.

Cause: the period of the target list grows with the routers that share the work, and each row of the table counted as one, heard or not, as long as the row is there. The change from mesh to hubs counted the same way. A router that crashes leaves its row for good, so the cause needs no other writer.

Rows without a report count for the first 7 s of a router only, when the reports of routers that start together are on the way; a delay that is chosen then is bounded, so that it ends within the 11 s that a change may take.

Not changed: what LimitGuard takes for the size of a partition still counts all known addresses, which errs to the safe side.

--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -80,7 +80,7 @@
   peers_.DropSilent(now);
   near_.DropSilent(now);
   far_.DropSilent(now);
-  if (peers_.size() < kLargestMesh) {
+  if (peers_.ExpectedCount(now) < kLargestMesh) {
     SetRole(ExchangeRole::kMesh, now);
   } else {
     const auto ranks =
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kShortestListPeriod = milliseconds(700);
 constexpr Duration kLongestListPeriod = seconds(30);
 constexpr Duration kLongestRecoveryListPeriod = milliseconds(1500);
+// The same while rows count whose routers may be gone.
+constexpr Duration kLongestUnsettledListPeriod = seconds(7);
 // A delay between two reads differs from the average by at most this share.
 constexpr double kListDelaySpread = 0.5;
 // Average time between two reads of the router list in the whole fleet, and
@@ -196,11 +198,14 @@
 
 auto GatewayCore::NextTargetListDelay(Time now) -> Duration {
   // At the start, the rows of the others are known before their reports.
-  const auto routers = static_cast<int>(peers_.size()) + 1;
+  const auto routers = static_cast<int>(peers_.ExpectedCount(now)) + 1;
   const auto relies_on_peers =
       !IsStoreRecovering(now) && exchange_.is_informed(now);
-  const auto longest =
+  auto longest =
       relies_on_peers ? kLongestListPeriod : kLongestRecoveryListPeriod;
+  if (!peers_.is_settled(now)) {
+    longest = std::min(longest, kLongestUnsettledListPeriod);
+  }
   const auto mean =
       std::clamp(kFleetListPeriod * routers, kShortestListPeriod, longest);
   const auto factor =
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -15,6 +15,10 @@
 // A router whose row was found may become a hub for this long before its first
 // report, so that routers that start together choose the same ones.
 constexpr Duration kUnheardHubTime = milliseconds(1500);
+// Routers whose rows this router found at its start have reported by then. The
+// delay of a target list that was chosen before ends within the 11 s that a
+// change may take.
+constexpr Duration kSettleTime = seconds(7);
 // Reports go to a silent address for this long, so that both sides find each
 // other again after a network partition.
 constexpr Duration kDropAfter = seconds(60);
@@ -41,6 +45,7 @@
 }
 
 auto PeerTable::AddSeeds(const std::vector<PeerSeed>& seeds, Time now) -> void {
+  if (seeded_at_ == Time{}) seeded_at_ = now;
   for (const auto& seed : seeds) {
     if (seed.peer_address == self_address_) continue;
     auto& peer = FindOrAdd(seed.peer_address, now);
@@ -154,6 +159,17 @@
   return live_count_;
 }
 
+auto PeerTable::ExpectedCount(Time now) const -> std::size_t {
+  if (!is_settled(now)) return peers_.size();
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& entry) { return entry.second.has_state; }));
+}
+
+auto PeerTable::is_settled(Time now) const -> bool {
+  return now - seeded_at_ > kSettleTime;
+}
+
 auto PeerTable::LivePeers(Time now) const -> std::vector<LivePeer> {
   std::vector<LivePeer> live;
   for (const auto& [address, peer] : peers_) {
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -109,6 +109,11 @@
   auto LiveIssuers(Time now) const -> PermitIssuers;
   // Number of live routers.
   auto LiveCount(Time now) const -> std::size_t;
+  // Number of routers of which a router has told. Until the table is settled,
+  // those whose rows were found count too: their reports are on the way. Later
+  // they don't, as the row of a router that is gone may stay for good.
+  auto ExpectedCount(Time now) const -> std::size_t;
+  auto is_settled(Time now) const -> bool;
   // Number of known routers, live or not.
   auto size() const -> std::size_t { return peers_.size(); }
 
@@ -135,6 +140,8 @@
 
   std::string self_address_;
   std::map<std::string, Peer> peers_;
+  // When the first rows were found.
+  Time seeded_at_{};
   // Result of `LiveCount` at `counted_at_`, of `counted_peers_` known routers.
   mutable std::size_t live_count_ = 0;
   mutable std::size_t counted_peers_ = 0;
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -169,6 +169,40 @@
   EXPECT_TRUE(peers.ServingRouters(kStart).empty());
 }
 
+TEST(PeerTableTest, RowsOfRoutersThatAreGoneDelayNoTargetList) {
+  GatewayOptions options;
+  options.router = RouterId("self:1#1");
+  options.peer_address = "self:1";
+  options.data_center = DataCenterId("west");
+  GatewayCore core(options);
+  std::vector<PeerSeed> seeds;
+  for (int i = 0; i < 300; ++i) {
+    seeds.push_back({"gone:" + std::to_string(i), DataCenterId("west"), 1});
+  }
+  core.AddPeers({seeds[0]}, kStart);
+  EXPECT_LT(core.NextTargetListDelay(kStart), seconds(11));
+  auto now = kStart;
+  const auto report_until = [&](Time until) {
+    for (; now < until; now += milliseconds(100)) {
+      PeerReport report;
+      report.started_unix_ms = 1;
+      report.sequence =
+          static_cast<std::uint64_t>(now.time_since_epoch() / milliseconds(1));
+      report.peer_address = "peer:1";
+      report.data_center = DataCenterId("west");
+      report.is_store_continuous = true;
+      core.HandleReport(report, now);
+      core.MakePeerMessages(now);
+    }
+  };
+  report_until(kStart + seconds(15));
+  core.AddPeers(seeds, now);
+  report_until(kStart + seconds(16));
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_LT(core.NextTargetListDelay(now), milliseconds(1500));
+  }
+}
+
 TEST(PeerTableTest, ALateReportChangesNothing) {
   PeerTable peers("self:1");
   PeerReport report;
