Platform: rows of other writers named targets and filled messages

A row of another writer in table `servers` named a target if it had a colon in its address: with port 99999, a host name, slots of 2^32+1 (taken as 1) or 2^31 (taken as negative), without `seq` or `version`, with a line break in its id (which goes into a header to targets), or with a zone of 60,000 bytes, which goes into the datagrams to peers: these can't be sent, and a router without reports counts as gone. Sends failed one by one. Rows of routers and of quarantined parts were taken as loosely (cores of 1e300, times of 2^63, any number of records in a row), and each malformed router row was logged at each read.

Class: values from outside are cast and passed on, and fail where they are used. Rows are now decoded once into checked types: the platform's members with their types, an address of the form IP:port, names of at most 200 bytes and numbers in range, as the users' page says that an entry with members missing or of another type names no runner. A row that is refused is logged once, with its cause, at most 256 of a table; texts in log lines are cut. `born` may be missing, as in the users' examples.

TargetRowTest.RejectsMalformedRows gets a good row with all members of the platform's page, since a row without `version` and `cold-left-ms` is now refused; it checks what it checked.

--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -71,7 +71,7 @@
   PoolId pool;
   // Targets that take new requests.
   std::size_t targets = 0;
-  int slots = 0;
+  std::int64_t slots = 0;
   // Requests in progress at these targets, from this router and its peers.
   int requests = 0;
   // Retries that this router's part of the retry budget still allows.
--- a/relay/event_log.cpp
+++ b/relay/event_log.cpp
@@ -23,6 +23,9 @@
                                          : kRoutineLinesPerSecond;
 }
 
+// Longer texts are cut.
+constexpr std::size_t kMaxTextBytes = 512;
+
 // Ratios and times need no more than three decimals.
 auto Rounded(double value) -> double {
   constexpr double kStepsPerUnit = 1000;
@@ -35,6 +38,12 @@
     line[name] = Rounded(*number);
     return;
   }
+  if (const auto* text = std::get_if<std::string_view>(&value)) {
+    line[name] = text->size() <= kMaxTextBytes
+                     ? std::string(*text)
+                     : std::string(text->substr(0, kMaxTextBytes)) + "...";
+    return;
+  }
   std::visit([&line, name](const auto& v) { line[name] = v; }, value);
 }
 
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -25,7 +25,8 @@
   const std::vector<MetricLabel> labels = {{"pool", state.pool.value()}};
   metrics.SetValue("papayaplank_pool_targets", labels,
                    static_cast<double>(state.targets));
-  metrics.SetValue("papayaplank_pool_slots", labels, state.slots);
+  metrics.SetValue("papayaplank_pool_slots", labels,
+                   static_cast<double>(state.slots));
   metrics.SetValue("papayaplank_pool_requests", labels, state.requests);
   metrics.SetValue("papayaplank_pool_repeats_left", labels, state.retries_left);
 }
--- a/relay/quarantine_store.cpp
+++ b/relay/quarantine_store.cpp
@@ -13,6 +13,8 @@
 // A row is written again if the newest crash is later than the stored one by
 // this much, so that the delay of the next try goes on from there.
 constexpr Duration kRewriteAge = seconds(30);
+// Of a row; no evidence counts for so long.
+constexpr milliseconds kLongestAge = std::chrono::hours(24);
 constexpr int kOk = 200;
 // Name of the store calls in the log.
 constexpr char kStoreCallName[] = "quarantine";
@@ -29,7 +31,7 @@
                                  EventLog& log)
     : core_(core),
       store_health_(store_health),
-      log_(log),
+      malformed_rows_(log, "quarantine_row_malformed"),
       store_client_(io, store_address),
       started_at_(MonotonicClock::now()) {}
 
@@ -70,27 +72,28 @@
 auto QuarantineStore::ApplyRow(const StoreRow& row, std::int64_t store_ms)
     -> void {
   const auto decoded = DecodeQuarantineRow(row.value);
-  const auto message = IsOk(decoded)
-                           ? DecodePeerMessage(ValueOf(decoded).evidence)
-                           : std::optional<PeerMessage>();
+  if (!IsOk(decoded)) {
+    return malformed_rows_.Log(row.key, ErrorOf(decoded).message);
+  }
+  const auto message = DecodePeerMessage(ValueOf(decoded).evidence);
   const auto* evidence =
       message ? std::get_if<PartEvidence>(&*message) : nullptr;
-  if (evidence == nullptr) {
-    log_.Write(LogClass::kState, "quarantine_row_malformed",
-               {{"key", row.key}});
-    return;
+  if (evidence == nullptr || evidence->records.size() != 1 ||
+      EncodePartId(evidence->records[0].part) != row.key) {
+    return malformed_rows_.Log(
+        row.key, "evidence is not one record of the part that the key names");
   }
   const auto now = MonotonicClock::now();
   // The row has aged in the store.
-  const Duration in_store = milliseconds(
-      std::max<std::int64_t>(0, store_ms - ValueOf(decoded).store_ms));
-  auto aged = *evidence;
-  for (auto& record : aged.records) {
-    for (auto& crash : record.crashes) crash.age += in_store;
-    if (record.sound) record.sound->age += in_store;
-    stored_[record.part] = NewestCrash(record, now);
-  }
-  core_.HandleStoredEvidence(aged, now);
+  const Duration in_store = std::clamp<Duration>(
+      milliseconds(std::min(store_ms - ValueOf(decoded).store_ms,
+                            std::int64_t{kLongestAge.count()})),
+      Duration{}, kLongestAge);
+  auto record = evidence->records[0];
+  for (auto& crash : record.crashes) crash.age += in_store;
+  if (record.sound) record.sound->age += in_store;
+  stored_[record.part] = NewestCrash(record, now);
+  core_.HandleStoredEvidence(PartEvidence{{record}}, now);
 }
 
 auto QuarantineStore::StoreChange(Time now) -> void {
--- a/relay/quarantine_store.h
+++ b/relay/quarantine_store.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway.h"
 #include "relay/event_log.h"
 #include "relay/http_client.h"
+#include "relay/malformed_rows.h"
 #include "relay/store_health.h"
 
 namespace papayaplank {
@@ -41,7 +42,7 @@
 
   GatewayCore& core_;
   StoreHealth& store_health_;
-  EventLog& log_;
+  MalformedRows malformed_rows_;
   HttpClient store_client_;
   Time started_at_{};
   Time next_call_at_{};
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -12,7 +12,6 @@
 constexpr Duration kFirstRetryDelay = milliseconds(200);
 constexpr Duration kMaxRetryDelay = milliseconds(1600);
 constexpr Duration kMaxRetryDelayWithoutTargets = milliseconds(400);
-constexpr std::size_t kMaxMalformedRowsLogged = 256;
 constexpr int kOk = 200;
 
 auto HasSucceeded(const Outcome<HttpReply>& reply) -> bool {
@@ -34,7 +33,9 @@
       own_row_(std::move(own_row)),
       store_client_(io, store_address),
       timer_(io),
-      random_(StableHash(own_row_.key)) {}
+      random_(StableHash(own_row_.key)),
+      malformed_targets_(log, "target_row_malformed"),
+      malformed_routers_(log, "router_row_malformed") {}
 
 auto ServiceRegistryReader::Schedule(Duration delay) -> void {
   timer_.expires_after(delay);
@@ -103,13 +104,10 @@
 auto ServiceRegistryReader::AddTargetRow(const StoreRow& row) -> void {
   if (row.is_removed) return;
   auto target = DecodeTargetRow(row.key, row.value);
-  if (target) {
-    listed_targets_.push_back(std::move(*target));
-    return;
+  if (!IsOk(target)) {
+    return malformed_targets_.Log(row.key, ErrorOf(target).message);
   }
-  if (malformed_rows_.size() >= kMaxMalformedRowsLogged) return;
-  if (!malformed_rows_.insert(row.key).second) return;
-  log_.Write(LogClass::kState, "target_row_malformed", {{"target", row.key}});
+  listed_targets_.push_back(std::move(ValueOf(target)));
 }
 
 auto ServiceRegistryReader::ApplyTargetChange(const DirectoryChange& change)
@@ -135,22 +133,22 @@
       [this](const Outcome<HttpReply>& reply) { HandleRouterRows(reply); });
 }
 
+auto ServiceRegistryReader::AddRouterRow(const StoreRow& row) -> void {
+  if (row.is_removed || row.key == own_row_.key) return;
+  const auto router = DecodeRouterRow(row.value);
+  if (!IsOk(router)) {
+    return malformed_routers_.Log(row.key, ErrorOf(router).message);
+  }
+  const auto& value = ValueOf(router);
+  listed_routers_.push_back(
+      PeerSeed{value.peer_address, value.data_center, value.cores});
+}
+
 auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply)
     -> void {
   const auto rows = store_health_.DecodeRows("routers", reply);
   if (!rows) return ScheduleRetry();
-  for (const auto& row : rows->rows) {
-    if (row.is_removed || row.key == own_row_.key) continue;
-    const auto router = DecodeRouterRow(row.value);
-    if (IsOk(router)) {
-      const auto& value = ValueOf(router);
-      listed_routers_.push_back(
-          PeerSeed{value.peer_address, value.data_center, value.cores});
-      continue;
-    }
-    log_.Write(LogClass::kState, "router_row_malformed",
-               {{"key", row.key}, {"cause", ErrorOf(router).message}});
-  }
+  for (const auto& row : rows->rows) AddRouterRow(row);
   if (rows->is_truncated && !rows->rows.empty()) {
     return ReadRouters(rows->rows.back().key);
   }
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -4,13 +4,13 @@
 #define RELAY_SERVICE_REGISTRY_READER_H_
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "gateway/gateway.h"
 #include "relay/event_log.h"
 #include "relay/http_client.h"
+#include "relay/malformed_rows.h"
 #include "relay/store_health.h"
 #include "relay/target_connection_pool.h"
 
@@ -46,6 +46,7 @@
   auto AddTargetRow(const StoreRow& row) -> void;
   auto ReadRouters(const std::string& after) -> void;
   auto HandleRouterRows(const Outcome<HttpReply>& reply) -> void;
+  auto AddRouterRow(const StoreRow& row) -> void;
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
   auto Schedule(Duration delay) -> void;
@@ -66,8 +67,8 @@
   std::vector<TargetRow> listed_targets_;
   // Routers on the pages read so far of the current router list.
   std::vector<PeerSeed> listed_routers_;
-  // Keys of malformed rows that were logged; each is logged once.
-  std::set<std::string> malformed_rows_;
+  MalformedRows malformed_targets_;
+  MalformedRows malformed_routers_;
   Time list_started_at_{};
   Time routers_read_at_{};
   bool is_own_row_written_ = false;
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -40,6 +40,7 @@
       break;
     case 3:
       (void)DecodeRouterRow(text);
+      (void)DecodeQuarantineRow(text);
       break;
     case 4:
       (void)DecodeCallerRequest("POST", "/chat/1?x=1", ToFields(text));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -48,18 +48,19 @@
 TEST(TargetRowTest, RejectsMalformedRows) {
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
-          "state":"draining","seq":3,"born":17})";
+          "state":"draining","seq":3,"born":17,"version":"v1",
+          "cold-left-ms":0})";
   const auto row = DecodeTargetRow("i", good);
-  ASSERT_TRUE(row);
-  EXPECT_TRUE(row->is_draining);
-  EXPECT_EQ(row->started_unix_ms, 17);
+  ASSERT_TRUE(IsOk(row));
+  EXPECT_TRUE(ValueOf(row).is_draining);
+  EXPECT_EQ(ValueOf(row).started_unix_ms, 17);
   for (const auto* text :
        {"", "{}", "\xff\xfe",
         R"({"service":1,"address":"a:1","zone":"z","slots":4,"state":"ready"})",
         R"({"service":"s","address":"a:1","zone":"z","slots":4,"state":"x"})",
         R"({"service":"s","address":"a:1","zone":"z","slots":"4",
             "state":"ready"})"}) {
-    EXPECT_FALSE(DecodeTargetRow("i", text)) << text;
+    EXPECT_FALSE(IsOk(DecodeTargetRow("i", text))) << text;
   }
 }
 
--- a/tests/relay/test_event_log.cpp
+++ b/tests/relay/test_event_log.cpp
@@ -127,5 +127,15 @@
   }
 }
 
+TEST_F(EventLogTest, ALongTextIsCut) {
+  EventLog log(writer(), "a");
+  log.Write(LogClass::kState, "target_joined",
+            {{"target", std::string(60000, '\xe2')}});
+  const auto text = ReadAll();
+  EXPECT_LT(text.size(), 4096U);
+  ASSERT_EQ(Lines(text).size(), 1U);
+  EXPECT_TRUE(Lines(text)[0].is_object());
+}
+
 }  // namespace
 }  // namespace papayaplank
