Relay: an odd key ended or cut the list of targets

Routers stopped following the list of targets, or lost all targets, for one row of another writer: - a key with a space, &, %, # or a line break at the end of a page went into the path of the next call as it is; an empty key meant the first page again, without end; - a page that was cut short and had no rows counted as the end of the list, so that all further targets were taken as gone; - a key with half a surrogate pair, or bytes that are no UTF-8, made the whole answer unreadable.

The start of a page is an optional key, percent-encoded. A page that is cut short before any further row is no answer: the list is read again and the one before holds. If an answer is not valid text, it is read again with these places replaced, and rows with such keys are left out. Left: if a page holds nothing but such keys, the list can't be read past it.

--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -58,7 +58,7 @@
 
 auto ConfigurationReader::ReadStore() -> void {
   const auto sent_at = MonotonicClock::now();
-  store_client_.Call(ListRows(kOperatorTable, ""), kListTimeout,
+  store_client_.Call(ListRows(kOperatorTable, {}), kListTimeout,
                      [this, sent_at](const Outcome<HttpReply>& reply) {
                        HandleStoreReply(reply, sent_at);
                      });
--- a/relay/quarantine_store.cpp
+++ b/relay/quarantine_store.cpp
@@ -39,19 +39,21 @@
   if (now - started_at_ < kLoadDelay || now < next_call_at_) return;
   if (store_client_.is_busy() || core_.is_leaving()) return;
   if (!core_.is_watcher(now)) return;
-  if (!is_loaded_) return Load("");
+  if (!is_loaded_) return Load({});
   StoreChange(now);
 }
 
-auto QuarantineStore::Load(const std::string& after) -> void {
-  store_client_.Call(
-      ListRows(kQuarantineTable, after), kCallTimeout,
-      [this](const Outcome<HttpReply>& reply) { HandleRows(reply); });
+auto QuarantineStore::Load(const PageStart& after) -> void {
+  store_client_.Call(ListRows(kQuarantineTable, after), kCallTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleRows(reply, after);
+                     });
 }
 
-auto QuarantineStore::HandleRows(const Outcome<HttpReply>& reply) -> void {
+auto QuarantineStore::HandleRows(const Outcome<HttpReply>& reply,
+                                 const PageStart& after) -> void {
   const auto now = MonotonicClock::now();
-  const auto rows = store_health_.DecodeRows(kStoreCallName, reply);
+  const auto rows = store_health_.DecodeRows(kStoreCallName, reply, after);
   if (!rows) {
     next_call_at_ = now + kRetryDelay;
     return;
@@ -63,9 +65,7 @@
   for (const auto& row : rows->rows) {
     if (!row.is_removed) ApplyRow(row, rows->store_ms.value_or(0));
   }
-  if (rows->is_truncated && !rows->rows.empty()) {
-    return Load(rows->rows.back().key);
-  }
+  if (rows->next_after) return Load(rows->next_after);
   is_loaded_ = true;
 }
 
--- a/relay/quarantine_store.h
+++ b/relay/quarantine_store.h
@@ -29,8 +29,9 @@
   auto calls() const -> std::uint64_t { return store_client_.calls(); }
 
  private:
-  auto Load(const std::string& after) -> void;
-  auto HandleRows(const Outcome<HttpReply>& reply) -> void;
+  auto Load(const PageStart& after) -> void;
+  auto HandleRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
   auto ApplyRow(const StoreRow& row, std::int64_t store_ms) -> void;
   // Writes or removes one row if the core's verdicts differ from the table.
   auto StoreChange(Time now) -> void;
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -61,30 +61,29 @@
   if (!is_own_row_written_ && !is_deregistering_) return WriteOwnRow();
   if (routers_read_at_ == Time{} ||
       now - routers_read_at_ > core_.RouterListPeriod(now)) {
-    return ReadRouters("");
+    return ReadRouters({});
   }
-  ReadTargets("");
+  ReadTargets({});
 }
 
-auto ServiceRegistryReader::ReadTargets(const std::string& after) -> void {
-  if (after.empty()) {
+auto ServiceRegistryReader::ReadTargets(const PageStart& after) -> void {
+  if (!after) {
     listed_targets_.clear();
     list_started_at_ = MonotonicClock::now();
   }
-  store_client_.Call(
-      ListRows(kTargetTable, after), kCallTimeout,
-      [this](const Outcome<HttpReply>& reply) { HandleTargetRows(reply); });
+  store_client_.Call(ListRows(kTargetTable, after), kCallTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleTargetRows(reply, after);
+                     });
 }
 
-auto ServiceRegistryReader::HandleTargetRows(const Outcome<HttpReply>& reply)
-    -> void {
-  const auto rows = store_health_.DecodeRows("targets", reply);
+auto ServiceRegistryReader::HandleTargetRows(const Outcome<HttpReply>& reply,
+                                             const PageStart& after) -> void {
+  const auto rows = store_health_.DecodeRows("targets", reply, after);
   if (!rows) return ScheduleRetry();
   retry_delay_ = {};
   for (const auto& row : rows->rows) AddTargetRow(row);
-  if (rows->is_truncated && !rows->rows.empty()) {
-    return ReadTargets(rows->rows.back().key);
-  }
+  if (rows->next_after) return ReadTargets(rows->next_after);
   const auto now = MonotonicClock::now();
   ApplyTargetChange(
       core_.SetTargets(std::move(listed_targets_), rows->version, now));
@@ -126,11 +125,12 @@
   }
 }
 
-auto ServiceRegistryReader::ReadRouters(const std::string& after) -> void {
-  if (after.empty()) listed_routers_.clear();
-  store_client_.Call(
-      ListRows(kRouterTable, after), kCallTimeout,
-      [this](const Outcome<HttpReply>& reply) { HandleRouterRows(reply); });
+auto ServiceRegistryReader::ReadRouters(const PageStart& after) -> void {
+  if (!after) listed_routers_.clear();
+  store_client_.Call(ListRows(kRouterTable, after), kCallTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleRouterRows(reply, after);
+                     });
 }
 
 auto ServiceRegistryReader::AddRouterRow(const StoreRow& row) -> void {
@@ -144,14 +144,12 @@
       PeerSeed{value.peer_address, value.data_center, value.cores});
 }
 
-auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply)
-    -> void {
-  const auto rows = store_health_.DecodeRows("routers", reply);
+auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply,
+                                             const PageStart& after) -> void {
+  const auto rows = store_health_.DecodeRows("routers", reply, after);
   if (!rows) return ScheduleRetry();
   for (const auto& row : rows->rows) AddRouterRow(row);
-  if (rows->is_truncated && !rows->rows.empty()) {
-    return ReadRouters(rows->rows.back().key);
-  }
+  if (rows->next_after) return ReadRouters(rows->next_after);
   routers_read_at_ = MonotonicClock::now();
   core_.AddPeers(listed_routers_, routers_read_at_);
   listed_routers_.clear();
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -31,7 +31,7 @@
                         StoreHealth& store_health,
                         TargetConnectionPool& connections, EventLog& log);
 
-  auto Start() -> void { ReadTargets(""); }
+  auto Start() -> void { ReadTargets({}); }
   // Closes connections to targets that left or restarted, and logs the change.
   auto ApplyTargetChange(const DirectoryChange& change) -> void;
   // Removes this router's row, so that other routers no longer report to it.
@@ -41,11 +41,13 @@
 
  private:
   auto MakeNextCall() -> void;
-  auto ReadTargets(const std::string& after) -> void;
-  auto HandleTargetRows(const Outcome<HttpReply>& reply) -> void;
+  auto ReadTargets(const PageStart& after) -> void;
+  auto HandleTargetRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
   auto AddTargetRow(const StoreRow& row) -> void;
-  auto ReadRouters(const std::string& after) -> void;
-  auto HandleRouterRows(const Outcome<HttpReply>& reply) -> void;
+  auto ReadRouters(const PageStart& after) -> void;
+  auto HandleRouterRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
   auto AddRouterRow(const StoreRow& row) -> void;
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
--- a/relay/store_health.cpp
+++ b/relay/store_health.cpp
@@ -25,7 +25,8 @@
 }
 
 auto StoreHealth::DecodeRows(std::string_view call,
-                             const Outcome<HttpReply>& reply)
+                             const Outcome<HttpReply>& reply,
+                             const PageStart& after)
     -> std::optional<StoreRows> {
   if (!IsOk(reply)) {
     RecordFailure(call, ErrorOf(reply).message);
@@ -36,7 +37,7 @@
     RecordFailure(call, "status " + std::to_string(http_reply.status));
     return std::nullopt;
   }
-  auto rows = DecodeStoreRows(http_reply.body);
+  auto rows = DecodeStoreRows(http_reply.body, after);
   if (!IsOk(rows)) {
     RecordFailure(call, ErrorOf(rows).message);
     return std::nullopt;
--- a/relay/store_health.h
+++ b/relay/store_health.h
@@ -21,9 +21,10 @@
   auto RecordFailure(std::string_view call, std::string_view cause) -> void;
 
   // Decodes the rows of a reply and records a success. Anything but rows is
-  // recorded as a failure and returns nothing.
-  auto DecodeRows(std::string_view call, const Outcome<HttpReply>& reply)
-      -> std::optional<StoreRows>;
+  // recorded as a failure and returns nothing. `after` is where the page that
+  // was asked for begins.
+  auto DecodeRows(std::string_view call, const Outcome<HttpReply>& reply,
+                  const PageStart& after = {}) -> std::optional<StoreRows>;
 
  private:
   GatewayCore& core_;
