Relay: a failing call of another kind ended the list of targets

A router whose own row the store did not accept, or that could not read the table of routers, tried that call again and again and never read the list of targets meanwhile: one call is in flight at a time, and the failed one went first.

After such a failure the list of targets goes first.

Before: test_a_rejected_row_of_its_own_delays_no_target_list: AssertionError: not within 20 s: the router knows of the new target

--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -2,6 +2,7 @@
 #include "relay/service_registry_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -58,6 +59,7 @@
   if (store_client_.is_busy()) return;
   const auto now = MonotonicClock::now();
   if (is_deregistering_ && is_own_row_written_) return RemoveOwnRow();
+  if (std::exchange(is_target_list_next_, false)) return ReadTargets({});
   if (!is_own_row_written_ && !is_deregistering_) return WriteOwnRow();
   if (routers_read_at_ == Time{} ||
       now - routers_read_at_ > core_.RouterListPeriod(now)) {
@@ -147,7 +149,10 @@
 auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply,
                                              const PageStart& after) -> void {
   const auto rows = store_health_.DecodeRows("routers", reply, after);
-  if (!rows) return ScheduleRetry();
+  if (!rows) {
+    is_target_list_next_ = true;
+    return ScheduleRetry();
+  }
   for (const auto& row : rows->rows) AddRouterRow(row);
   if (rows->next_after) return ReadRouters(rows->next_after);
   routers_read_at_ = MonotonicClock::now();
@@ -169,6 +174,7 @@
                        if (!HasSucceeded(reply)) {
                          store_health_.RecordFailure(
                              "own_row", "the store did not confirm the write");
+                         is_target_list_next_ = true;
                          return ScheduleRetry();
                        }
                        is_own_row_written_ = true;
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -73,6 +73,8 @@
   MalformedRows malformed_routers_;
   Time list_started_at_{};
   Time routers_read_at_{};
+  // Set when another call failed, so that its tries take turns with the list.
+  bool is_target_list_next_ = false;
   bool is_own_row_written_ = false;
   bool is_deregistering_ = false;
 };
