Storage: one odd entry of the instance list hid all the others

papayaplank_router no longer followed the instance list if one target lacked a member: the whole list was an error, so that no later change counted. Slots were cast (2^32+5 as 5), and a port out of range failed at each send.

An entry that is incomplete or out of range is left out and counted, with one log line a list; the others hold.

--- a/storage/instance_list_client.cpp
+++ b/storage/instance_list_client.cpp
@@ -1,6 +1,9 @@
 // HTTP requests and JSON parsing of the instance list.
 #include "storage/instance_list_client.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -11,6 +14,39 @@
 
 constexpr int kOk = 200;
 constexpr int kNotModified = 304;
+// More than any target has; a sum over a fleet still fits into an integer.
+constexpr std::int64_t kMaxSlots = 100000;
+constexpr std::size_t kMaxNameBytes = 200;
+
+// Whether the text ends with a colon and a port from 1 to 65535.
+auto HasPort(const std::string& address) -> bool {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  std::uint16_t port = 0;
+  const auto* end = address.data() + address.size();
+  const auto [rest, error] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  return error == std::errc() && rest == end && port != 0;
+}
+
+// Names go into headers, log lines and messages to peers.
+auto IsPrintable(const std::string& text) -> bool {
+  constexpr unsigned char kSpace = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return text.size() <= kMaxNameBytes &&
+         std::none_of(text.begin(), text.end(), [](char c) {
+           const auto byte = static_cast<unsigned char>(c);
+           return byte <= kSpace || byte == kDelete;
+         });
+}
+
+// Zero if the number is missing or out of range.
+auto ReadSlots(const Json& json) -> int {
+  if (!json.contains("slots") || !json["slots"].is_number_integer()) return 0;
+  // A number beyond the signed range counts as negative.
+  const auto slots = json["slots"].get<std::int64_t>();
+  return slots > 0 && slots <= kMaxSlots ? static_cast<int>(slots) : 0;
+}
 
 auto StringMember(const Json& json, const char* name) -> std::string {
   if (!json.contains(name) || !json[name].is_string()) return "";
@@ -35,15 +71,20 @@
   target.is_service = StringMember(json, "kind") == "service";
   target.checks_fencing = BoolMember(json, "checks_fencing");
   target.is_leaving = StringMember(json, "state") == "leaving";
-  if (json.contains("slots") && json["slots"].is_number_integer()) {
-    target.slots = json["slots"].get<int>();
-  }
-  const auto is_complete = !target.id.is_empty() && !target.address.empty() &&
+  if (json.contains("slots")) target.slots = ReadSlots(json);
+  const auto is_complete = !target.id.is_empty() && HasPort(target.address) &&
                            !target.pool.is_empty() && target.slots > 0;
-  if (is_complete) return target;
+  const auto has_names = IsPrintable(target.id.value()) &&
+                         IsPrintable(target.address) &&
+                         IsPrintable(target.pool.value()) &&
+                         IsPrintable(target.data_center.value()) &&
+                         IsPrintable(target.region.value());
+  if (is_complete && has_names) return target;
   return Error{ErrorCode::kInvalidArgument,
-               "target '" + target.id.value() +
-                   "' lacks an id, an address, a pool or a slot"};
+               "target '" + target.id.value().substr(0, kMaxNameBytes) +
+                   "' needs an id, an address with a port, a pool and 1 to "
+                   "100000 slots, and names of at most 200 bytes without "
+                   "spaces"};
 }
 
 }  // namespace
@@ -58,13 +99,18 @@
   InstanceList list;
   for (const auto& item : json["targets"]) {
     auto target = ParseTarget(item);
-    if (!IsOk(target)) return ErrorOf(target);
-    list.targets.push_back(std::move(ValueOf(target)));
+    if (IsOk(target)) {
+      list.targets.push_back(std::move(ValueOf(target)));
+    } else {
+      list.unusable.push_back(ErrorOf(target).message);
+    }
   }
   for (const auto& item : json.value("routers", Json::array())) {
     const auto address =
         item.is_object() ? StringMember(item, "gossip_address") : "";
-    if (!address.empty()) list.gossip_addresses.push_back(address);
+    if (HasPort(address) && IsPrintable(address)) {
+      list.gossip_addresses.push_back(address);
+    }
   }
   return list;
 }
--- a/storage/instance_list_client.h
+++ b/storage/instance_list_client.h
@@ -17,10 +17,13 @@
   std::vector<TargetInfo> targets;
   // Gossip addresses of router instances.
   std::vector<std::string> gossip_addresses;
+  // What is wrong with each entry that names no target.
+  std::vector<std::string> unusable;
 };
 
-// Parses the list's JSON text. Error `kInvalidArgument`: it is malformed or one
-// of its targets is incomplete. Routers without a gossip address are left out.
+// Parses the list's JSON text. Error `kInvalidArgument`: it is malformed as a
+// whole. An entry of a target that is incomplete or out of range is left out,
+// and so is a router without a gossip address.
 auto ParseInstanceList(const std::string& text) -> Outcome<InstanceList>;
 
 // Reads the list conditionally: an unchanged list is not transferred.
--- a/tasks/instance_list_task.cpp
+++ b/tasks/instance_list_task.cpp
@@ -3,7 +3,9 @@
 
 #include <glog/logging.h>
 
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace papayaplank {
 namespace {
@@ -11,6 +13,13 @@
 constexpr Duration kPollPeriod = seconds(1);
 constexpr Duration kStopCheckPeriod = milliseconds(50);
 
+// Only one of them, as a list may be read every second.
+auto LogUnusable(const std::vector<std::string>& unusable) -> void {
+  if (unusable.empty()) return;
+  LOG(WARNING) << "event=target_row_malformed count=" << unusable.size()
+               << " first=\"" << unusable.front() << "\"";
+}
+
 }  // namespace
 
 InstanceListTask::InstanceListTask(InstanceListClient client, OnList on_list)
@@ -37,6 +46,7 @@
       LOG(WARNING) << "event=instance_list state="
                    << (is_list_available_ ? "up" : "down");
     }
+    if (IsOk(list) && ValueOf(list)) LogUnusable(ValueOf(list)->unusable);
     // Without an answer, the previous list stays in use.
     if (IsOk(list) && ValueOf(list)) on_list_(std::move(*ValueOf(list)));
   }
