--- a/tests/platform/test_odd_rows.cpp
+++ b/tests/platform/test_odd_rows.cpp
@@ -134,12 +134,20 @@
     EXPECT_FALSE(IsOk(DecodeConfiguration(text)));
     EXPECT_FALSE(IsOk(DecodeStoreRows(text)));
   }
-  EXPECT_TRUE(IsRefused("service", nested));
-  EXPECT_TRUE(IsRefused("slots", nested));
+  for (const std::string member : {"service", "slots"}) {
+    EXPECT_FALSE(IsOk(DecodeTargetRow("i-1", RowWith(member, nested))));
+  }
   EXPECT_FALSE(IsOk(DecodeConfiguration(R"({"version":)" + nested + "}")));
-  // Unknown members are ignored.
-  const auto document = R"({"version":1,"x":)" + nested + "}";
-  EXPECT_TRUE(IsOk(DecodeConfiguration(document)));
+  EXPECT_FALSE(
+      IsOk(DecodeConfiguration(R"({"version":1,"x":)" + nested + "}")));
+}
+
+TEST(NestedTextTest, BracketsInTextsAreNoLevels) {
+  const std::string brackets(1000, '[');
+  const auto row = RowWith("version", R"("\\\")" + brackets + "\"");
+  EXPECT_TRUE(IsOk(DecodeTargetRow("i-1", row))) << row;
+  EXPECT_TRUE(
+      IsOk(DecodeConfiguration(R"({"version":1,"x":)" + Nested(60) + "}")));
 }
 
 INSTANTIATE_TEST_SUITE_P(Levels, NestedTextTest,
