Tests: rows of other writers, by real routers

Three routers that are peers of each other, with odd rows in all their tables: many values, changes while targets join, drain and leave, odd keys at the ends of pages, pages without rows, rows of routers that are gone, odd configuration documents and datagrams.

--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -71,6 +71,10 @@
                 pass  # It was closed already.
 
 
+class EncodedValue(str):
+    """A row's value as it stands in the store's answers."""
+
+
 class Store(Server):
     """The platform's store: versioned rows, reads and long-polled feeds.
 
@@ -80,10 +84,13 @@
     (closes the connection) or "endless" (a body that never ends).
     """
 
-    page_rows = 500  # Most rows in an answer.
+    page_rows = 500       # Most rows in an answer,
+    page_bytes = 1 << 20  # and most bytes of their values.
 
     def __init__(self):
         self.rows = {}
+        self.empty_page_tables = set()  # Listed as cut short, without rows.
+        self.rejects_writes = False     # Answers them 503.
         self.version = 0
         self.changed = threading.Condition()
         self.fault = None
@@ -110,7 +117,9 @@
             if name != table or version <= after:
                 continue
             row = {"table": table, "part": "", "key": key, "ver": version}
-            if value is not None:
+            if isinstance(value, EncodedValue):
+                row["value"] = value
+            elif value is not None:
                 text = value if isinstance(value, str) else json.dumps(value)
                 row["value"] = base64.b64encode(text.encode()).decode()
             elif with_removed:
@@ -120,6 +129,16 @@
             rows.append(row)
         return rows
 
+    def first_page(self, table, rows):
+        if table in self.empty_page_tables:
+            return []
+        size = 0
+        for count, row in enumerate(rows[:self.page_rows]):
+            size += len(row["value"])
+            if count > 0 and size > self.page_bytes:
+                return rows[:count]
+        return rows[:self.page_rows]
+
     def serve(self, connection, start, headers, body):
         self.calls += 1
         if self.fault == "silent":
@@ -133,6 +152,8 @@
         path, _, query = start[1].partition("?")
         query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/v1/rows-tx":
+            if self.rejects_writes:
+                return self.reply(connection, 503, {})
             for row in json.loads(body)["writes"]:
                 value = base64.b64decode(row["value"]).decode()
                 self.put(row["table"], row["key"], value)
@@ -145,9 +166,10 @@
             with self.changed:
                 rows = [row for row in self.select_rows(query["table"])
                         if row["key"] >= query.get("from", "")]
+                page = self.first_page(query["table"], rows)
                 return self.reply(connection, 200, {
-                    "rows": rows[:self.page_rows],
-                    "truncated": len(rows) > self.page_rows,
+                    "rows": page,
+                    "truncated": len(rows) > len(page),
                     "now-ms": int(time.monotonic() * 1000),
                     "ver": self.version})
         after = int(query["after-rev"])
