--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -4,13 +4,13 @@
 #define RELAY_SERVICE_REGISTRY_READER_H_
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "gateway/gateway.h"
 #include "relay/event_log.h"
 #include "relay/http_client.h"
+#include "relay/malformed_rows.h"
 #include "relay/store_health.h"
 #include "relay/target_connection_pool.h"
 
@@ -31,7 +31,7 @@
                         StoreHealth& store_health,
                         TargetConnectionPool& connections, EventLog& log);
 
-  auto Start() -> void { ReadTargets(""); }
+  auto Start() -> void { ReadTargets({}); }
   // Closes connections to targets that left or restarted, and logs the change.
   auto ApplyTargetChange(const DirectoryChange& change) -> void;
   // Removes this router's row, so that other routers no longer report to it.
@@ -41,11 +41,14 @@
 
  private:
   auto MakeNextCall() -> void;
-  auto ReadTargets(const std::string& after) -> void;
-  auto HandleTargetRows(const Outcome<HttpReply>& reply) -> void;
+  auto ReadTargets(const PageStart& after) -> void;
+  auto HandleTargetRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
   auto AddTargetRow(const StoreRow& row) -> void;
-  auto ReadRouters(const std::string& after) -> void;
-  auto HandleRouterRows(const Outcome<HttpReply>& reply) -> void;
+  auto ReadRouters(const PageStart& after) -> void;
+  auto HandleRouterRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
+  auto AddRouterRow(const StoreRow& row) -> void;
   auto WriteOwnRow() -> void;
   auto RemoveOwnRow() -> void;
   auto Schedule(Duration delay) -> void;
@@ -66,10 +69,12 @@
   std::vector<TargetRow> listed_targets_;
   // Routers on the pages read so far of the current router list.
   std::vector<PeerSeed> listed_routers_;
-  // Keys of malformed rows that were logged; each is logged once.
-  std::set<std::string> malformed_rows_;
+  MalformedRows malformed_targets_;
+  MalformedRows malformed_routers_;
   Time list_started_at_{};
   Time routers_read_at_{};
+  // Set when another call failed, so that its tries take turns with the list.
+  bool is_target_list_next_ = false;
   bool is_own_row_written_ = false;
   bool is_deregistering_ = false;
 };
