Relay: a reset that a write met first looked like the end of an answer

What callers saw: a target answered while the router still sent the body of the request, and reset the connection in the middle of its answer; the stream, without length or chunks, ended after event 3 of 10 as complete.

Cause: the system reports the pending error of a socket once. The write took it, the next read returned the end of the stream, and the target was alive. The reactor runs a ready write before a ready read, so this was so every time. Class: an error dropped in the belief that it would be reported again.

Framed answers were never affected: their missing end shows.

--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -128,8 +128,12 @@
                          });
       return;
     }
-    // An answer may have arrived already; the next read shows how it ended.
-    if (error) return;
+    // An answer may have arrived already. The system reports a reset only once,
+    // so that reads then end as if the target had closed the connection.
+    if (error) {
+      is_reset_ = true;
+      return;
+    }
   }
 }
 
@@ -163,7 +167,7 @@
     return;
   }
   if (error) {
-    const auto is_orderly = error == asio::error::eof;
+    const auto is_orderly = error == asio::error::eof && !is_reset_;
     if (is_orderly && reader_->FinishAtEndOfStream()) {
       HandleHead();
       return End(head_action_ == HeadAction::kRead
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -125,6 +125,8 @@
   std::shared_ptr<const std::string> body_;
   std::size_t written_ = 0;
   bool is_connected_ = false;
+  // A write has failed, so the connection can't end in an orderly way.
+  bool is_reset_ = false;
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_head_handled_ = false;
--- a/tests/process/test_review_streams.py
+++ b/tests/process/test_review_streams.py
@@ -1,9 +1,12 @@
 """Tests of how real connections and processes end while answers are under way:
 resets during an upload, targets that restart at once, slow callers."""
 
+import http.client
 import os
 import socket
+import struct
 import sys
+import threading
 import time
 import unittest
 
@@ -13,9 +16,46 @@
 
 Edge.program = os.path.join(sys.argv.pop(1), "apps/papayaplank_edge")
 
+EVENTS = 10
+CUT_AT = 3  # Last event before an answer breaks off.
+UPLOAD_BYTES = 16000000  # More than the socket buffers on the way hold.
 LONG_ANSWER_BYTES = 12000000
 
 
+def events(first, last):
+    return b"".join(b"id: %d\ndata: event %d\n\n" % (number, number)
+                    for number in range(first, last + 1))
+
+
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                          struct.pack("ii", 1, 0))
+    connection.close()
+
+
+class ResettingTarget(standin.Target):
+    """Answers without framing before it has read the body, then resets."""
+
+    def __init__(self, store, name):
+        super().__init__(store, name, "s")
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    def run(self, connection):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            received = connection.recv(1)
+            if not received:
+                return connection.close()
+            head += received
+        lines = head.decode().split("\r\n")[1:]
+        headers = {name.lower(): value.strip() for name, _, value in
+                   (line.partition(":") for line in lines)}
+        connection.sendall(self.response_head(headers) + b"\r\n" +
+                           events(1, CUT_AT))
+        time.sleep(0.3)  # Lets the router read what a reset discards.
+        reset(connection)
+
+
 class LongTarget(standin.Target):
     def __init__(self, store, name):
         super().__init__(store, name, "s")
@@ -31,6 +71,7 @@
     def setUp(self):
         self.store = standin.Store()
         self.document = configuration(1)
+        self.document["limits"]["max-body-bytes"] = 2 * UPLOAD_BYTES
         self.store.put("op", "config", self.document)
         self.edge = None
         self.requests = 0
@@ -52,6 +93,26 @@
         return {"Host": "shop.example", "Attempt-Id": f"id{self.requests}",
                 "Credential": "key-1", "Deadline-Ms": "6000"}
 
+    def ask(self, path, body=b"x"):
+        """Returns status, body, and whether the answer looked complete."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.edge.caller,
+                                                timeout=20)
+        connection.request("POST", path, body, self.headers())
+        answer = connection.getresponse()
+        try:
+            return answer.status, answer.read(), True
+        except (http.client.IncompleteRead, OSError) as error:
+            return answer.status, getattr(error, "partial", b""), False
+        finally:
+            connection.close()
+
+    def test_a_reset_that_a_write_meets_first_is_no_whole_answer(self):
+        self.start(ResettingTarget)
+        status, body, is_complete = self.ask("/stream/once/1",
+                                             b"x" * UPLOAD_BYTES)
+        self.assertEqual((status, body, is_complete),
+                         (200, events(1, CUT_AT), False))
+
     def ask_without_reading(self, size):
         """Returns the connection, and whether the router is done with it."""
         path = f"/write/{size}"
