Relay: refused connections cut whole answers without framing

What callers saw: a whole stream without length or chunks was cut after its last event, since the target had reset another connection within 20 ms.

Cause: an answer that breaks off counts as a sign that the target's process has ended. A connection that ended without any answer counted too; a target that is full resets those, and one that was kept too long ends so as well. Class: normal behaviour of a target taken for the sign of a crash.

--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -325,7 +325,9 @@
   const auto outcome = ClassifyAnswer(end);
   transfer_end_ = end;
   context_.metrics.RecordTransferEnd(TransferEndName(end));
-  if (end == TransferEnd::kBroken) {
+  // A target that is full resets connections that it doesn't answer.
+  const auto has_begun = answer_.status != 0;
+  if (end == TransferEnd::kBroken && has_begun) {
     context_.target_connections.RecordBreak(placement_.target.id, now);
   }
   const auto connection = std::exchange(target_connection_, nullptr);
--- a/tests/process/test_review_streams.py
+++ b/tests/process/test_review_streams.py
@@ -56,6 +56,29 @@
         reset(connection)
 
 
+class FullTarget(standin.Target):
+    """Resets connections without an answer when an unframed stream ends."""
+
+    def __init__(self, store, name):
+        super().__init__(store, name, "s")
+        self.held = []
+
+    def run(self, connection):
+        message = standin.read_message(connection.makefile("rb"))
+        if message is None:
+            return connection.close()
+        start, headers, _ = message
+        if not start[1].startswith("/stream/"):
+            return self.held.append(connection)
+        connection.sendall(self.response_head(headers) + b"\r\n" +
+                           events(1, EVENTS - 1))
+        wait_for(lambda: self.held, "another request is held")
+        connection.sendall(events(EVENTS, EVENTS))
+        reset(self.held.pop())
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+
+
 class LongTarget(standin.Target):
     def __init__(self, store, name):
         super().__init__(store, name, "s")
@@ -113,6 +136,18 @@
         self.assertEqual((status, body, is_complete),
                          (200, events(1, CUT_AT), False))
 
+    def test_a_refused_connection_does_not_cut_a_whole_stream(self):
+        self.start(FullTarget)
+        refused = threading.Thread(target=lambda: self.ask("/write/1"))
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(self.ask("/stream/once/1")))
+        for thread in (caller, refused):
+            thread.start()
+        for thread in (caller, refused):
+            thread.join()
+        self.assertEqual(answers, [(200, events(1, EVENTS), True)])
+
     def ask_without_reading(self, size):
         """Returns the connection, and whether the router is done with it."""
         path = f"/write/{size}"
