--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -167,6 +167,7 @@
   attempt.last_event_id = event_splitter_.last_event_id();
   attempt.body_bytes = body_ ? body_->size() : 0;
   answer_ = {};
+  sentinel_.reset();
   transfer_end_.reset();
   is_success_from_target_ = false;
   has_attempt_events_ = false;
@@ -212,6 +213,9 @@
   if (!MayBeEarlierRefusal(answer_, past_refusals) || answer_.limit) {
     RecordLimit();
   }
+  if (IsFromTarget() && target_connection_->is_answer_unframed()) {
+    sentinel_ = context_.target_connections.OpenSentinel(placement_.target);
+  }
   return HeadAction::kRead;
 }
 
@@ -350,13 +354,13 @@
 
 auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome, bool may_be_late)
     -> void {
-  // The connections of a killed process end like such an answer. If the end is
-  // old, another process may listen there by now.
-  if (may_be_late || context_.has_stood_still()) {
-    return EndAnswer(AttemptOutcome::kBroken);
-  }
+  // The connections of a killed process end like such an answer.
   context_.target_connections.ConfirmAlive(
-      placement_.target, MonotonicClock::now(),
+      placement_.target, std::exchange(sentinel_, nullptr),
+      MonotonicClock::now(),
+      [&context = context_, may_be_late] {
+        return may_be_late || context.has_stood_still();
+      },
       [self = shared_from_this(), outcome](bool is_alive) {
         // The caller has left, or the deadline has passed.
         if (!self->has_open_attempt_) return;
@@ -391,6 +395,7 @@
 }
 
 auto RelayedRequest::CloseTargetConnection() -> void {
+  sentinel_.reset();
   const auto connection = std::exchange(target_connection_, nullptr);
   if (connection != nullptr) connection->Close();
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -112,6 +112,8 @@
   bool is_stream_ = false;
   // Head of the answer to the latest attempt; empty until it arrives.
   TargetAnswer answer_;
+  // Held while the target sends an answer that ends with its connection.
+  std::shared_ptr<ProcessSentinel> sentinel_;
   // How the latest transfer ended; nothing while it goes on, or if the router
   // ended it.
   std::optional<TransferEnd> transfer_end_;
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -93,6 +93,10 @@
   auto past_refusals() const -> PastRefusals { return past_refusals_; }
 
   auto is_open() const -> bool { return socket_.is_open(); }
+  // Whether only the end of the connection ends the answer whose head arrived.
+  auto is_answer_unframed() const -> bool {
+    return reader_ && reader_->is_header_done() && reader_->need_eof();
+  }
   // Whether the connection can carry another request after a complete answer.
   auto is_reusable() const -> bool { return is_reusable_; }
 
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -15,9 +15,6 @@
 // Keep-alive time assumed for a target that states none.
 constexpr Duration kDefaultKeepAlive = milliseconds(2000);
 constexpr std::size_t kMaxIdlePerTarget = 16;
-// The connections of a process that ends are closed one after the other; its
-// listener may be the last.
-constexpr Duration kProcessEndTime = milliseconds(20);
 
 // Whether the connection may carry repeatable requests only.
 auto IsRestricted(const TargetConnection& connection) -> bool {
@@ -114,18 +111,38 @@
   broken_at_[target] = now;
 }
 
-auto TargetConnectionPool::ConfirmAlive(const TargetRow& target, Time now,
-                                        std::function<void(bool)> on_result)
-    -> void {
+auto TargetConnectionPool::OpenSentinel(const TargetRow& target)
+    -> std::shared_ptr<ProcessSentinel> {
+  const auto endpoint = ParseTcpEndpoint(target.address);
+  if (!endpoint) return nullptr;
+  auto sentinel = std::make_shared<ProcessSentinel>(io_);
+  ++opened_;
+  sentinel->Connect(*endpoint);
+  return sentinel;
+}
+
+auto TargetConnectionPool::ConfirmAlive(
+    const TargetRow& target, std::shared_ptr<ProcessSentinel> sentinel,
+    Time now, std::function<bool()> is_late,
+    std::function<void(bool)> on_result) -> void {
+  using Finding = ProcessSentinel::Finding;
   const auto timer = std::make_shared<asio::steady_timer>(io_);
   timer->expires_after(kProcessEndTime);
-  timer->async_wait([this, timer, id = target.id, address = target.address, now,
+  timer->async_wait([this, timer, id = target.id, address = target.address,
+                     sentinel = std::move(sentinel), now,
+                     is_late = std::move(is_late),
                      on_result = std::move(on_result)](error_code error) {
     const auto endpoint = ParseTcpEndpoint(address);
     const auto broken = broken_at_.find(id);
     const auto has_broken =
         broken != broken_at_.end() && broken->second >= now - kProcessEndTime;
     if (error || !endpoint || has_broken) return on_result(false);
+    const auto finding =
+        sentinel == nullptr ? Finding::kUnknown : sentinel->Examine(now);
+    if (finding != Finding::kUnknown) {
+      return on_result(finding == Finding::kAlive);
+    }
+    if (is_late()) return on_result(false);
     Probe(*endpoint, on_result);
   });
 }
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "relay/process_sentinel.h"
 #include "relay/target_connection.h"
 #include "routing/routing.h"
 
@@ -39,10 +40,18 @@
       -> void;
   // An answer of the target has broken off.
   auto RecordBreak(const TargetId& target, Time now) -> void;
-  // Finds out whether the process of the target lives on after an answer that
-  // ended with its connection: it accepts connections, and no other answer of
-  // it has broken off at the same time. `on_result` is called once.
-  auto ConfirmAlive(const TargetRow& target, Time now,
+  // Holds a connection while an answer arrives that ends with its connection.
+  // Null if the target's address can't be parsed.
+  auto OpenSentinel(const TargetRow& target)
+      -> std::shared_ptr<ProcessSentinel>;
+  // Finds out whether the process of the target lives on after such an answer
+  // ended at `now`: no other answer of it has broken off at the same time, and
+  // its sentinel, which may be null, is still open. If the sentinel doesn't
+  // tell, the target must accept a connection and the end must not be older
+  // than it seems (`is_late`). `on_result` is called once.
+  auto ConfirmAlive(const TargetRow& target,
+                    std::shared_ptr<ProcessSentinel> sentinel, Time now,
+                    std::function<bool()> is_late,
                     std::function<void(bool)> on_result) -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
--- a/tests/process/killable_target.py
+++ b/tests/process/killable_target.py
@@ -21,6 +21,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
+import edge_process  # noqa: E402,F401  (finds the scripts folder)
+from loopback_ports import claim_port  # noqa: E402
 
 EVENTS = 10
 EVENT_GAP = 0.02  # Seconds.
@@ -32,8 +34,7 @@
     def __init__(self, store, name, **plan):
         self.store = store
         self.name = name
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        self.port = claim_port()
         self.runs = []
         self.row = {"service": "s", "address": f"127.0.0.1:{self.port}",
                     "zone": "west", "version": "v1", "slots": 8,
--- a/tests/process/test_killed_targets.py
+++ b/tests/process/test_killed_targets.py
@@ -51,17 +51,16 @@
     def setUp(self):
         self.store = standin.Store()
         self.store.put("op", "config", configuration(1))
-        self.targets = [KillableTarget(self.store, f"t{i}") for i in range(2)]
+        self.addCleanup(self.store.stop)
+        self.targets = []
+        for number in range(2):
+            self.targets.append(KillableTarget(self.store, f"t{number}"))
+            self.addCleanup(self.targets[-1].stop)
         self.edge = Edge(self.store, "e0")
+        self.addCleanup(self.edge.stop)
         wait_for(self.edge.is_ready, "the router is ready")
         self.requests = 0
 
-    def tearDown(self):
-        self.edge.stop()
-        for target in self.targets:
-            target.stop()
-        self.store.stop()
-
     def ask(self, path):
         """Returns status, body, and whether the answer looked complete."""
         self.requests += 1
