Relay: a short pause of the router cut streams that began after it

What callers saw: a whole stream without length or chunks was cut, though it began after the router had stood still for 400 ms.

Cause: for half a second after a pause, the end of every such answer counts as old. An answer to a request that was sent after the pause can't have ended before it. Class: a state of the process taken for one of each request.

Attempts that were open during the pause are broken as before.

--- a/relay/loop_watch.cpp
+++ b/relay/loop_watch.cpp
@@ -14,9 +14,10 @@
   Start(now, boot_time);
 }
 
-auto LoopWatch::MayBeLate(Time now, Duration boot_time) -> bool {
+auto LoopWatch::MayBeLate(Time since, Time now, Duration boot_time) -> bool {
   NoteDelay(now, boot_time);
-  return has_delay_ && now - last_delay_at_ < kCatchUpTime;
+  return has_delay_ && since < last_delay_at_ &&
+         now - last_delay_at_ < kCatchUpTime;
 }
 
 auto LoopWatch::NoteDelay(Time now, Duration boot_time) -> void {
--- a/relay/loop_watch.h
+++ b/relay/loop_watch.h
@@ -19,9 +19,9 @@
   auto Start(Time now, Duration boot_time) -> void;
   // The timer has fired.
   auto RecordTick(Time now, Duration boot_time) -> void;
-  // Whether what is handled now may have arrived long ago, so that a process
-  // that it tells about may have been replaced since.
-  auto MayBeLate(Time now, Duration boot_time) -> bool;
+  // Whether what is handled now, and arrived after `since`, may have arrived
+  // long ago, so that a process that it tells about may have been replaced.
+  auto MayBeLate(Time since, Time now, Duration boot_time) -> bool;
 
  private:
   auto NoteDelay(Time now, Duration boot_time) -> void;
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -25,7 +25,7 @@
   std::function<void()> send_permit_requests;
   // Whether the event loop stood still, so that what it handles now may have
   // arrived long ago.
-  std::function<bool()> has_stood_still;
+  std::function<bool(Time since)> has_stood_still;
   // Number of requests whose answer has not ended.
   std::size_t open_requests = 0;
 };
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -98,8 +98,8 @@
                  request_metrics_,
                  permit_waits_,
                  [this] { peer_link_.SendPermitRequests(); },
-                 [this] {
-                   return loop_watch_.MayBeLate(MonotonicClock::now(),
+                 [this](Time since) {
+                   return loop_watch_.MayBeLate(since, MonotonicClock::now(),
                                                 BootTime());
                  }},
         caller_server_(
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -352,7 +352,7 @@
     -> void {
   // The connections of a killed process end like such an answer. If the end is
   // old, another process may listen there by now.
-  if (may_be_late || context_.has_stood_still()) {
+  if (may_be_late || context_.has_stood_still(attempt_started_at_)) {
     return EndAnswer(AttemptOutcome::kBroken);
   }
   context_.target_connections.ConfirmAlive(
--- a/tests/process/test_unframed_answers.py
+++ b/tests/process/test_unframed_answers.py
@@ -3,9 +3,11 @@
 
 import http.client
 import os
+import signal
 import socket
 import struct
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -114,6 +116,15 @@
         return [int(line[4:]) for line in body.decode().splitlines()
                 if line.startswith("id: ")]
 
+    def test_a_pause_of_the_router_does_not_cut_a_later_stream(self):
+        self.edge.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.4)
+        self.edge.process.send_signal(signal.SIGCONT)
+        answer = 503, b"", True
+        while answer[0] == 503:  # Refused until the router has caught up.
+            answer = self.ask("/stream/once/1")
+        self.assertEqual(answer[::2], (200, True))
+
     def test_a_whole_answer_is_relayed(self):
         for path in ("/read/1", "/write/1"):
             self.assertEqual(self.ask(path), (200, b"answer", True))
--- a/tests/relay/test_loop_watch.cpp
+++ b/tests/relay/test_loop_watch.cpp
@@ -15,16 +15,27 @@
   watch.Start(start, boot_time(start));
   auto now = start + kPeriod;
   watch.RecordTick(now, boot_time(now));
-  EXPECT_FALSE(watch.MayBeLate(now, boot_time(now)));
+  EXPECT_FALSE(watch.MayBeLate(start, now, boot_time(now)));
   now += milliseconds(400);
-  EXPECT_TRUE(watch.MayBeLate(now, boot_time(now)));
+  EXPECT_TRUE(watch.MayBeLate(start, now, boot_time(now)));
   watch.RecordTick(now, boot_time(now));
-  EXPECT_TRUE(watch.MayBeLate(now + kPeriod, boot_time(now + kPeriod)));
+  EXPECT_TRUE(watch.MayBeLate(start, now + kPeriod, boot_time(now + kPeriod)));
   for (int i = 0; i < 10; ++i) {
     now += kPeriod;
     watch.RecordTick(now, boot_time(now));
   }
-  EXPECT_FALSE(watch.MayBeLate(now, boot_time(now)));
+  EXPECT_FALSE(watch.MayBeLate(start, now, boot_time(now)));
+}
+
+TEST(LoopWatchTest, WhatBeganAfterAPauseIsNotLate) {
+  LoopWatch watch;
+  const Time start(seconds(50));
+  watch.Start(start, start.time_since_epoch());
+  const auto resumed = start + milliseconds(400);
+  watch.RecordTick(resumed, resumed.time_since_epoch());
+  const auto now = resumed + kPeriod;
+  EXPECT_TRUE(watch.MayBeLate(start, now, now.time_since_epoch()));
+  EXPECT_FALSE(watch.MayBeLate(resumed, now, now.time_since_epoch()));
 }
 
 TEST(LoopWatchTest, ASuspendedMachineIsLateAsWell) {
@@ -32,7 +43,7 @@
   const Time start(seconds(50));
   watch.Start(start, start.time_since_epoch());
   const auto now = start + kPeriod;
-  EXPECT_TRUE(watch.MayBeLate(now, now.time_since_epoch() + seconds(2)));
+  EXPECT_TRUE(watch.MayBeLate(start, now, now.time_since_epoch() + seconds(2)));
 }
 
 }  // namespace
