--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -358,8 +358,8 @@
   context_.target_connections.ConfirmAlive(
       placement_.target, std::exchange(sentinel_, nullptr),
       MonotonicClock::now(),
-      [&context = context_, may_be_late] {
-        return may_be_late || context.has_stood_still();
+      [&context = context_, may_be_late, since = attempt_started_at_] {
+        return may_be_late || context.has_stood_still(since);
       },
       [self = shared_from_this(), outcome](bool is_alive) {
         // The caller has left, or the deadline has passed.
