Router process: a started router said it was ready and knew no target

Callers of such a router got 503 `no_target` for everything until the instance list changed, and as the owner of targets it lent no slots, so that requests at other routers waited to their deadline. The start posted the seeds as a list without targets after it had started the task that reads the list: when that was faster, the empty list replaced the read one, which is not read again while it is unchanged.

The order of the mailbox now decides, so no timing can bring it back.

--- a/tasks/router_process.cpp
+++ b/tasks/router_process.cpp
@@ -84,9 +84,10 @@
     // both.
     auto gossip = OpenGossip(random_seed);
     if (!IsOk(gossip)) return gossip;
-    StartPlatformTasks();
-    // The seeds can be contacted before the instance list is available.
+    // The seeds can be contacted before the instance list is available. Posted
+    // before the list can arrive, since the list replaces this one.
     core_task_->Post(CoreInput(InstanceListReceived{{}, settings_.seeds}));
+    StartPlatformTasks();
     core_task_->Start();
     auto operators = OpenOperatorService();
     if (!IsOk(operators)) return operators;
--- a/tests/process/test_router_refusals.py
+++ b/tests/process/test_router_refusals.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import raw_targets as raw  # noqa: E402
 
+RESTARTS = 10  # Of each router.
 NOT_RUN = "X-Papayaplank-Ran: no\r\n"
 
 
@@ -124,6 +125,21 @@
                 with self.subTest(moment=moment, path=path):
                     self.check(self.ask(path), path)
 
+    def test_router_that_is_ready_knows_its_targets(self):
+        self.start(routers=4)
+        self.target.serve = lambda connection, request: connection.sendall(
+            raw.answer(request, 200, request.path.encode()))
+        for _ in range(RESTARTS):
+            for router in self.fleet.routers:
+                router.process.kill()
+                router.process.wait()
+                self.fleet.start_router(router)
+            for router in self.fleet.routers:
+                raw.fleets.wait_until(lambda r=router: self.fleet.responds(
+                    r.caller, "/readyz"), 15, "the router is ready")
+                answer = raw.ask(router, "/desk/lookup", b"{}")
+                self.assertNotIn(b"no_target", answer.body)
+
     def test_refusal_of_an_interim_answer_is_not_believed(self):
         self.start(targets=4)
 
