--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -316,6 +316,8 @@
             body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
             framing = "Transfer-Encoding: chunked"
         resume = f"Last-Event-Id: {stream.last}\r\n" if stream.last else ""
+        if self.random.random() < 0.1:
+            framing += "\r\nConnection: close"
         request = (f"POST {stream.path} HTTP/1.1\r\nHost: {self.host}\r\n"
                    f"Attempt-Id: {attempt}\r\nCredential: key-1\r\n"
                    f"Deadline-Ms: 6000\r\nPlan: {json.dumps(stream.plans)}\r\n"
--- a/tests/process/stream_plans.py
+++ b/tests/process/stream_plans.py
@@ -8,7 +8,8 @@
 
 def draw_plan(generator, is_first):
     """A plan for one run; stream_target.py lists its keys."""
-    plan = {"framing": generator.choice(("chunked", "chunked", "closed")),
+    plan = {"framing": generator.choice(("chunked",) * 4 + ("closed",) * 2 +
+                                        ("length",)),
             "line_end": generator.choice(("lf", "lf", "crlf", "mixed")),
             "seed": generator.randrange(1000),
             "ms": generator.choice((0, 20, 100, 400) * 8 + (3000,))}
--- a/tests/process/stream_target.py
+++ b/tests/process/stream_target.py
@@ -188,7 +188,7 @@
         if framing == "chunked":
             lines += "Transfer-Encoding: chunked\r\n"
         if framing == "length":
-            lines += f"Content-Length: {len(b''.join(pieces))}\r\n"
+            lines += f"Content-Length: {sum(map(len, pieces))}\r\n"
         index, part, how = plan.get("cut") or (len(pieces), 0, None)
         body = b"".join(pieces[:index])
         if part and index < len(pieces):
