--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -50,7 +50,7 @@
   // The hooks may drop the last reference to the connection.
   const auto self = shared_from_this();
   error_code ignored;  // The socket is closed whatever its state.
-  if (is_unframed_ && is_answering_) {
+  if (is_unframed_ && (is_answering_ || !out_.empty())) {
     // An orderly end would complete the answer; this one resets the connection.
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   }
@@ -280,7 +280,8 @@
   const auto is_reading_head = reader_ && !reader_->is_header_done();
   const auto is_head_late =
       is_reading_head && now - request_began_at_ > limits_.header_timeout;
-  const auto is_reading_request = reader_.has_value() || !in_.empty();
+  const auto is_reading_request =
+      !is_closing_ && (reader_.has_value() || !in_.empty());
   const auto is_silent = inactive_for > limits_.header_timeout;
   if (is_head_late || (is_reading_request && is_silent)) {
     return Reject(kRequestTimeout);
