--- a/relay/quarantine_store.h
+++ b/relay/quarantine_store.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway.h"
 #include "relay/event_log.h"
 #include "relay/http_client.h"
+#include "relay/malformed_rows.h"
 #include "relay/store_health.h"
 
 namespace papayaplank {
@@ -28,8 +29,9 @@
   auto calls() const -> std::uint64_t { return store_client_.calls(); }
 
  private:
-  auto Load(const std::string& after) -> void;
-  auto HandleRows(const Outcome<HttpReply>& reply) -> void;
+  auto Load(const PageStart& after) -> void;
+  auto HandleRows(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
   auto ApplyRow(const StoreRow& row, std::int64_t store_ms) -> void;
   // Writes or removes one row if the core's verdicts differ from the table.
   auto StoreChange(Time now) -> void;
@@ -41,7 +43,7 @@
 
   GatewayCore& core_;
   StoreHealth& store_health_;
-  EventLog& log_;
+  MalformedRows malformed_rows_;
   HttpClient store_client_;
   Time started_at_{};
   Time next_call_at_{};
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -325,7 +325,9 @@
   const auto outcome = ClassifyAnswer(end);
   transfer_end_ = end;
   context_.metrics.RecordTransferEnd(TransferEndName(end));
-  if (end == TransferEnd::kBroken) {
+  // A target that is full resets connections that it doesn't answer.
+  const auto has_begun = answer_.status != 0;
+  if (end == TransferEnd::kBroken && has_begun) {
     context_.target_connections.RecordBreak(placement_.target.id, now);
   }
   const auto connection = std::exchange(target_connection_, nullptr);
@@ -339,15 +341,18 @@
   const auto is_whole = outcome == AttemptOutcome::kComplete ||
                         outcome == AttemptOutcome::kServerError;
   if (is_whole && end == TransferEnd::kCompleteAtClose) {
-    return ConfirmEnd(outcome);
+    const auto may_be_late =
+        connection != nullptr && connection->MayBeLate(now);
+    return ConfirmEnd(outcome, may_be_late);
   }
   EndAnswer(outcome);
 }
 
-auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome) -> void {
+auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome, bool may_be_late)
+    -> void {
   // The connections of a killed process end like such an answer. If the end is
   // old, another process may listen there by now.
-  if (context_.has_stood_still()) {
+  if (may_be_late || context_.has_stood_still()) {
     return EndAnswer(AttemptOutcome::kBroken);
   }
   context_.target_connections.ConfirmAlive(
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -2,6 +2,7 @@
 #include "relay/service_registry_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -12,7 +13,6 @@
 constexpr Duration kFirstRetryDelay = milliseconds(200);
 constexpr Duration kMaxRetryDelay = milliseconds(1600);
 constexpr Duration kMaxRetryDelayWithoutTargets = milliseconds(400);
-constexpr std::size_t kMaxMalformedRowsLogged = 256;
 constexpr int kOk = 200;
 
 auto HasSucceeded(const Outcome<HttpReply>& reply) -> bool {
@@ -34,7 +34,9 @@
       own_row_(std::move(own_row)),
       store_client_(io, store_address),
       timer_(io),
-      random_(StableHash(own_row_.key)) {}
+      random_(StableHash(own_row_.key)),
+      malformed_targets_(log, "target_row_malformed"),
+      malformed_routers_(log, "router_row_malformed") {}
 
 auto ServiceRegistryReader::Schedule(Duration delay) -> void {
   timer_.expires_after(delay);
@@ -57,33 +59,33 @@
   if (store_client_.is_busy()) return;
   const auto now = MonotonicClock::now();
   if (is_deregistering_ && is_own_row_written_) return RemoveOwnRow();
+  if (std::exchange(is_target_list_next_, false)) return ReadTargets({});
   if (!is_own_row_written_ && !is_deregistering_) return WriteOwnRow();
   if (routers_read_at_ == Time{} ||
       now - routers_read_at_ > core_.RouterListPeriod(now)) {
-    return ReadRouters("");
+    return ReadRouters({});
   }
-  ReadTargets("");
+  ReadTargets({});
 }
 
-auto ServiceRegistryReader::ReadTargets(const std::string& after) -> void {
-  if (after.empty()) {
+auto ServiceRegistryReader::ReadTargets(const PageStart& after) -> void {
+  if (!after) {
     listed_targets_.clear();
     list_started_at_ = MonotonicClock::now();
   }
-  store_client_.Call(
-      ListRows(kTargetTable, after), kCallTimeout,
-      [this](const Outcome<HttpReply>& reply) { HandleTargetRows(reply); });
+  store_client_.Call(ListRows(kTargetTable, after), kCallTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleTargetRows(reply, after);
+                     });
 }
 
-auto ServiceRegistryReader::HandleTargetRows(const Outcome<HttpReply>& reply)
-    -> void {
-  const auto rows = store_health_.DecodeRows("targets", reply);
+auto ServiceRegistryReader::HandleTargetRows(const Outcome<HttpReply>& reply,
+                                             const PageStart& after) -> void {
+  const auto rows = store_health_.DecodeRows("targets", reply, after);
   if (!rows) return ScheduleRetry();
   retry_delay_ = {};
   for (const auto& row : rows->rows) AddTargetRow(row);
-  if (rows->is_truncated && !rows->rows.empty()) {
-    return ReadTargets(rows->rows.back().key);
-  }
+  if (rows->next_after) return ReadTargets(rows->next_after);
   const auto now = MonotonicClock::now();
   ApplyTargetChange(
       core_.SetTargets(std::move(listed_targets_), rows->version, now));
@@ -103,13 +105,10 @@
 auto ServiceRegistryReader::AddTargetRow(const StoreRow& row) -> void {
   if (row.is_removed) return;
   auto target = DecodeTargetRow(row.key, row.value);
-  if (target) {
-    listed_targets_.push_back(std::move(*target));
-    return;
+  if (!IsOk(target)) {
+    return malformed_targets_.Log(row.key, ErrorOf(target).message);
   }
-  if (malformed_rows_.size() >= kMaxMalformedRowsLogged) return;
-  if (!malformed_rows_.insert(row.key).second) return;
-  log_.Write(LogClass::kState, "target_row_malformed", {{"target", row.key}});
+  listed_targets_.push_back(std::move(ValueOf(target)));
 }
 
 auto ServiceRegistryReader::ApplyTargetChange(const DirectoryChange& change)
@@ -128,32 +127,34 @@
   }
 }
 
-auto ServiceRegistryReader::ReadRouters(const std::string& after) -> void {
-  if (after.empty()) listed_routers_.clear();
-  store_client_.Call(
-      ListRows(kRouterTable, after), kCallTimeout,
-      [this](const Outcome<HttpReply>& reply) { HandleRouterRows(reply); });
+auto ServiceRegistryReader::ReadRouters(const PageStart& after) -> void {
+  if (!after) listed_routers_.clear();
+  store_client_.Call(ListRows(kRouterTable, after), kCallTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleRouterRows(reply, after);
+                     });
 }
 
-auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply)
-    -> void {
-  const auto rows = store_health_.DecodeRows("routers", reply);
-  if (!rows) return ScheduleRetry();
-  for (const auto& row : rows->rows) {
-    if (row.is_removed || row.key == own_row_.key) continue;
-    const auto router = DecodeRouterRow(row.value);
-    if (IsOk(router)) {
-      const auto& value = ValueOf(router);
-      listed_routers_.push_back(
-          PeerSeed{value.peer_address, value.data_center, value.cores});
-      continue;
-    }
-    log_.Write(LogClass::kState, "router_row_malformed",
-               {{"key", row.key}, {"cause", ErrorOf(router).message}});
+auto ServiceRegistryReader::AddRouterRow(const StoreRow& row) -> void {
+  if (row.is_removed || row.key == own_row_.key) return;
+  const auto router = DecodeRouterRow(row.value);
+  if (!IsOk(router)) {
+    return malformed_routers_.Log(row.key, ErrorOf(router).message);
   }
-  if (rows->is_truncated && !rows->rows.empty()) {
-    return ReadRouters(rows->rows.back().key);
+  const auto& value = ValueOf(router);
+  listed_routers_.push_back(
+      PeerSeed{value.peer_address, value.data_center, value.cores});
+}
+
+auto ServiceRegistryReader::HandleRouterRows(const Outcome<HttpReply>& reply,
+                                             const PageStart& after) -> void {
+  const auto rows = store_health_.DecodeRows("routers", reply, after);
+  if (!rows) {
+    is_target_list_next_ = true;
+    return ScheduleRetry();
   }
+  for (const auto& row : rows->rows) AddRouterRow(row);
+  if (rows->next_after) return ReadRouters(rows->next_after);
   routers_read_at_ = MonotonicClock::now();
   core_.AddPeers(listed_routers_, routers_read_at_);
   listed_routers_.clear();
@@ -173,6 +174,7 @@
                        if (!HasSucceeded(reply)) {
                          store_health_.RecordFailure(
                              "own_row", "the store did not confirm the write");
+                         is_target_list_next_ = true;
                          return ScheduleRetry();
                        }
                        is_own_row_written_ = true;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <limits>
 
+#include "relay/loop_watch.h"
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -128,8 +129,12 @@
                          });
       return;
     }
-    // An answer may have arrived already; the next read shows how it ended.
-    if (error) return;
+    // An answer may have arrived already. The system reports a reset only once,
+    // so that reads then end as if the target had closed the connection.
+    if (error) {
+      is_reset_ = true;
+      return;
+    }
   }
 }
 
@@ -143,9 +148,19 @@
                      });
 }
 
+auto TargetConnection::PauseReading() -> void {
+  if (!is_paused_) paused_at_ = MonotonicClock::now();
+  is_paused_ = true;
+}
+
 auto TargetConnection::ResumeReading() -> void {
   if (!is_paused_) return;
   is_paused_ = false;
+  const auto now = MonotonicClock::now();
+  // A pause within that time prolongs it: the rest may still be unread.
+  if (now - paused_at_ >= kLeastRestartTime || paused_at_ < late_until_) {
+    late_until_ = now + kCatchUpTime;
+  }
   WaitReadable();
 }
 
@@ -163,7 +178,7 @@
     return;
   }
   if (error) {
-    const auto is_orderly = error == asio::error::eof;
+    const auto is_orderly = error == asio::error::eof && !is_reset_;
     if (is_orderly && reader_->FinishAtEndOfStream()) {
       HandleHead();
       return End(head_action_ == HeadAction::kRead
@@ -244,6 +259,7 @@
   on_lost_ = std::move(on_lost);
   in_ = std::string();
   is_paused_ = false;
+  late_until_ = {};
   WaitReadable();
 }
 
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -68,8 +68,11 @@
   auto Close() -> void;
 
   // Flow control: reading pauses while the caller is slow.
-  auto PauseReading() -> void { is_paused_ = true; }
+  auto PauseReading() -> void;
   auto ResumeReading() -> void;
+  // Whether reading was paused lately for so long that what is read now may
+  // have arrived long ago.
+  auto MayBeLate(Time now) const -> bool { return now < late_until_; }
 
   // Marks the connection idle; `on_lost` is called when the target closes it or
   // sends unexpected data.
@@ -125,6 +128,8 @@
   std::shared_ptr<const std::string> body_;
   std::size_t written_ = 0;
   bool is_connected_ = false;
+  // A write has failed, so the connection can't end in an orderly way.
+  bool is_reset_ = false;
   bool is_busy_ = false;
   bool is_head_request_ = false;
   bool is_head_handled_ = false;
@@ -135,6 +140,9 @@
   bool is_reading_ = false;
   bool is_handling_input_ = false;
   bool is_paused_ = false;
+  // When the latest pause began, and until when its delay may show.
+  Time paused_at_{};
+  Time late_until_{};
   bool is_reusable_ = false;
   PastRefusals past_refusals_ = PastRefusals::kNone;
   // Hashes of the ids of the latest requests; zero for none.
