Tests: stale bytes lie in the socket before the request is written, beside load too

test_bytes_that_arrive_before_the_request_is_written assumed that 20 ms are enough for the router to stop and for the bytes to arrive. The case now waits until the router is stopped, and until its sockets have got the bytes. Its checks are the same.

--- a/tests/process/test_stale_refusals.py
+++ b/tests/process/test_stale_refusals.py
@@ -1,11 +1,14 @@
 """Tests of targets that write an earlier answer once more on a kept connection:
 it never decides about the request that follows."""
 
+import array
+import fcntl
 import http.client
 import itertools
 import os
 import signal
 import sys
+import termios
 import time
 import unittest
 
@@ -189,6 +192,17 @@
             if not self.is_good(path, answer):
                 self.fail((case, answer, self.lines(request_id)))
 
+    def is_stopped(self):
+        with open(f"/proc/{self.edge.process.pid}/stat") as stat:
+            return stat.read().rpartition(")")[2].split()[0] == "T"
+
+    @staticmethod
+    def is_delivered(connection):
+        """Whether the other end's socket has got all that was sent."""
+        unacknowledged = array.array("i", [0])
+        fcntl.ioctl(connection, termios.TIOCOUTQ, unacknowledged)
+        return unacknowledged[0] == 0
+
     def lines(self, request_id):
         """What the router has logged about a request."""
         time.sleep(0.2)  # The log is read by another thread.
@@ -252,13 +266,17 @@
             self.steps[:] = [("write", "late", b"")] * 2
             # The router finds the request first, then the stale bytes.
             os.kill(self.edge.process.pid, signal.SIGSTOP)
+            wait_for(self.is_stopped, "the router is stopped")
             request_id = self.send(connection, path)
-            time.sleep(0.02)
+            wait_for(lambda: self.is_delivered(connection.sock),
+                     "the request is delivered")
             for target in self.targets:
                 for kept, (_, text) in list(target.refusals.items()):
                     try:
                         kept.sendall(text)
-                    except OSError:
+                        wait_for(lambda: self.is_delivered(kept),
+                                 "the stale bytes are delivered")
+                    except (OSError, ValueError):
                         pass  # The router has closed it.
             os.kill(self.edge.process.pid, signal.SIGCONT)
             status, body = self.read(connection)
