--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -1,6 +1,9 @@
 // Names and HTTP statuses of refusals, and names of attempt outcomes.
 #include "gateway/request.h"
 
+#include <algorithm>
+#include <array>
+
 namespace papayaplank {
 
 auto RefusalName(RefusalReason reason) -> std::string_view {
@@ -66,6 +69,12 @@
   return 503;
 }
 
+auto PromisesNotRun(int status) -> bool {
+  constexpr std::array kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) !=
+         kStatuses.end();
+}
+
 auto AttemptOutcomeName(AttemptOutcome outcome) -> std::string_view {
   switch (outcome) {
     case AttemptOutcome::kComplete:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -70,6 +70,9 @@
 auto RefusalName(RefusalReason reason) -> std::string_view;
 // HTTP status of the answer. 429 and 503 mean that the request has not run.
 auto RefusalStatus(RefusalReason reason) -> int;
+// Whether the status promises that the request has not run. The answer of a
+// target that ran it must not reach the caller with such a status.
+auto PromisesNotRun(int status) -> bool;
 
 // The values behind an admission decision, for the log.
 struct AdmissionFacts {
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -1,48 +1,15 @@
-// Attempts, retries and the relay of answers for one request.
+// Attempts, retries and the end of one request.
 #include "relay/relayed_request.h"
 
-#include <algorithm>
-#include <array>
-
 namespace papayaplank {
 namespace {
 
-// Answers up to this size are buffered until they are complete, so that a
-// failed one can be retried. A longer one is relayed as it arrives and can't be
-// retried; an attempt fails if its bytes can't be relayed and are longer.
-constexpr std::size_t kMaxBufferedAnswerBytes = 262144;
-// Bytes not yet taken by a slow caller at which reading from the target pauses.
-constexpr std::size_t kMaxUnsentBytes = 65536;
 // The router's own timeout ends this much before the deadline, so that the
 // answer reaches the caller in time.
 constexpr Duration kDeadlineMargin = milliseconds(20);
 // Retry-After of a request that no target has executed.
 constexpr Duration kRetryAfterNotExecuted = milliseconds(100);
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-constexpr int kFirstServerError = 500;
-
-auto IsSuccess(int status) -> bool {
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
-// Whether the status promises that the request has not run. The answer of a
-// target that ran it must not reach the caller with such a status.
-auto PromisesNotRun(int status) -> bool {
-  constexpr std::array kStatuses = {408, 421, 429, 503};
-  return std::find(kStatuses.begin(), kStatuses.end(), status) !=
-         kStatuses.end();
-}
-
-auto HeaderLines(const HttpFields& fields) -> std::string {
-  std::string lines;
-  for (const auto& [name, value] : fields) {
-    lines.append(name).append(": ").append(value).append("\r\n");
-  }
-  return lines;
-}
-
 auto ToMs(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -184,196 +151,6 @@
                     [self](TransferEnd end) { self->OnTransferEnd(end); }});
 }
 
-auto RelayedRequest::IsFromTarget() const -> bool {
-  return answer_.is_signed && !answer_.is_encoded &&
-         answer_.request_id == request_.request_id;
-}
-
-auto RelayedRequest::OnHead(int status, const HttpFields& fields)
-    -> HeadAction {
-  auto answer = DecodeTargetAnswer(status, fields);
-  const auto past_refusals = target_connection_->past_refusals();
-  const auto is_repeatable = IsRepeatable(*accepted_request_.route);
-  const auto origin = FindAnswerOrigin(answer, request_.request_id,
-                                       is_repeatable, past_refusals);
-  target_connection_->RecordPastRefusal(RefusalKind(answer));
-  if (origin != AnswerOrigin::kThisRequest) {
-    LogStrayAnswer(context_.log, request_.request_id, placement_.target.id,
-                   answer);
-    // Unless the answer is a late one, it may be all that the target sends; a
-    // repeatable request then gets another sooner elsewhere.
-    const auto may_follow =
-        origin == AnswerOrigin::kOtherRequest &&
-        (!is_repeatable || target_connection_->HasCarried(answer.request_id));
-    return may_follow ? HeadAction::kSkip : HeadAction::kBreak;
-  }
-  answer_ = std::move(answer);
-  is_success_from_target_ = IsFromTarget() && IsSuccess(status);
-  // An earlier refusal ends no limit.
-  if (!MayBeEarlierRefusal(answer_, past_refusals) || answer_.limit) {
-    RecordLimit();
-  }
-  if (IsFromTarget() && target_connection_->is_answer_unframed()) {
-    sentinel_ = context_.target_connections.OpenSentinel(placement_.target);
-  }
-  return HeadAction::kRead;
-}
-
-auto RelayedRequest::RecordLimit() -> void {
-  const auto says_so =
-      IsFromTarget() || (answer_.is_not_executed && !answer_.is_wrong_target);
-  if (!says_so) return;
-  if (answer_.is_limit_malformed) return context_.core.RecordMalformedLimit();
-  context_.core.RecordLimit(placement_, answer_.limit, MonotonicClock::now());
-}
-
-auto RelayedRequest::OnBody(std::string_view bytes) -> void {
-  if (is_stream_ && is_success_from_target_) return RelayEvents(bytes);
-  BufferOrRelay(bytes);
-}
-
-auto RelayedRequest::RelayEvents(std::string_view bytes) -> void {
-  const auto relayed_before = relayed_events_;
-  std::string complete_events;
-  event_splitter_.Append(bytes,
-                         [this, &complete_events](std::string_view event) {
-                           complete_events.append(event);
-                           ++relayed_events_;
-                         });
-  if (!complete_events.empty()) {
-    has_attempt_events_ = true;
-    if (relayed_before == 0) {
-      BeginAnswer();
-      RecordFirstByte();
-    }
-    // The core uses only the first call of an attempt.
-    context_.core.RecordFirstToken(placement_, MonotonicClock::now());
-    AppendToAnswer(complete_events);
-  }
-  const auto is_endless =
-      event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
-  if (event_splitter_.is_out_of_order() || is_endless) BreakAttempt();
-}
-
-auto RelayedRequest::BreakAttempt() -> void {
-  CloseTargetConnection();
-  EndAttempt(AttemptOutcome::kBroken);
-  RetryOrFail(AttemptOutcome::kBroken);
-}
-
-auto RelayedRequest::AppendToAnswer(std::string_view bytes) -> void {
-  caller_->Append(bytes);
-  if (caller_->unsent_bytes() < kMaxUnsentBytes ||
-      target_connection_ == nullptr) {
-    return;
-  }
-  target_connection_->PauseReading();
-  caller_->SetAllSentHook([self = shared_from_this()] {
-    if (self->target_connection_ != nullptr) {
-      self->target_connection_->ResumeReading();
-    }
-  });
-}
-
-auto RelayedRequest::BufferOrRelay(std::string_view bytes) -> void {
-  if (answer_state_ == AnswerState::kStarted && !is_stream_) {
-    return AppendToAnswer(bytes);
-  }
-  buffered_body_.append(bytes);
-  if (buffered_body_.size() <= kMaxBufferedAnswerBytes) return;
-  if (!IsFromTarget() || is_stream_) return BreakAttempt();
-  BeginAnswer();
-  RecordFirstByte();
-  AppendToAnswer(buffered_body_);
-  buffered_body_.clear();
-}
-
-auto RelayedRequest::BeginAnswer() -> void {
-  if (answer_state_ != AnswerState::kNotStarted) return;
-  answer_state_ = AnswerState::kStarted;
-  begun_status_ = answer_.status;
-  caller_->BeginAnswer(answer_.status, HeaderLines(answer_.forwarded));
-  if (accepted_request_.route->is_resumable) return;
-  // The answer has started, so the request can't be sent to another target.
-  body_.reset();
-}
-
-auto RelayedRequest::ClassifyAnswer(TransferEnd end) const -> AttemptOutcome {
-  if (end == TransferEnd::kNotConnected) return AttemptOutcome::kNotReached;
-  if (answer_.is_wrong_target) return AttemptOutcome::kWrongTarget;
-  if (answer_.is_not_executed) return AttemptOutcome::kNotExecuted;
-  if (end == TransferEnd::kBroken || !IsFromTarget()) {
-    return AttemptOutcome::kBroken;
-  }
-  if (is_stream_ && answer_state_ == AnswerState::kStarted &&
-      !(is_success_from_target_ && answer_.status == begun_status_)) {
-    return AttemptOutcome::kBroken;
-  }
-  if (answer_.status >= kFirstServerError || PromisesNotRun(answer_.status)) {
-    return AttemptOutcome::kServerError;
-  }
-  if (is_stream_ && is_success_from_target_) {
-    // A target that crashes on the first event may close an empty answer.
-    const auto is_empty =
-        end == TransferEnd::kCompleteAtClose && !has_attempt_events_;
-    if (is_empty || event_splitter_.has_partial_event() ||
-        event_splitter_.is_short()) {
-      return AttemptOutcome::kBroken;
-    }
-  }
-  return AttemptOutcome::kComplete;
-}
-
-auto RelayedRequest::OnTransferEnd(TransferEnd end) -> void {
-  const auto now = MonotonicClock::now();
-  const auto outcome = ClassifyAnswer(end);
-  transfer_end_ = end;
-  context_.metrics.RecordTransferEnd(TransferEndName(end));
-  // A target that is full resets connections that it doesn't answer.
-  const auto has_begun = answer_.status != 0;
-  if (end == TransferEnd::kBroken && has_begun) {
-    context_.target_connections.RecordBreak(placement_.target.id, now);
-  }
-  const auto connection = std::exchange(target_connection_, nullptr);
-  if (connection != nullptr && !IsReusableAfter(answer_)) {
-    connection->Close();
-  } else if (connection != nullptr) {
-    context_.target_connections.Release(
-        placement_.target, connection, answer_.keep_alive,
-        context_.core.ConnectionShare(accepted_request_.pool, now), now);
-  }
-  const auto is_whole = outcome == AttemptOutcome::kComplete ||
-                        outcome == AttemptOutcome::kServerError;
-  if (is_whole && end == TransferEnd::kCompleteAtClose) {
-    const auto may_be_late =
-        connection != nullptr && connection->MayBeLate(now);
-    return ConfirmEnd(outcome, may_be_late);
-  }
-  EndAnswer(outcome);
-}
-
-auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome, bool may_be_late)
-    -> void {
-  // The connections of a killed process end like such an answer.
-  context_.target_connections.ConfirmAlive(
-      placement_.target, std::exchange(sentinel_, nullptr),
-      MonotonicClock::now(),
-      [&context = context_, may_be_late, since = attempt_started_at_] {
-        return may_be_late || context.has_stood_still(since);
-      },
-      [self = shared_from_this(), outcome](bool is_alive) {
-        // The caller has left, or the deadline has passed.
-        if (!self->has_open_attempt_) return;
-        self->EndAnswer(is_alive ? outcome : AttemptOutcome::kBroken);
-      });
-}
-
-auto RelayedRequest::EndAnswer(AttemptOutcome outcome) -> void {
-  EndAttempt(outcome);
-  if (outcome == AttemptOutcome::kComplete) return Complete();
-  RetryOrFail(outcome);
-}
-
 auto RelayedRequest::EndAttempt(AttemptOutcome outcome) -> void {
   if (!has_open_attempt_) return;
   has_open_attempt_ = false;
@@ -406,8 +183,7 @@
     caller_->FinishAnswer();
   } else {
     RecordFirstByte();
-    caller_->Answer(answer_.status, HeaderLines(answer_.forwarded),
-                    buffered_body_);
+    caller_->Answer(answer_.status, ForwardedHeaders(), buffered_body_);
   }
   Log(LogClass::kRoutine, "request_done", "complete", now);
   RecordAnswer("complete", now);
@@ -432,8 +208,7 @@
     Log(LogClass::kFailure, "failure_relayed", AttemptOutcomeName(outcome),
         now);
     RecordAnswer(AttemptOutcomeName(outcome), now);
-    caller_->Answer(answer_.status, HeaderLines(answer_.forwarded),
-                    buffered_body_);
+    caller_->Answer(answer_.status, ForwardedHeaders(), buffered_body_);
     return Finish();
   }
   if (may_have_run_) return Refuse(Refusal{RefusalReason::kTargetFailed, {}});
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -56,6 +56,8 @@
   // Ends the attempt because of what the target sent.
   auto BreakAttempt() -> void;
   auto BeginAnswer() -> void;
+  // Header lines of the target's answer that go to the caller.
+  auto ForwardedHeaders() const -> std::string;
   // Writes to the caller; pauses the target while the caller is slow.
   auto AppendToAnswer(std::string_view bytes) -> void;
   auto EndAttempt(AttemptOutcome outcome) -> void;
