--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -74,6 +74,18 @@
 
 }  // namespace
 
+auto ExchangeRoleName(ExchangeRole role) -> std::string_view {
+  switch (role) {
+    case ExchangeRole::kMesh:
+      return "mesh";
+    case ExchangeRole::kHub:
+      return "hub";
+    case ExchangeRole::kMember:
+      return "member";
+  }
+  return "unknown";
+}
+
 auto FleetExchange::Tick(const RouterState& self, Time now) -> void {
   ++tick_;
   self_ = self;
--- a/gateway/fleet_exchange.h
+++ b/gateway/fleet_exchange.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -35,6 +36,8 @@
   kMember,  // Reports to the hubs of its data centre.
 };
 
+auto ExchangeRoleName(ExchangeRole role) -> std::string_view;
+
 // One router's part in the exchange. `peers` and `shares` are the router's own
 // and outlive it.
 class FleetExchange {
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -114,7 +114,7 @@
         peer_link_(
             io_, core_, log_,
             {[this](const DirectoryChange& change) {
-               registry_reader_.ApplyTargetChange(change);
+               registry_reader_.ApplyTargetChange(change, "peer");
              },
              [this](PermitNonce nonce) { permit_waits_.Resume(nonce); }}),
         store_health_(core_, log_),
@@ -233,7 +233,7 @@
       [this] { peer_link_.SendQueries(MonotonicClock::now()); });
   configuration_reader_.SetTargetChangeHook(
       [this](const DirectoryChange& change) {
-        registry_reader_.ApplyTargetChange(change);
+        registry_reader_.ApplyTargetChange(change, "snapshot");
       });
   configuration_reader_.Start();
   registry_reader_.Start();
@@ -361,6 +361,7 @@
        {"open_requests", static_cast<std::int64_t>(context_.open_requests)},
        {"store_calls", static_cast<std::int64_t>(StoreCalls())},
        {"is_watcher", core_.is_watcher(now)},
+       {"exchange_role", ExchangeRoleName(core_.exchange_role())},
        {"lateness_ms", core_.load().lateness_ms()},
        {"requests", static_cast<std::int64_t>(core_.counters().requests)},
        {"sends", static_cast<std::int64_t>(core_.counters().attempts)},
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -88,7 +88,9 @@
   if (rows->next_after) return ReadTargets(rows->next_after);
   const auto now = MonotonicClock::now();
   ApplyTargetChange(
-      core_.SetTargets(std::move(listed_targets_), rows->version, now));
+      core_.SetTargets(std::move(listed_targets_), rows->version, now),
+      "store");
+  list_read_at_ = now;
   listed_targets_.clear();
   if (!is_deregistering_ &&
       (!is_own_row_written_ || routers_read_at_ == Time{})) {
@@ -111,19 +113,31 @@
   listed_targets_.push_back(std::move(ValueOf(target)));
 }
 
-auto ServiceRegistryReader::ApplyTargetChange(const DirectoryChange& change)
-    -> void {
+auto ServiceRegistryReader::LogTargetChange(std::string_view event,
+                                            const TargetId& target,
+                                            std::string_view source) -> void {
+  const auto now = MonotonicClock::now();
+  const auto list_age =
+      list_read_at_ == Time{} ? Duration{} : now - list_read_at_;
+  log_.Write(LogClass::kState, event,
+             {{"target", target.value()},
+              {"source", source},
+              {"role", ExchangeRoleName(core_.exchange_role())},
+              {"list_age_ms", list_age.count() / 1000}});
+}
+
+auto ServiceRegistryReader::ApplyTargetChange(const DirectoryChange& change,
+                                              std::string_view source) -> void {
   for (const auto& target : change.left) {
     connections_.CloseTarget(target);
-    log_.Write(LogClass::kState, "target_left", {{"target", target.value()}});
+    LogTargetChange("target_left", target, source);
   }
   for (const auto& target : change.restarted) {
     connections_.CloseTarget(target);
-    log_.Write(LogClass::kState, "target_restarted",
-               {{"target", target.value()}});
+    LogTargetChange("target_restarted", target, source);
   }
   for (const auto& target : change.joined) {
-    log_.Write(LogClass::kState, "target_joined", {{"target", target.value()}});
+    LogTargetChange("target_joined", target, source);
   }
 }
 
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -32,8 +32,10 @@
                         TargetConnectionPool& connections, EventLog& log);
 
   auto Start() -> void { ReadTargets({}); }
-  // Closes connections to targets that left or restarted, and logs the change.
-  auto ApplyTargetChange(const DirectoryChange& change) -> void;
+  // Closes connections to targets that left or restarted, and logs the change
+  // and who told of it.
+  auto ApplyTargetChange(const DirectoryChange& change, std::string_view source)
+      -> void;
   // Removes this router's row, so that other routers no longer report to it.
   auto Deregister() -> void;
   // Calls to the store since the start.
@@ -45,6 +47,8 @@
   auto HandleTargetRows(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
   auto AddTargetRow(const StoreRow& row) -> void;
+  auto LogTargetChange(std::string_view event, const TargetId& target,
+                       std::string_view source) -> void;
   auto ReadRouters(const PageStart& after) -> void;
   auto HandleRouterRows(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
@@ -72,6 +76,8 @@
   MalformedRows malformed_targets_;
   MalformedRows malformed_routers_;
   Time list_started_at_{};
+  // When the newest complete target list arrived.
+  Time list_read_at_{};
   Time routers_read_at_{};
   // Set when another call failed, so that its tries take turns with the list.
   bool is_target_list_next_ = false;
