--- /dev/null
+++ b/tests/gateway/departure_fleet.cpp
@@ -0,0 +1,206 @@
+// Events of the simulated fleet: ticks, messages, reads of target lists.
+#include "tests/gateway/departure_fleet.h"
+
+#include <algorithm>
+
+namespace papayaplank {
+namespace {
+
+constexpr int kDataCenters = 5;
+constexpr Duration kTick = milliseconds(100);
+constexpr Duration kMessageLatency = milliseconds(3);
+constexpr Duration kReadLatency = milliseconds(10);
+
+auto DataCenter(int index) -> DataCenterId {
+  return DataCenterId("dc" + std::to_string(index % kDataCenters));
+}
+
+// One in thirteen instances is large.
+auto Cores(int index) -> double {
+  return index % 13 < kDataCenters ? 0.5 : 0.12;
+}
+
+auto MakeTable() -> std::shared_ptr<const RoutingTable> {
+  RoutingDocument document;
+  document.version = 1;
+  Route route;
+  route.name = "read";
+  route.host = "shop.example";
+  route.prefix = "/read/";
+  route.kind = RequestKind::kIdempotent;
+  route.pools = {{PoolId("targets"), 1}};
+  document.routes = {route};
+  Service service;
+  service.id = PoolId("targets");
+  document.services = {service};
+  return std::make_shared<const RoutingTable>(document);
+}
+
+}  // namespace
+
+DepartureFleet::DepartureFleet(int routers, std::uint64_t seed)
+    : random_(seed) {
+  for (int i = 0; i < kTargets; ++i) {
+    TargetRow row;
+    row.id = TargetId("t" + std::to_string(i));
+    row.address = "127.0.0.1:" + std::to_string(9000 + i);
+    row.pool = PoolId("targets");
+    row.data_center = DataCenter(i);
+    row.started_unix_ms = 1;
+    rows_.push_back(row);
+  }
+  for (int i = 0; i < routers; ++i) {
+    addresses_.push_back("10.0." + std::to_string(i / 250) + "." +
+                         std::to_string(i % 250) + ":1");
+    index_of_[addresses_.back()] = i;
+  }
+  for (int i = 0; i < routers; ++i) {
+    // The routers' ticks are not in step.
+    At(Scale(seconds(1), random_.Uniform()), [this, i] { Start(i); });
+  }
+}
+
+auto DepartureFleet::At(Duration delay, std::function<void()> action) -> void {
+  events_.push(Event{now_ + delay, ++event_count_, std::move(action)});
+}
+
+auto DepartureFleet::Run(Duration time) -> void {
+  const auto end = now_ + time;
+  while (!events_.empty() && events_.top().at <= end) {
+    const auto event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.action();
+  }
+  now_ = end;
+}
+
+auto DepartureFleet::Start(int index) -> void {
+  GatewayOptions options;
+  options.peer_address = addresses_[static_cast<std::size_t>(index)];
+  options.caller_address = "c" + options.peer_address;
+  options.data_center = DataCenter(index);
+  options.started_unix_ms = ++starts_;
+  options.router =
+      RouterId(options.peer_address + "#" + std::to_string(starts_));
+  options.cores = Cores(index);
+  options.seed = random_.Index(1'000'000'000);
+  auto core = std::make_unique<GatewayCore>(options);
+  core->SetTable(MakeTable());
+  std::vector<PeerSeed> seeds;
+  for (const auto& [address, peer] : index_of_) {
+    if (peer != index) {
+      seeds.push_back({address, DataCenter(peer), Cores(peer)});
+    }
+  }
+  core->AddPeers(seeds, now_);
+  auto& router = routers_[index];
+  router.core = std::move(core);
+  router.incarnation = starts_;
+  ReadTargets(index);
+  Tick(index, starts_);
+}
+
+auto DepartureFleet::Tick(int index, int incarnation) -> void {
+  const auto found = routers_.find(index);
+  if (found == routers_.end()) return;
+  auto& router = found->second;
+  if (router.incarnation != incarnation) return;
+  router.core->ConfirmConfiguration(now_);
+  if (!router.is_cut) router.core->RecordStoreSuccess(now_);
+  for (const auto& [message, recipients] :
+       router.core->MakePeerMessages(now_)) {
+    const auto bytes = EncodePeerMessage(message);
+    for (const auto& address : recipients) {
+      cost_.bytes += bytes.size();
+      if (router.is_cut) continue;
+      At(kMessageLatency,
+         [this, to = index_of_.at(address), bytes] { Deliver(to, bytes); });
+    }
+  }
+  At(kTick, [this, index, incarnation] { Tick(index, incarnation); });
+}
+
+auto DepartureFleet::Deliver(int to, const std::string& bytes) -> void {
+  const auto found = routers_.find(to);
+  if (found == routers_.end() || found->second.is_cut) return;
+  auto& core = *found->second.core;
+  const auto message = DecodePeerMessage(bytes);
+  if (const auto* report = std::get_if<PeerReport>(&*message)) {
+    core.HandleReport(*report, now_);
+  } else if (const auto* summary = std::get_if<FleetSummary>(&*message)) {
+    core.HandleSummary(*summary, now_);
+  }
+}
+
+auto DepartureFleet::ScheduleRead(int index, Duration delay) -> void {
+  const auto read = routers_.at(index).reads = ++reads_;
+  At(delay, [this, index, read] {
+    const auto found = routers_.find(index);
+    // A later call has replaced this one.
+    if (found == routers_.end() || found->second.reads != read) return;
+    ReadTargets(index);
+  });
+}
+
+auto DepartureFleet::ReadTargets(int index) -> void {
+  if (routers_.at(index).is_cut) {
+    routers_.at(index).core->RecordStoreFailure();
+    return ScheduleRead(index, seconds(1));
+  }
+  ++cost_.list_reads;
+  At(kReadLatency, [this, index, incarnation = routers_.at(index).incarnation,
+                    rows = rows_, version = store_version_] {
+    const auto found = routers_.find(index);
+    if (found == routers_.end() || found->second.incarnation != incarnation) {
+      return;
+    }
+    auto& core = *found->second.core;
+    core.RecordStoreSuccess(now_);
+    core.SetTargets(rows, version, now_);
+    ScheduleRead(index, core.NextTargetListDelay(now_));
+  });
+}
+
+auto DepartureFleet::Drain(int target) -> void {
+  ++store_version_;
+  const TargetId id("t" + std::to_string(target));
+  for (auto& row : rows_) row.is_draining |= row.id == id;
+}
+
+auto DepartureFleet::Remove(int target) -> void {
+  ++store_version_;
+  const TargetId id("t" + std::to_string(target));
+  std::erase_if(rows_, [&id](const TargetRow& row) { return row.id == id; });
+}
+
+auto DepartureFleet::Unaware(int target) const -> std::vector<int> {
+  std::vector<int> unaware;
+  const TargetId id("t" + std::to_string(target));
+  for (const auto& [index, router] : routers_) {
+    const auto& serving = router.core->directory().Serving(PoolId("targets"));
+    const auto is_used =
+        std::any_of(serving.begin(), serving.end(),
+                    [&id](const TargetRow& row) { return row.id == id; });
+    if (is_used) unaware.push_back(index);
+  }
+  return unaware;
+}
+
+auto DepartureFleet::Running() const -> std::vector<int> {
+  std::vector<int> running;
+  for (const auto& [index, router] : routers_) running.push_back(index);
+  return running;
+}
+
+auto DepartureFleet::Hubs() const -> std::vector<int> {
+  std::vector<int> hubs;
+  for (const auto& [index, router] : routers_) {
+    if (router.core->exchange_role() == ExchangeRole::kHub) {
+      hubs.push_back(index);
+    }
+  }
+  return hubs;
+}
+
+}  // namespace papayaplank
--- /dev/null
+++ b/tests/gateway/departure_fleet.h
@@ -0,0 +1,88 @@
+// A fleet of router cores that read target lists from a store and tell each
+// other of changes, in virtual time, with routers that die or are cut off.
+#ifndef TESTS_GATEWAY_DEPARTURE_FLEET_H_
+#define TESTS_GATEWAY_DEPARTURE_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+
+namespace papayaplank {
+
+class DepartureFleet {
+ public:
+  DepartureFleet(int routers, std::uint64_t seed);
+
+  auto Run(Duration time) -> void;
+  auto now() const -> Time { return now_; }
+  auto random() -> Random& { return random_; }
+
+  // A router that starts reads the list of targets at once.
+  auto Start(int index) -> void;
+  auto Kill(int index) -> void { routers_.erase(index); }
+  // A router that is cut off reaches neither the store nor other routers.
+  auto Cut(int index, bool is_cut) -> void {
+    if (routers_.count(index) != 0) routers_.at(index).is_cut = is_cut;
+  }
+  // The store takes in that the target leaves.
+  auto Drain(int target) -> void;
+  // The target's row is taken out of the store.
+  auto Remove(int target) -> void;
+
+  // Routers that run and still use the target.
+  auto Unaware(int target) const -> std::vector<int>;
+  auto Running() const -> std::vector<int>;
+  auto Hubs() const -> std::vector<int>;
+  // Reads of the target list and bytes of messages since the last call.
+  struct Cost {
+    int list_reads = 0;
+    std::size_t bytes = 0;
+  };
+  auto TakeCost() -> Cost { return std::exchange(cost_, {}); }
+
+  static constexpr int kTargets = 20;
+
+ private:
+  struct Router {
+    std::unique_ptr<GatewayCore> core;
+    bool is_cut = false;
+    int incarnation = 0;
+    std::uint64_t reads = 0;
+  };
+  struct Event {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    auto operator<(const Event& other) const -> bool {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  auto At(Duration delay, std::function<void()> action) -> void;
+  auto Tick(int index, int incarnation) -> void;
+  auto Deliver(int to, const std::string& bytes) -> void;
+  auto ScheduleRead(int index, Duration delay) -> void;
+  auto ReadTargets(int index) -> void;
+
+  Random random_;
+  Time now_{seconds(1000)};
+  std::priority_queue<Event> events_;
+  std::uint64_t event_count_ = 0;
+  std::vector<std::string> addresses_;
+  std::map<std::string, int> index_of_;
+  std::map<int, Router> routers_;
+  std::vector<TargetRow> rows_;
+  std::uint64_t store_version_ = 1;
+  int starts_ = 0;
+  std::uint64_t reads_ = 0;
+  Cost cost_;
+};
+
+}  // namespace papayaplank
+
+#endif  // TESTS_GATEWAY_DEPARTURE_FLEET_H_
