Gateway: routers missed that a target left when hubs died or restarted

Cause: a hub passed a change on only if it changed its own list. A hub that had started after the target was gone, or had read the list itself, took the news for none, so that its members learnt of it by reads of their own, 11 to 25 s apart. Besides, a change was sent for 1 s, which is less than it takes to replace hubs.

Ruled out: readers that die (the list was read 0.7 s after), lost datagrams.

Change: TargetNews keeps departures for 6 s: repeated each second, sent anew when hubs change, passed on by a hub whenever it agrees with what it knows, and only once. A router that takes over as a hub reads the list at once, and a member whose lasting hubs are all gone within 0.8 s, as what the former ones did not pass on is known to nobody.

--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -95,12 +95,12 @@
   if (peers_.ExpectedCount(now) < kLargestMesh) {
     SetRole(ExchangeRole::kMesh, now);
   } else {
-    const auto ranks =
-        peers_.RankHubs(self.data_center, &self, SilentHubs(now), now);
-    const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                         kHubsPerDataCenter, ranks.size()));
-    const auto is_hub = std::find(ranks.begin(), end, self.peer_address) != end;
+    auto hubs = peers_.RankHubs(self.data_center, &self, SilentHubs(now), now);
+    hubs.resize(std::min(kHubsPerDataCenter, hubs.size()));
+    const auto is_hub =
+        std::find(hubs.begin(), hubs.end(), self.peer_address) != hubs.end();
     SetRole(is_hub ? ExchangeRole::kHub : ExchangeRole::kMember, now);
+    SetNearHubs(std::move(hubs), now);
   }
   std::erase_if(newest_report_, [this](const auto& entry) {
     return !near_.has_source(entry.first);
@@ -116,8 +116,29 @@
   }
 }
 
+auto FleetExchange::SetNearHubs(std::vector<std::string> addresses, Time now)
+    -> void {
+  std::map<HubProcess, Time> hubs;
+  auto has_lasting_hub = false;
+  for (auto& address : addresses) {
+    const auto heard = hubs_.find(address);
+    const auto start = heard == hubs_.end() ? 0 : heard->second.started_unix_ms;
+    const HubProcess hub(std::move(address), start);
+    const auto known = near_hubs_.find(hub);
+    const auto since = known == near_hubs_.end() ? now : known->second;
+    if (now - since > kTakeoverTime) has_lasting_hub = true;
+    if (known == near_hubs_.end()) have_hubs_changed_ = true;
+    hubs.emplace(hub, since);
+  }
+  near_hubs_ = std::move(hubs);
+  // Hubs may be replaced one after the other within moments.
+  if (has_lasting_hub_ && !has_lasting_hub) has_gap_ = true;
+  has_lasting_hub_ = has_lasting_hub;
+}
+
 auto FleetExchange::SetRole(ExchangeRole role, Time now) -> void {
   if (role == role_) return;
+  if (role == ExchangeRole::kHub) has_gap_ = true;
   // Loads of the same requests must not stand in both sums.
   if (role == ExchangeRole::kMember) {
     near_.Clear();
--- a/gateway/fleet_exchange.h
+++ b/gateway/fleet_exchange.h
@@ -66,6 +66,13 @@
   // Targets for which `Others` has changed since the last call.
   auto TakeChanged() -> std::vector<std::uint32_t>;
   auto role() const -> ExchangeRole { return role_; }
+  // Whether the hubs of this data centre have changed since the last call.
+  auto TakeHubChange() -> bool {
+    return std::exchange(have_hubs_changed_, false);
+  }
+  // Whether this router may have missed what others told since the last call:
+  // it has taken over as a hub, or all its hubs are new.
+  auto TakeGap() -> bool { return std::exchange(has_gap_, false); }
   // Whether the loads of the whole fleet arrive: a member hears a hub, and most
   // routers of the data centre report to a hub.
   auto is_informed(Time now) const -> bool;
@@ -84,7 +91,12 @@
     TargetLoads loads;
   };
 
+  // A hub by its address and the start of its process.
+  using HubProcess = std::pair<std::string, std::int64_t>;
+
   auto SetRole(ExchangeRole role, Time now) -> void;
+  // Notes who the hubs of this data centre are.
+  auto SetNearHubs(std::vector<std::string> addresses, Time now) -> void;
   // Whether a hub of the data centre sent a summary lately.
   auto HearsHubOf(const DataCenterId& data_center, Time now) const -> bool;
   // Hubs whose summaries stayed away lately.
@@ -129,6 +141,12 @@
   std::unordered_map<RouterId, std::uint64_t> newest_report_;
   // By peer address.
   std::map<std::string, HubRecord> hubs_;
+  // The hubs of this data centre, and since when they have been.
+  std::map<HubProcess, Time> near_hubs_;
+  // One of them has been a hub for a while.
+  bool has_lasting_hub_ = false;
+  bool have_hubs_changed_ = false;
+  bool has_gap_ = false;
   // Loads of this router's latest reports, oldest first.
   std::deque<SentLoads> sent_;
   // Routers that fell silent lately, to be named in summaries.
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -5,7 +5,6 @@
 #define GATEWAY_GATEWAY_CORE_H_
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +21,7 @@
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
 #include "gateway/request.h"
+#include "gateway/target_news.h"
 
 namespace papayaplank {
 
@@ -211,6 +211,11 @@
   // Delay until the next read of the target list. It is random, so that the
   // reads of the routers spread over time even if all started at once.
   auto NextTargetListDelay(Time now) -> Duration;
+  // Set if other routers may have told of changes that this one missed: the
+  // list is then to be read within that time. Once for each such event.
+  auto TakeListReadDemand() -> std::optional<Duration> {
+    return std::exchange(list_read_demand_, std::nullopt);
+  }
   // Period of the reads of the router list. It may be long, as reports of
   // peers bring changes sooner.
   auto RouterListPeriod(Time now) const -> Duration;
@@ -311,9 +316,9 @@
   // Targets by their `TargetHash`.
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
   FleetExchange exchange_;
-  // Target updates to report: from lists that this router read and, in a hub,
-  // from the messages of others; with the times at which they arrived.
-  std::deque<std::pair<Time, TargetUpdate>> recent_updates_;
+  TargetNews target_news_;
+  // Time within which the target list is to be read besides its schedule.
+  std::optional<Duration> list_read_demand_;
   StoreContinuity store_continuity_;
   std::uint64_t next_attempt_ = 1;
   std::uint64_t report_sequence_ = 0;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -30,9 +30,9 @@
 constexpr Duration kHubReadTime = milliseconds(800);
 // Peers that get a freshness query at a time.
 constexpr std::size_t kQueriedPeers = 2;
-// How long reports repeat a target update, as datagrams may get lost.
-constexpr Duration kUpdateRepeatTime = milliseconds(1000);
-constexpr std::size_t kMaxUpdatesPerReport = 64;
+// Members whose hubs are all new read the target list at random times within
+// this one, so that the store gets few calls at a time.
+constexpr Duration kGapReadTime = milliseconds(800);
 
 }  // namespace
 
@@ -41,9 +41,7 @@
     -> DirectoryChange {
   auto change = directory_.Apply(
       TargetList{std::move(rows), store_version, IsStoreRecovering(now)});
-  for (const auto& update : change.updates) {
-    recent_updates_.emplace_back(now, update);
-  }
+  for (const auto& update : change.updates) target_news_.AddRead(update, now);
   ApplyChange(change, now);
   return change;
 }
@@ -123,11 +121,12 @@
   for (const auto& update : updates) {
     const auto change = directory_.Apply(update);
     ApplyChange(change, now);
+    // A departure is news to other routers also if this one has never known
+    // the target or has read of it itself.
     const auto is_news = !change.left.empty() || !change.restarted.empty() ||
-                         !change.joined.empty();
-    if (is_news && exchange_.role() == ExchangeRole::kHub) {
-      recent_updates_.emplace_back(now, update);
-    }
+                         !change.joined.empty() ||
+                         directory_.ConfirmsDeparture(update);
+    if (is_news) target_news_.AddHeard(update, now);
     append(changes.left, change.left);
     append(changes.restarted, change.restarted);
     append(changes.joined, change.joined);
@@ -265,20 +264,19 @@
     report.loads.emplace_back(TargetHash(target), share);
   }
   report.rates = shares_.OwnRates(now);
-  while (!recent_updates_.empty() &&
-         now - recent_updates_.front().first > kUpdateRepeatTime) {
-    recent_updates_.pop_front();
-  }
-  for (const auto& [read_at, update] : recent_updates_) {
-    if (report.target_updates.size() < kMaxUpdatesPerReport) {
-      report.target_updates.push_back(update);
-    }
-  }
+  report.target_updates =
+      target_news_.ToSend(exchange_.role() == ExchangeRole::kHub, now);
   return report;
 }
 
 auto GatewayCore::MakePeerMessages(Time now) -> std::vector<OutgoingMessage> {
   exchange_.Tick(MakeState(now), now);
+  if (exchange_.TakeHubChange()) target_news_.RepeatDepartures(now);
+  if (exchange_.TakeGap()) {
+    list_read_demand_ = exchange_.role() == ExchangeRole::kHub
+                            ? Duration{}
+                            : Scale(kGapReadTime, random_.Uniform());
+  }
   UpdateOtherLoads();
   crash_guard_.Tick(now);
   limit_guard_.Tick(peers_, is_leaving_, now);
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -278,6 +278,9 @@
   last_tick_ = now;
   UpdateAccepting(now);
   peer_link_.SendMessages(now);
+  if (const auto delay = core_.TakeListReadDemand()) {
+    registry_reader_.ReadWithin(*delay);
+  }
   LogCrashes();
   LogLimitChanges();
   quarantine_store_.Tick(now);
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -55,6 +55,17 @@
   Schedule(Scale(retry_delay_, jitter));
 }
 
+auto ServiceRegistryReader::ReadWithin(Duration delay) -> void {
+  if (is_deregistering_) return;
+  if (store_client_.is_busy()) {
+    must_read_again_ = true;
+    return;
+  }
+  if (timer_.expiry() - asio::steady_timer::clock_type::now() <= delay) return;
+  is_target_list_next_ = true;
+  Schedule(delay);
+}
+
 auto ServiceRegistryReader::MakeNextCall() -> void {
   if (store_client_.is_busy()) return;
   const auto now = MonotonicClock::now();
@@ -100,6 +111,10 @@
 }
 
 auto ServiceRegistryReader::ScheduleNextTargetList(Time now) -> void {
+  if (std::exchange(must_read_again_, false)) {
+    is_target_list_next_ = true;
+    return Schedule(Duration{});
+  }
   const auto elapsed = now - list_started_at_;
   Schedule(std::max(Duration{}, core_.NextTargetListDelay(now) - elapsed));
 }
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -32,6 +32,8 @@
                         TargetConnectionPool& connections, EventLog& log);
 
   auto Start() -> void { ReadTargets({}); }
+  // Reads the target list within that time, or again if it is being read.
+  auto ReadWithin(Duration delay) -> void;
   // Closes connections to targets that left or restarted, and logs the change
   // and who told of it.
   auto ApplyTargetChange(const DirectoryChange& change, std::string_view source)
@@ -81,6 +83,8 @@
   Time routers_read_at_{};
   // Set when another call failed, so that its tries take turns with the list.
   bool is_target_list_next_ = false;
+  // Set when the list is to be read once more after the call in flight.
+  bool must_read_again_ = false;
   bool is_own_row_written_ = false;
   bool is_deregistering_ = false;
 };
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -103,6 +103,13 @@
   return change;
 }
 
+auto TargetDirectory::ConfirmsDeparture(const TargetUpdate& update) const
+    -> bool {
+  if (!update.is_gone && !update.row.is_draining) return false;
+  const auto* known = Find(update.row.id);
+  return known == nullptr || known->is_draining;
+}
+
 auto TargetDirectory::AsUpdates() const -> std::vector<TargetUpdate> {
   std::vector<TargetUpdate> all;
   for (const auto& [id, update] : newer_updates_) all.push_back(update);
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -71,6 +71,9 @@
   // Targets of a pool that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
+  // Whether the update takes the target out of service, and it is out of
+  // service here.
+  auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
   auto size() const -> std::size_t { return targets_.size(); }
   // All targets as updates, for the snapshot to another router.
   auto AsUpdates() const -> std::vector<TargetUpdate>;
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -118,6 +118,9 @@
          [this, to = index_of_.at(address), bytes] { Deliver(to, bytes); });
     }
   }
+  if (const auto delay = router.core->TakeListReadDemand()) {
+    ScheduleRead(index, *delay);
+  }
   At(kTick, [this, index, incarnation] { Tick(index, incarnation); });
 }
 
