Gateway, relay, routing: a target that says it leaves gets no new request

What callers saw: requests sent to targets that had told the router in an answer that they leave (DRAIN): with two such targets of eight, all requests placed on them as before, 246 and more later than 2 s after.

Cause: nothing read Server-Leaving; only the row in the store ended a target's service. Class: a fact that a target states in band was left to an out-of-band list.

Change: platform/ decodes what an answer says of its target into one TargetStatement. LimitGuard becomes TargetGuard, which owns what targets say and tells peers by one message (kind 61 with a second list; earlier versions read the first). The directory keeps the newest process that said so: no row of the same or an earlier start restores it, a newer start does. Believed are answers that are the target's to this request, refusals included, and no stray ones, whose process isn't known. Kept connections are closed, waiting requests, retries and resumed streams choose anew, peers and later routers are told. target_leaving, targets_leaving, leaving_malformed_total.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -1,7 +1,7 @@
 // Public header of the admission library: load forecasts, fair shares and
 // budgets that decide where a request is served, whether it is refused when the
 // load exceeds the capacity of the targets, which prompts crash targets, and
-// which targets name limits.
+// what targets say of themselves.
 #ifndef ADMISSION_ADMISSION_H_
 #define ADMISSION_ADMISSION_H_
 
@@ -15,5 +15,6 @@
 #include "admission/router_load.h"
 #include "admission/target_limits.h"
 #include "admission/target_outcomes.h"
+#include "admission/target_statement.h"
 
 #endif  // ADMISSION_ADMISSION_H_
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -172,6 +172,7 @@
                                                 "target_crashed",
                                                 "target_limited",
                                                 "target_limit_ended",
+                                                "target_leaving",
                                                 "part_quarantined",
                                                 "part_released",
                                                 "process_stood_still",
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -61,7 +61,7 @@
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
-      limit_guard_(options_.peer_address, StableHash("limits", options_.seed)),
+      target_guard_(options_.peer_address, StableHash("limits", options_.seed)),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -78,7 +78,7 @@
 auto GatewayCore::RecordPause(Time now) -> void {
   keys_.Invalidate();
   crash_guard_.RecordPause();
-  limit_guard_.RecordPause(now);
+  target_guard_.RecordPause(now);
 }
 
 auto GatewayCore::BeginStop(Time now) -> void {
@@ -247,9 +247,9 @@
         option.to_read.total() + prompt.expected_output_tokens, now);
     option.is_cooling_down = outcomes_.IsCoolingDown(target.id, now);
     option.failure_rate = outcomes_.FailureRate(target.id, now);
-    option.permission = limit_guard_.Check(target.id, permit_class, now);
+    option.permission = target_guard_.Check(target.id, permit_class, now);
     if (option.permission != Permission::kNotNeeded) {
-      const auto* news = limit_guard_.limits().FindNews(target.id);
+      const auto* news = target_guard_.limits().FindNews(target.id);
       option.is_limit_stale =
           now - news->at > kStaleLimitAge && FindOrAddLoad(target).is_idle();
       if (option.permission == Permission::kMayAsk &&
@@ -296,7 +296,7 @@
   if (option->permission == Permission::kMayAsk) {
     ++request.permit_requests;
     return PermitWait{
-        limit_guard_.Ask(option->target->id, terms.permit_class(), now),
+        target_guard_.Ask(option->target->id, terms.permit_class(), now),
         kPermitTimeout};
   }
   placement.target = *option->target;
@@ -320,7 +320,7 @@
     // targets no room for them.
     retry_budget_.RecordRequest(request.pool, now);
   }
-  limit_guard_.RecordSend(placement.target.id, now);
+  target_guard_.RecordSend(placement.target.id, now);
   request.permit_requests = 0;
   request.tried_targets.insert(placement.target.id);
   ++request.attempts;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -16,11 +16,11 @@
 #include "gateway/config_watch.h"
 #include "gateway/crash_guard.h"
 #include "gateway/fleet_exchange.h"
-#include "gateway/limit_guard.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
 #include "gateway/placement_policy.h"
 #include "gateway/request.h"
+#include "gateway/target_guard.h"
 #include "gateway/target_news.h"
 
 namespace papayaplank {
@@ -78,6 +78,13 @@
   double retries_left = 0;
 };
 
+// A target that said in an answer that it leaves, to be logged.
+struct Departure {
+  TargetId target;
+  // Another router got that answer.
+  bool is_from_peer = false;
+};
+
 // The decisions of one router.
 class GatewayCore {
  public:
@@ -147,29 +154,31 @@
   auto MayRetry(const GatewayRequest& request, AttemptOutcome outcome,
                 bool has_events, Time now) -> bool;
 
-  // Limits that targets name.
+  // What targets say of themselves.
 
-  // An answer of the placement's target arrived that names this limit, or none.
-  auto RecordLimit(const Placement& placement, std::optional<RequestRate> limit,
-                   Time now) -> void;
-  // The limit in an answer can't be read; it changes nothing.
-  auto RecordMalformedLimit() -> void { limit_guard_.RecordMalformed(); }
+  // An answer of the placement's target arrived that says this.
+  auto RecordStatement(const Placement& placement,
+                       const TargetStatement& statement, Time now) -> void;
+  // Targets that said since the last call that they leave.
+  auto TakeDepartures() -> std::vector<Departure> {
+    return std::exchange(departures_, {});
+  }
   // Limits that changed since the last call.
   auto TakeLimitChanges() -> std::vector<LimitChange> {
-    return limit_guard_.limits().TakeChanges();
+    return target_guard_.limits().TakeChanges();
   }
-  auto HandleLimitReport(const LimitReport& report, Time now) -> void;
+  auto HandleStatementReport(const StatementReport& report, Time now) -> void;
   // Nothing if this router does not know the target.
   auto HandlePermitRequest(const PermitRequest& request, Time now)
       -> std::optional<PermitGrant>;
   auto HandlePermitGrant(const PermitGrant& grant, Time now) -> void;
   // No reply has come within the time of the `PermitWait`.
   auto RecordPermitSilence(PermitNonce nonce, Time now) -> void {
-    limit_guard_.RecordSilence(nonce, now);
+    target_guard_.RecordSilence(nonce, now);
   }
   // Requests for permits, to be sent at once.
   auto TakePermitRequests() -> std::vector<OutgoingMessage>;
-  auto limit_guard() const -> const LimitGuard& { return limit_guard_; }
+  auto target_guard() const -> const TargetGuard& { return target_guard_; }
 
   // Crashes of targets, and prompt parts that cause them.
 
@@ -275,6 +284,9 @@
       -> std::optional<Refusal>;
   // Whether this router tries the part for the fleet.
   auto IsProbeOwner(PartId part, Time now) const -> bool;
+  // A process of a target leaves, by its own word or a peer's.
+  auto RecordDeparture(const TargetId& target, ProcessStart process,
+                       bool is_from_peer) -> void;
   // What is left of a fleet's capacity by the limits of its targets, as a
   // share.
   auto LimitedCapacityShare() const -> double;
@@ -309,7 +321,8 @@
   RouterLoad load_;
   TargetOutcomes outcomes_;
   CrashGuard crash_guard_;
-  LimitGuard limit_guard_;
+  TargetGuard target_guard_;
+  std::vector<Departure> departures_;
   // Average cost of a request to an engine, in prompt tokens.
   double mean_request_cost_ = 0;
   std::unordered_map<TargetId, EngineLoad> loads_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -62,7 +62,7 @@
 auto GatewayCore::ResetTarget(const TargetId& target) -> void {
   cached_prefixes_.RemoveTarget(target);
   outcomes_.RemoveTarget(target);
-  limit_guard_.RemoveTarget(target);
+  target_guard_.RemoveTarget(target);
   const auto load = loads_.find(target);
   if (directory_.Find(target) != nullptr) {
     if (load != loads_.end()) load->second.Reset();
@@ -279,7 +279,7 @@
   }
   UpdateOtherLoads();
   crash_guard_.Tick(now);
-  limit_guard_.Tick(peers_, is_leaving_, now);
+  target_guard_.Tick(peers_, is_leaving_, now);
   if (table_ != nullptr) {
     shares_.SetCapacity(table_->document().fleet_tokens_per_second *
                         LimitedCapacityShare());
@@ -290,11 +290,12 @@
     messages.push_back(
         {std::move(evidence), exchange_.EvidenceRecipients(now)});
   }
-  LimitReport limits{limit_guard_.RecordsToSend(
-      exchange_.role() == ExchangeRole::kHub,
-      exchange_.role() == ExchangeRole::kMember, now)};
-  if (!limits.records.empty()) {
-    messages.push_back({std::move(limits), exchange_.EvidenceRecipients(now)});
+  StatementReport statements{
+      target_guard_.MakeReport(exchange_.role() == ExchangeRole::kHub,
+                               exchange_.role() == ExchangeRole::kMember, now)};
+  if (!statements.is_empty()) {
+    messages.push_back(
+        {std::move(statements), exchange_.EvidenceRecipients(now)});
   }
   return messages;
 }
--- a/gateway/gateway_core_limits.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -1,4 +1,5 @@
-// The part of the core that handles limits of targets and permits.
+// The part of the core that handles what targets say of themselves, and
+// permits.
 #include <algorithm>
 
 #include "gateway/gateway_core.h"
@@ -11,19 +12,40 @@
 
 }  // namespace
 
-auto GatewayCore::RecordLimit(const Placement& placement,
-                              std::optional<RequestRate> limit, Time now)
+auto GatewayCore::RecordStatement(const Placement& placement,
+                                  const TargetStatement& statement, Time now)
     -> void {
-  limit_guard_.RecordAnswer(placement.target, limit, now);
+  const auto& target = placement.target;
+  target_guard_.RecordLimit(target, statement, now);
+  if (statement.is_leaving_malformed) target_guard_.RecordMalformedLeaving();
+  if (statement.is_leaving) {
+    RecordDeparture(target.id, ProcessStart(target.started_unix_ms), false);
+  }
+}
+
+auto GatewayCore::RecordDeparture(const TargetId& target, ProcessStart process,
+                                  bool is_from_peer) -> void {
+  const auto passes_on =
+      !is_from_peer || exchange_.role() == ExchangeRole::kHub;
+  const auto is_news =
+      target_guard_.RecordDeparture(target, process, !is_from_peer, passes_on);
+  if (!is_news) return;
+  directory_.RecordDeparture(target, process.value());
+  departures_.push_back({target, is_from_peer});
 }
 
-auto GatewayCore::HandleLimitReport(const LimitReport& report, Time now)
+auto GatewayCore::HandleStatementReport(const StatementReport& report, Time now)
     -> void {
   const auto passes_on = exchange_.role() == ExchangeRole::kHub;
-  for (const auto& record : report.records) {
+  for (const auto& record : report.limits) {
+    const auto known = target_of_hash_.find(record.target);
+    if (known == target_of_hash_.end()) continue;
+    target_guard_.Merge(known->second, record, passes_on, now);
+  }
+  for (const auto& record : report.departures) {
     const auto known = target_of_hash_.find(record.target);
     if (known == target_of_hash_.end()) continue;
-    limit_guard_.Merge(known->second, record, passes_on, now);
+    RecordDeparture(known->second, record.process, true);
   }
 }
 
@@ -31,21 +53,21 @@
     -> std::optional<PermitGrant> {
   const auto known = target_of_hash_.find(request.record.target);
   if (known == target_of_hash_.end()) return std::nullopt;
-  return limit_guard_.HandleRequest(known->second, request, now);
+  return target_guard_.HandleRequest(known->second, request, now);
 }
 
 auto GatewayCore::HandlePermitGrant(const PermitGrant& grant, Time now)
     -> void {
   const auto known = target_of_hash_.find(grant.record.target);
   if (known != target_of_hash_.end()) {
-    limit_guard_.Merge(known->second, grant.record, false, now);
+    target_guard_.Merge(known->second, grant.record, false, now);
   }
-  limit_guard_.HandleGrant(grant, now);
+  target_guard_.HandleGrant(grant, now);
 }
 
 auto GatewayCore::TakePermitRequests() -> std::vector<OutgoingMessage> {
   std::vector<OutgoingMessage> messages;
-  for (auto& [owner, request] : limit_guard_.TakeRequests()) {
+  for (auto& [owner, request] : target_guard_.TakeRequests()) {
     messages.push_back({std::move(request), {owner}});
   }
   return messages;
@@ -56,11 +78,11 @@
     -> Refusal {
   auto wait = Duration::max();
   for (const auto& option : options) {
-    wait = std::min(wait, limit_guard_.TimeToAsk(option.target->id,
-                                                 terms.permit_class(), now));
+    wait = std::min(wait, target_guard_.TimeToAsk(option.target->id,
+                                                  terms.permit_class(), now));
   }
   const auto retry_after = std::max<Duration>(
-      kLeastLimitRetryAfter, limit_guard_.PromiseReturn(wait, now));
+      kLeastLimitRetryAfter, target_guard_.PromiseReturn(wait, now));
   auto refusal = Refuse(RefusalReason::kTargetLimits, retry_after);
   const auto& first = options.front();
   refusal.facts = AdmissionFacts{first.target->id, first.forecast, Duration{},
@@ -69,7 +91,7 @@
 }
 
 auto GatewayCore::LimitedCapacityShare() const -> double {
-  if (!limit_guard_.is_any_limited()) return 1;
+  if (!target_guard_.is_any_limited()) return 1;
   if (table_ == nullptr || mean_request_cost_ <= 0) return 1;
   const auto capacity = table_->document().fleet_tokens_per_second;
   if (capacity <= 0) return 1;
@@ -86,7 +108,7 @@
   double left = 0;
   for (const auto* engine : engines) {
     const auto share = engine->slots / slots;
-    const auto limit = limit_guard_.limits().Find(engine->id);
+    const auto limit = target_guard_.limits().Find(engine->id);
     const auto rate = limit.value_or(RequestRate{}).per_second;
     left +=
         limit ? std::min(share, rate * mean_request_cost_ / capacity) : share;
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -22,7 +22,7 @@
 constexpr int kSnapshot = 14;
 constexpr int kSummary = 41;
 constexpr int kPartEvidence = 51;
-constexpr int kLimitReport = 61;
+constexpr int kStatementReport = 61;
 constexpr int kPermitRequest = 62;
 constexpr int kPermitGrant = 63;
 constexpr std::size_t kReportMembers = 6;
@@ -291,18 +291,31 @@
   return record;
 }
 
-auto ToJson(const LimitReport& report) -> Json {
-  auto records = Json::array();
-  for (const auto& record : report.records) AppendLimitRecord(records, record);
-  return {kLimitReport, std::move(records)};
+auto ToJson(const StatementReport& report) -> Json {
+  auto limits = Json::array();
+  for (const auto& record : report.limits) AppendLimitRecord(limits, record);
+  auto departures = Json::array();
+  for (const auto& record : report.departures) {
+    departures.push_back(record.target);
+    departures.push_back(record.process.value());
+  }
+  // Earlier versions read the limits only.
+  return {kStatementReport, std::move(limits), std::move(departures)};
 }
 
-auto DecodeLimitReport(const Json& body) -> LimitReport {
-  LimitReport report;
-  const auto& records = body.at(1);
-  for (std::size_t i = 0; i + kRecordMembers <= records.size();
+auto DecodeStatementReport(const Json& body) -> StatementReport {
+  StatementReport report;
+  const auto& limits = body.at(1);
+  for (std::size_t i = 0; i + kRecordMembers <= limits.size();
        i += kRecordMembers) {
-    report.records.push_back(ReadLimitRecord(records, i));
+    report.limits.push_back(ReadLimitRecord(limits, i));
+  }
+  if (body.size() < 3) return report;  // Of an earlier version.
+  const auto& departures = body.at(2);
+  for (std::size_t i = 0; i + 2 <= departures.size(); i += 2) {
+    report.departures.push_back(
+        {ReadNumber<std::uint32_t>(departures[i]),
+         ProcessStart(ReadNumber<std::int64_t>(departures[i + 1]))});
   }
   return report;
 }
@@ -394,7 +407,7 @@
     return DecodeSummary(body);
   }
   if (kind == kPartEvidence) return DecodePartEvidence(body);
-  if (kind == kLimitReport) return DecodeLimitReport(body);
+  if (kind == kStatementReport) return DecodeStatementReport(body);
   if (kind == kPermitRequest) return DecodePermitRequest(body);
   if (kind == kPermitGrant) return DecodePermitGrant(body);
   if (kind == kQuery) {
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -78,8 +78,19 @@
   Duration age{};
 };
 
-struct LimitReport {
-  std::vector<TargetLimitRecord> records;
+// A process of a target that said it leaves.
+struct DepartureRecord {
+  // `TargetHash`.
+  std::uint32_t target = 0;
+  ProcessStart process;
+};
+
+// What targets have said of themselves. Sent only while any of them says so.
+struct StatementReport {
+  std::vector<TargetLimitRecord> limits;
+  std::vector<DepartureRecord> departures;
+
+  auto is_empty() const -> bool { return limits.empty() && departures.empty(); }
 };
 
 // Asks the owner of a limited target for the right to send one request there.
@@ -123,7 +134,7 @@
 };
 
 using PeerMessage = std::variant<PeerReport, FleetSummary, PartEvidence,
-                                 LimitReport, PermitRequest, PermitGrant,
+                                 StatementReport, PermitRequest, PermitGrant,
                                  FreshnessQuery, FreshnessReply, PeerSnapshot>;
 
 // Short identifiers of a target and of a router process in messages.
--- a/gateway/placement_policy.h
+++ b/gateway/placement_policy.h
@@ -4,8 +4,8 @@
 
 #include <vector>
 
-#include "gateway/limit_guard.h"
 #include "gateway/request.h"
+#include "gateway/target_guard.h"
 
 namespace papayaplank {
 
--- a/gateway/limit_guard.cpp
+++ b/gateway/target_guard.cpp
@@ -1,5 +1,5 @@
-// Owners, permits and records of limited targets.
-#include "gateway/limit_guard.h"
+// Owners and permits of limited targets, and records of what targets say.
+#include "gateway/target_guard.h"
 
 #include <algorithm>
 
@@ -22,9 +22,13 @@
 
 }  // namespace
 
-auto LimitGuard::RecordAnswer(const TargetRow& target,
-                              std::optional<RequestRate> limit, Time now)
+auto TargetGuard::RecordLimit(const TargetRow& target,
+                              const TargetStatement& statement, Time now)
     -> void {
+  if (statement.is_limit_malformed) return limits_.RecordMalformed();
+  const auto& limit = statement.limit;
+  // An earlier answer ends no limit.
+  if (!limit && statement.may_be_earlier) return;
   const auto before = limits_.Find(target.id);
   if (!before && !limit) return;
   limits_.RecordAnswer(target.id, ProcessStart(target.started_unix_ms), limit,
@@ -33,7 +37,7 @@
   if (before != limit) OnChange(target.id, true, now);
 }
 
-auto LimitGuard::OnChange(const TargetId& target, bool passes_on, Time now)
+auto TargetGuard::OnChange(const TargetId& target, bool passes_on, Time now)
     -> void {
   auto& spread = spread_[target];
   if (passes_on) spread.repeats_left = kChangeRepeats;
@@ -47,15 +51,28 @@
   }
 }
 
-auto LimitGuard::Merge(const TargetId& target, const TargetLimitRecord& record,
-                       bool passes_on, Time now) -> void {
+auto TargetGuard::Merge(const TargetId& target, const TargetLimitRecord& record,
+                        bool passes_on, Time now) -> void {
   if (record.id == 0) return;
   const LimitNews news{record.id, record.process, record.limit,
                        now - record.age};
   if (limits_.Merge(target, news, now)) OnChange(target, passes_on, now);
 }
 
-auto LimitGuard::RemoveTarget(const TargetId& target) -> void {
+auto TargetGuard::RecordDeparture(const TargetId& target, ProcessStart process,
+                                  bool is_own, bool passes_on) -> bool {
+  const auto [entry, is_new] = leaving_.try_emplace(target);
+  auto& leaving = entry->second;
+  if (!is_new && process <= leaving.process) {
+    leaving.is_own |= is_own && process == leaving.process;
+    return false;
+  }
+  leaving = Leaving{process, passes_on ? kChangeRepeats : 0, is_own};
+  return true;
+}
+
+auto TargetGuard::RemoveTarget(const TargetId& target) -> void {
+  leaving_.erase(target);
   limits_.RemoveTarget(target);
   issuer_.Disown(target);
   wallet_.Drop(target);
@@ -63,7 +80,7 @@
   owner_of_.erase(target);
 }
 
-auto LimitGuard::Owner(const TargetId& target) const -> const std::string& {
+auto TargetGuard::Owner(const TargetId& target) const -> const std::string& {
   const auto [entry, is_new] = owner_of_.try_emplace(target);
   if (!is_new) return entry->second;
   const auto seed = StableHash(target.value());
@@ -77,8 +94,8 @@
   return entry->second;
 }
 
-auto LimitGuard::Check(const TargetId& target, PermitClass permit_class,
-                       Time now) -> Permission {
+auto TargetGuard::Check(const TargetId& target, PermitClass permit_class,
+                        Time now) -> Permission {
   const auto limit = limits_.Find(target);
   if (!limit) return Permission::kNotNeeded;
   if (issuer_.Owns(target)) {
@@ -92,8 +109,8 @@
   return may_ask ? Permission::kMayAsk : Permission::kNone;
 }
 
-auto LimitGuard::TimeToAsk(const TargetId& target, PermitClass permit_class,
-                           Time now) -> Duration {
+auto TargetGuard::TimeToAsk(const TargetId& target, PermitClass permit_class,
+                            Time now) -> Duration {
   const auto limit = limits_.Find(target);
   if (!limit) return Duration{};
   if (issuer_.Owns(target)) {
@@ -102,7 +119,7 @@
   return std::max(Duration{}, wallet_.AskTime(target, permit_class, now) - now);
 }
 
-auto LimitGuard::RecordSend(const TargetId& target, Time now) -> void {
+auto TargetGuard::RecordSend(const TargetId& target, Time now) -> void {
   const auto limit = limits_.Find(target);
   if (!limit) return;
   limits_.RecordSend(target, now);
@@ -114,8 +131,8 @@
   used_.push_back(now);
 }
 
-auto LimitGuard::Ask(const TargetId& target, PermitClass permit_class, Time now)
-    -> PermitNonce {
+auto TargetGuard::Ask(const TargetId& target, PermitClass permit_class,
+                      Time now) -> PermitNonce {
   const auto nonce = wallet_.Ask(target, permit_class, now);
   ++counters_.requested;
   requests_.emplace_back(
@@ -124,13 +141,13 @@
   return nonce;
 }
 
-auto LimitGuard::RecordSilence(PermitNonce nonce, Time now) -> void {
+auto TargetGuard::RecordSilence(PermitNonce nonce, Time now) -> void {
   ++counters_.unanswered;
   wallet_.RecordSilence(nonce, now);
 }
 
-auto LimitGuard::HandleRequest(const TargetId& target,
-                               const PermitRequest& request, Time now)
+auto TargetGuard::HandleRequest(const TargetId& target,
+                                const PermitRequest& request, Time now)
     -> PermitGrant {
   Merge(target, request.record, false, now);
   PermitGrant grant;
@@ -150,7 +167,7 @@
   return grant;
 }
 
-auto LimitGuard::HandleGrant(const PermitGrant& grant, Time now) -> void {
+auto TargetGuard::HandleGrant(const PermitGrant& grant, Time now) -> void {
   if (grant.is_granted) {
     ++counters_.granted;
     wallet_.RecordGrant(grant.nonce, now);
@@ -160,7 +177,7 @@
   }
 }
 
-auto LimitGuard::PromiseReturn(Duration least, Time now) -> Duration {
+auto TargetGuard::PromiseReturn(Duration least, Time now) -> Duration {
   while (!used_.empty() && now - used_.front() > kUseWindow) used_.pop_front();
   const auto gap =
       Scale(kUseWindow,
@@ -170,7 +187,7 @@
   return promised_until_ - now;
 }
 
-auto LimitGuard::ClaimOwned(Time now) -> void {
+auto TargetGuard::ClaimOwned(Time now) -> void {
   for (const auto& limited : limits_.Limited(now)) {
     if (IsOwn(limited.target)) {
       issuer_.Own(limited.target, now);
@@ -180,7 +197,7 @@
   }
 }
 
-auto LimitGuard::Tick(const PeerTable& peers, bool is_leaving, Time now)
+auto TargetGuard::Tick(const PeerTable& peers, bool is_leaving, Time now)
     -> void {
   limits_.Tick(now);
   wallet_.Tick(now);
@@ -188,7 +205,7 @@
   std::erase_if(spread_, [this](const auto& entry) {
     return limits_.FindNews(entry.first) == nullptr;
   });
-  if (!is_any_limited()) return;
+  if (!is_any_limited() && leaving_.empty()) return;
   auto issuers = peers.LiveIssuers(now);
   auto owners = std::move(issuers.owners);
   if (!is_leaving || owners.empty()) owners.push_back(self_address_);
@@ -205,12 +222,12 @@
   issuer_.SetShare(side * static_cast<double>(issuers.count + 1) / live);
 }
 
-auto LimitGuard::RecordPause(Time now) -> void {
+auto TargetGuard::RecordPause(Time now) -> void {
   wallet_.DropAll();
   issuer_.Restart(now);
 }
 
-auto LimitGuard::ToRecord(const TargetId& target, Time now) const
+auto TargetGuard::ToRecord(const TargetId& target, Time now) const
     -> TargetLimitRecord {
   TargetLimitRecord record;
   record.target = TargetHash(target);
@@ -223,12 +240,18 @@
   return record;
 }
 
-auto LimitGuard::RefreshRecords(bool passes_on, bool is_member, Time now)
+auto TargetGuard::TakeTurn(std::vector<TargetId> due) -> std::vector<TargetId> {
+  if (due.size() <= kMaxRecords) return due;
+  const auto begin = refresh_from_ % due.size();
+  refresh_from_ = begin + kMaxRecords;
+  std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(begin),
+              due.end());
+  due.resize(kMaxRecords);
+  return due;
+}
+
+auto TargetGuard::LimitsToRefresh(bool passes_on, bool is_member, Time now)
     -> std::vector<TargetId> {
-  const auto period =
-      passes_on || is_member ? kHubRefreshPeriod : kMeshRefreshPeriod;
-  if (now - refreshed_at_ < period) return {};
-  refreshed_at_ = now;
   std::vector<TargetId> due;
   for (const auto& limited : limits_.Limited(now)) {
     auto& spread = spread_[limited.target];
@@ -238,32 +261,56 @@
     spread.is_own_news = false;
     due.push_back(limited.target);
   }
-  if (due.size() <= kMaxRecords) return due;
-  const auto begin = refresh_from_ % due.size();
-  refresh_from_ = begin + kMaxRecords;
-  std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(begin),
-              due.end());
-  due.resize(kMaxRecords);
-  return due;
+  return TakeTurn(std::move(due));
 }
 
-auto LimitGuard::RecordsToSend(bool passes_on, bool is_member, Time now)
-    -> std::vector<TargetLimitRecord> {
-  std::vector<TargetLimitRecord> records;
-  if (spread_.empty()) return records;
+auto TargetGuard::DeparturesToRefresh(bool passes_on, bool is_member)
+    -> std::vector<TargetId> {
+  std::vector<TargetId> due;
+  for (const auto& [target, leaving] : leaving_) {
+    const auto is_due =
+        passes_on || (is_member ? leaving.is_own : IsOwn(target));
+    if (is_due) due.push_back(target);
+  }
+  return TakeTurn(std::move(due));
+}
+
+auto TargetGuard::MakeReport(bool passes_on, bool is_member, Time now)
+    -> StatementReport {
+  StatementReport report;
+  if (spread_.empty() && leaving_.empty()) return report;
   const auto is_repeat_due = now - repeated_at_ >= kRepeatPeriod;
   if (is_repeat_due) repeated_at_ = now;
+  const auto is_due = [is_repeat_due](int& repeats_left) {
+    const auto is_first = repeats_left == kChangeRepeats;
+    if (repeats_left == 0 || (!is_first && !is_repeat_due)) return false;
+    --repeats_left;
+    return true;
+  };
   for (auto& [target, spread] : spread_) {
-    const auto is_first = spread.repeats_left == kChangeRepeats;
-    if (spread.repeats_left == 0 || (!is_first && !is_repeat_due)) continue;
-    if (records.size() >= kMaxRecords) break;
-    --spread.repeats_left;
-    records.push_back(ToRecord(target, now));
+    if (report.limits.size() >= kMaxRecords) break;
+    if (is_due(spread.repeats_left)) {
+      report.limits.push_back(ToRecord(target, now));
+    }
+  }
+  for (auto& [target, leaving] : leaving_) {
+    if (report.departures.size() >= kMaxRecords) break;
+    if (is_due(leaving.repeats_left)) {
+      report.departures.push_back({TargetHash(target), leaving.process});
+    }
+  }
+  const auto period =
+      passes_on || is_member ? kHubRefreshPeriod : kMeshRefreshPeriod;
+  if (now - refreshed_at_ < period) return report;
+  refreshed_at_ = now;
+  for (const auto& target : LimitsToRefresh(passes_on, is_member, now)) {
+    report.limits.push_back(ToRecord(target, now));
   }
-  for (const auto& target : RefreshRecords(passes_on, is_member, now)) {
-    records.push_back(ToRecord(target, now));
+  for (const auto& target : DeparturesToRefresh(passes_on, is_member)) {
+    report.departures.push_back(
+        {TargetHash(target), leaving_.at(target).process});
   }
-  return records;
+  return report;
 }
 
 }  // namespace papayaplank
--- a/gateway/limit_guard.h
+++ b/gateway/target_guard.h
@@ -1,12 +1,13 @@
-// Keeps the limits that targets name, together with the other routers.
+// Keeps to what targets say of themselves in their answers, together with the
+// other routers: limits, and that they leave.
 //
 // Each limited target has one owner among the routers, by rendezvous hashing;
 // all choose alike, so nothing is agreed on or stored. The owner hands out
 // permits at the target's rate, one for each request, to whichever router asks.
 // Routers ask when they have a request to send there. What targets name travels
 // as records: changes at once, the rest periodically for new routers.
-#ifndef GATEWAY_LIMIT_GUARD_H_
-#define GATEWAY_LIMIT_GUARD_H_
+#ifndef GATEWAY_TARGET_GUARD_H_
+#define GATEWAY_TARGET_GUARD_H_
 
 #include <cstdint>
 #include <optional>
@@ -39,17 +40,22 @@
   std::uint64_t unanswered = 0;
 };
 
-class LimitGuard {
+class TargetGuard {
  public:
-  LimitGuard(std::string self_address, std::uint64_t seed)
+  TargetGuard(std::string self_address, std::uint64_t seed)
       : self_address_(std::move(self_address)), limits_(seed) {}
 
-  // What targets name.
-
-  // An answer arrived that names this limit, or none.
-  auto RecordAnswer(const TargetRow& target, std::optional<RequestRate> limit,
-                    Time now) -> void;
-  auto RecordMalformed() -> void { limits_.RecordMalformed(); }
+  // What targets say.
+
+  // An answer arrived that names a limit, or none.
+  auto RecordLimit(const TargetRow& target, const TargetStatement& statement,
+                   Time now) -> void;
+  // The process said that it leaves, in an answer to this router (`is_own`) or
+  // to another one; whether that is news. With `passes_on`, others are told.
+  auto RecordDeparture(const TargetId& target, ProcessStart process,
+                       bool is_own, bool passes_on) -> bool;
+  auto RecordMalformedLeaving() -> void { ++malformed_leaving_; }
+  auto malformed_leaving() const -> std::uint64_t { return malformed_leaving_; }
   // A record of another router about this target. With `passes_on`, a change is
   // sent on to others.
   auto Merge(const TargetId& target, const TargetLimitRecord& record,
@@ -88,10 +94,9 @@
   auto Tick(const PeerTable& peers, bool is_leaving, Time now) -> void;
   // The process was paused for an unknown time.
   auto RecordPause(Time now) -> void;
-  // Records that other routers need now. `passes_on`: this router tells others
+  // What other routers need to know now. `passes_on`: this router tells others
   // what it hears; `is_member`: others refresh for it.
-  auto RecordsToSend(bool passes_on, bool is_member, Time now)
-      -> std::vector<TargetLimitRecord>;
+  auto MakeReport(bool passes_on, bool is_member, Time now) -> StatementReport;
 
   // The owner's peer address; empty if there is none.
   auto Owner(const TargetId& target) const -> const std::string&;
@@ -99,6 +104,14 @@
   auto issuer() const -> const PermitIssuer& { return issuer_; }
 
  private:
+  // A process that leaves.
+  struct Leaving {
+    ProcessStart process;
+    // Sendings left of the news.
+    int repeats_left = 0;
+    // It said so to this router.
+    bool is_own = false;
+  };
   // How much of a record's news others have been sent.
   struct Spread {
     // Sendings left of a change.
@@ -114,8 +127,13 @@
     return Owner(target) == self_address_;
   }
   auto ClaimOwned(Time now) -> void;
-  auto RefreshRecords(bool passes_on, bool is_member, Time now)
+  // Targets whose records are due for new routers, a part of them if there are
+  // too many for one message.
+  auto LimitsToRefresh(bool passes_on, bool is_member, Time now)
+      -> std::vector<TargetId>;
+  auto DeparturesToRefresh(bool passes_on, bool is_member)
       -> std::vector<TargetId>;
+  auto TakeTurn(std::vector<TargetId> due) -> std::vector<TargetId>;
 
   std::string self_address_;
   TargetLimits limits_;
@@ -126,6 +144,8 @@
   // Owners by target, for the routers in `owners_`.
   mutable std::unordered_map<TargetId, std::string> owner_of_;
   std::unordered_map<TargetId, Spread> spread_;
+  std::unordered_map<TargetId, Leaving> leaving_;
+  std::uint64_t malformed_leaving_ = 0;
   std::vector<std::pair<std::string, PermitRequest>> requests_;
   Time repeated_at_{};
   Time refreshed_at_{};
@@ -140,4 +160,4 @@
 
 }  // namespace papayaplank
 
-#endif  // GATEWAY_LIMIT_GUARD_H_
+#endif  // GATEWAY_TARGET_GUARD_H_
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -79,10 +79,15 @@
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
 }
 
-auto SetLimitMetrics(const InfoSources& sources, MetricRegistry& metrics,
-                     Time now) -> void {
-  const auto& guard = sources.context.core.limit_guard();
+auto SetStatementMetrics(const InfoSources& sources, MetricRegistry& metrics,
+                         Time now) -> void {
+  const auto& guard = sources.context.core.target_guard();
   const auto& limits = guard.limits();
+  SetMetric(
+      metrics, "targets_leaving",
+      static_cast<double>(sources.context.core.directory().departed_count()));
+  SetMetric(metrics, "leaving_malformed_total",
+            static_cast<double>(guard.malformed_leaving()));
   SetMetric(metrics, "limits_malformed_total",
             static_cast<double>(limits.malformed()));
   const auto& permits = guard.counters();
@@ -107,7 +112,7 @@
   auto& metrics = sources.context.metrics.registry();
   SetRequestMetrics(sources, metrics);
   SetRouterMetrics(sources, metrics, now);
-  SetLimitMetrics(sources, metrics, now);
+  SetStatementMetrics(sources, metrics, now);
   for (const auto& state : sources.context.core.PoolStates(now)) {
     SetPoolMetrics(metrics, state);
   }
--- a/relay/peer_link.cpp
+++ b/relay/peer_link.cpp
@@ -91,8 +91,8 @@
     PassOnChange(core_.HandleSummary(*summary, now));
   } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
     core_.HandleEvidence(*evidence, now);
-  } else if (const auto* limits = std::get_if<LimitReport>(&message)) {
-    core_.HandleLimitReport(*limits, now);
+  } else if (const auto* statements = std::get_if<StatementReport>(&message)) {
+    core_.HandleStatementReport(*statements, now);
   } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
     AnswerPermitRequest(*request, from, now);
   } else if (const auto* grant = std::get_if<PermitGrant>(&message)) {
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -163,7 +163,7 @@
   auto TickSweep() -> void;
   auto UpdateAccepting(Time now) -> void;
   auto LogCrashes() -> void;
-  auto LogLimitChanges() -> void;
+  auto ApplyStatements() -> void;
   auto LogLimitShares(Time now) -> void;
   auto WaitForSignal() -> void;
   auto BeginStop() -> void;
@@ -282,7 +282,7 @@
     registry_reader_.ReadWithin(*delay);
   }
   LogCrashes();
-  LogLimitChanges();
+  ApplyStatements();
   quarantine_store_.Tick(now);
   report_timer_.expires_after(kReportPeriod);
   report_timer_.async_wait([this](error_code error) {
@@ -318,7 +318,13 @@
   }
 }
 
-auto RelayProcess::LogLimitChanges() -> void {
+auto RelayProcess::ApplyStatements() -> void {
+  for (const auto& departure : core_.TakeDepartures()) {
+    target_connections_.CloseTarget(departure.target);
+    log_.Write(LogClass::kState, "target_leaving",
+               {{"target", departure.target.value()},
+                {"source", departure.is_from_peer ? "peer" : "own"}});
+  }
   for (const auto& change : core_.TakeLimitChanges()) {
     log_.Write(
         LogClass::kState, change.now ? "target_limited" : "target_limit_ended",
@@ -333,7 +339,7 @@
 auto RelayProcess::LogLimitShares(Time now) -> void {
   if (now - limit_shares_logged_at_ < kLimitSharePeriod) return;
   limit_shares_logged_at_ = now;
-  const auto& guard = core_.limit_guard();
+  const auto& guard = core_.target_guard();
   std::size_t lines = 0;
   for (const auto& limited : guard.limits().Limited(now)) {
     if (limited.sends == 0) continue;
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -49,10 +49,7 @@
   }
   answer_ = std::move(answer);
   is_success_from_target_ = IsFromTarget() && IsSuccess(status);
-  // An earlier refusal ends no limit.
-  if (!MayBeEarlierRefusal(answer_, past_refusals) || answer_.limit) {
-    RecordLimit();
-  }
+  RecordStatement(MayBeEarlierRefusal(answer_, past_refusals));
   // After a pause of the router, the answer may come from a process that has
   // ended since; the sentinel would be accepted by the next one.
   if (IsFromTarget() && target_connection_->is_answer_unframed() &&
@@ -62,12 +59,13 @@
   return HeadAction::kRead;
 }
 
-auto RelayedRequest::RecordLimit() -> void {
+auto RelayedRequest::RecordStatement(bool may_be_earlier) -> void {
   const auto says_so =
       IsFromTarget() || (answer_.is_not_executed && !answer_.is_wrong_target);
   if (!says_so) return;
-  if (answer_.is_limit_malformed) return context_.core.RecordMalformedLimit();
-  context_.core.RecordLimit(placement_, answer_.limit, MonotonicClock::now());
+  answer_.statement.may_be_earlier = may_be_earlier;
+  context_.core.RecordStatement(placement_, answer_.statement,
+                                MonotonicClock::now());
 }
 
 auto RelayedRequest::OnBody(std::string_view bytes) -> void {
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -1,11 +1,15 @@
 // Applies target lists and updates to the directory.
 #include "routing/target_directory.h"
 
+#include <algorithm>
+
 namespace papayaplank {
 namespace {
 
 // Draining targets that are remembered; beyond it, all are dropped.
 constexpr std::size_t kMaxRememberedDrains = 4096;
+// Beyond it, departed targets that are in no list are forgotten.
+constexpr std::size_t kMaxRememberedDepartures = 4096;
 
 // Whether the target restarted between the two rows.
 auto HasRestarted(const TargetRow& before, const TargetRow& now) -> bool {
@@ -38,7 +42,13 @@
     targets_.emplace(row.id, std::move(row));
     return;
   }
-  if (HasRestarted(found->second, row)) change.restarted.push_back(row.id);
+  if (HasRestarted(found->second, row)) {
+    change.restarted.push_back(row.id);
+    // Without a start of its own, the new process has the same one.
+    if (found->second.started_unix_ms == row.started_unix_ms) {
+      departed_.erase(row.id);
+    }
+  }
   if (row.is_draining && !found->second.is_draining) {
     change.left.push_back(row.id);
   }
@@ -110,6 +120,32 @@
   return known == nullptr || known->is_draining;
 }
 
+auto TargetDirectory::RecordDeparture(const TargetId& id,
+                                      std::int64_t started_unix_ms) -> void {
+  if (departed_.size() >= kMaxRememberedDepartures) {
+    std::erase_if(departed_, [this](const auto& entry) {
+      return targets_.count(entry.first) == 0;
+    });
+  }
+  const auto [entry, is_new] = departed_.try_emplace(id, started_unix_ms);
+  if (!is_new && started_unix_ms <= entry->second) return;
+  entry->second = started_unix_ms;
+  RebuildPools();
+}
+
+auto TargetDirectory::HasDeparted(const TargetRow& row) const -> bool {
+  const auto found = departed_.find(row.id);
+  return found != departed_.end() && row.started_unix_ms <= found->second;
+}
+
+auto TargetDirectory::departed_count() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(departed_.begin(), departed_.end(), [this](const auto& e) {
+        const auto* row = Find(e.first);
+        return row != nullptr && HasDeparted(*row);
+      }));
+}
+
 auto TargetDirectory::AsUpdates() const -> std::vector<TargetUpdate> {
   std::vector<TargetUpdate> all;
   for (const auto& [id, update] : newer_updates_) all.push_back(update);
@@ -123,7 +159,8 @@
 auto TargetDirectory::RebuildPools() -> void {
   serving_by_pool_.clear();
   for (const auto& [id, target] : targets_) {
-    if (!target.is_draining) serving_by_pool_[target.pool].push_back(target);
+    if (target.is_draining || HasDeparted(target)) continue;
+    serving_by_pool_[target.pool].push_back(target);
   }
 }
 
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -68,6 +68,11 @@
   // the newest list or the newest update of the target changes nothing.
   auto Apply(const TargetUpdate& update) -> DirectoryChange;
 
+  // The process said itself that it leaves: neither it nor an earlier one gets
+  // new requests, whatever its row says.
+  auto RecordDeparture(const TargetId& id, std::int64_t started_unix_ms)
+      -> void;
+
   // Targets of a pool that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
@@ -75,6 +80,8 @@
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
   auto size() const -> std::size_t { return targets_.size(); }
+  // Number of known targets that said themselves that they leave.
+  auto departed_count() const -> std::size_t;
   // All targets as updates, for the snapshot to another router.
   auto AsUpdates() const -> std::vector<TargetUpdate>;
 
@@ -84,13 +91,17 @@
   auto Remove(const TargetId& id, DirectoryChange& change) -> void;
   // Whether other routers need an update for the row.
   auto IsChanged(const TargetRow& row) const -> bool;
+  // Whether the target's process said itself that it leaves.
+  auto HasDeparted(const TargetRow& row) const -> bool;
   auto RebuildPools() -> void;
 
   std::map<TargetId, TargetRow> targets_;
   // Id and start time of targets that were draining. A later row that is not
   // draining does not put the same process back in service.
   std::set<std::pair<TargetId, std::int64_t>> drained_;
-  // Exactly the targets that are not draining.
+  // Newest process of a target that said that it leaves, by its start.
+  std::map<TargetId, std::int64_t> departed_;
+  // Exactly the targets that are not draining and have not departed.
   std::map<PoolId, std::vector<TargetRow>> serving_by_pool_;
   // Version of the newest list.
   std::uint64_t list_version_ = 0;
--- a/tests/fuzz/fuzz_peer_messages.cpp
+++ b/tests/fuzz/fuzz_peer_messages.cpp
@@ -21,8 +21,8 @@
     core.HandleSummary(*summary, now);
   } else if (const auto* evidence = std::get_if<PartEvidence>(&message)) {
     core.HandleEvidence(*evidence, now);
-  } else if (const auto* limits = std::get_if<LimitReport>(&message)) {
-    core.HandleLimitReport(*limits, now);
+  } else if (const auto* statements = std::get_if<StatementReport>(&message)) {
+    core.HandleStatementReport(*statements, now);
   } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
     core.HandlePermitRequest(*request, now);
   } else if (const auto* grant = std::get_if<PermitGrant>(&message)) {
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -209,8 +209,8 @@
     core.HandleSummary(*summary, now_);
   } else if (routers_.at(to).is_old || routers_.at(from).is_old) {
     return;
-  } else if (const auto* limits = std::get_if<LimitReport>(&message)) {
-    core.HandleLimitReport(*limits, now_);
+  } else if (const auto* statements = std::get_if<StatementReport>(&message)) {
+    core.HandleStatementReport(*statements, now_);
   } else if (const auto* request = std::get_if<PermitRequest>(&message)) {
     const auto grant = core.HandlePermitRequest(*request, now_);
     if (grant) Send(to, {{*grant, {request->sender}}});
@@ -364,9 +364,9 @@
     auto& process = routers_.at(router);
     if (limit) process.told_at.try_emplace(index, now_);
     if (process.is_old) return;
-    std::optional<RequestRate> named;
-    if (limit) named = RequestRate{*limit};
-    process.core->RecordLimit(attempt.placement, named, now_);
+    TargetStatement statement;
+    if (limit) statement.limit = RequestRate{*limit};
+    process.core->RecordStatement(attempt.placement, statement, now_);
   });
   if (is_rejected) {
     return End(std::move(attempt), index, AttemptOutcome::kNotExecuted);
--- a/tests/gateway/test_limit_exceeded.cpp
+++ b/tests/gateway/test_limit_exceeded.cpp
@@ -165,7 +165,7 @@
   SetLimits(fleet, 13, std::nullopt);
   fleet.Run(seconds(40));
   for (int router = 0; router < options.routers; ++router) {
-    EXPECT_FALSE(fleet.core(router).limit_guard().is_any_limited()) << router;
+    EXPECT_FALSE(fleet.core(router).target_guard().is_any_limited()) << router;
   }
 }
 
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -70,10 +70,10 @@
   record.age = milliseconds(1200);
   auto ended = record;
   ended.limit.reset();
-  const auto report =
-      DecodePeerMessage(EncodePeerMessage(LimitReport{{record, ended}}));
-  ASSERT_TRUE(report && std::holds_alternative<LimitReport>(*report));
-  const auto& records = std::get<LimitReport>(*report).records;
+  const auto report = DecodePeerMessage(EncodePeerMessage(
+      StatementReport{{record, ended}, {{7, ProcessStart(8)}}}));
+  ASSERT_TRUE(report && std::holds_alternative<StatementReport>(*report));
+  const auto& records = std::get<StatementReport>(*report).limits;
   ASSERT_EQ(records.size(), 2U);
   EXPECT_EQ(records[0].target, record.target);
   EXPECT_EQ(records[0].id, record.id);
@@ -81,6 +81,10 @@
   EXPECT_EQ(records[0].limit, record.limit);
   EXPECT_EQ(records[0].age, record.age);
   EXPECT_FALSE(records[1].limit);
+  const auto& departures = std::get<StatementReport>(*report).departures;
+  ASSERT_EQ(departures.size(), 1U);
+  EXPECT_EQ(departures[0].target, 7U);
+  EXPECT_EQ(departures[0].process, ProcessStart(8));
   const auto request = DecodePeerMessage(EncodePeerMessage(PermitRequest{
       "10.0.0.1:7400", PermitNonce(9), PermitClass::kOverShare, record}));
   ASSERT_TRUE(request && std::holds_alternative<PermitRequest>(*request));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -131,13 +131,13 @@
 }
 
 TEST(RequestHeadersTest, DecodesTheLimitOfATarget) {
-  EXPECT_FALSE(DecodeTargetAnswer(200, {}).limit);
+  EXPECT_FALSE(DecodeTargetAnswer(200, {}).statement.limit);
   const auto named = DecodeTargetAnswer(200, {{"Server-Limit", " 3.25 "}});
-  EXPECT_EQ(named.limit, RequestRate{3.25});
-  EXPECT_FALSE(named.is_limit_malformed);
+  EXPECT_EQ(named.statement.limit, RequestRate{3.25});
+  EXPECT_FALSE(named.statement.is_limit_malformed);
   // Callers get it as the target sent it.
   EXPECT_EQ(named.forwarded.size(), 1U);
-  EXPECT_EQ(DecodeTargetAnswer(503, {{"server-limit", "0"}}).limit,
+  EXPECT_EQ(DecodeTargetAnswer(503, {{"server-limit", "0"}}).statement.limit,
             RequestRate{0});
 }
 
@@ -146,12 +146,29 @@
        {"", " ", ".", "-1", "+1", "1e3", "0x10", "inf", "nan", "1,5", "1.2.3",
         "3 4", "3/s", "99999999999"}) {
     const auto answer = DecodeTargetAnswer(200, {{"Server-Limit", text}});
-    EXPECT_TRUE(answer.is_limit_malformed) << text;
-    EXPECT_FALSE(answer.limit) << text;
+    EXPECT_TRUE(answer.statement.is_limit_malformed) << text;
+    EXPECT_FALSE(answer.statement.limit) << text;
   }
   EXPECT_TRUE(
       DecodeTargetAnswer(200, {{"Server-Limit", "3"}, {"Server-Limit", "4"}})
-          .is_limit_malformed);
+          .statement.is_limit_malformed);
+}
+
+TEST(RequestHeadersTest, DecodesThatATargetLeaves) {
+  EXPECT_FALSE(DecodeTargetAnswer(200, {}).statement.is_leaving);
+  const auto answer = DecodeTargetAnswer(503, {{"server-leaving", " 1 "}});
+  EXPECT_TRUE(answer.statement.is_leaving);
+  EXPECT_FALSE(answer.statement.is_leaving_malformed);
+  // Callers get it as the target sent it.
+  EXPECT_EQ(answer.forwarded.size(), 1U);
+  const auto stays = DecodeTargetAnswer(200, {{"Server-Leaving", "0"}});
+  EXPECT_FALSE(stays.statement.is_leaving);
+  EXPECT_FALSE(stays.statement.is_leaving_malformed);
+  for (const auto* text : {"", "no", "true", "2", "-1", "1.0", "1,1"}) {
+    const auto odd = DecodeTargetAnswer(200, {{"Server-Leaving", text}});
+    EXPECT_FALSE(odd.statement.is_leaving) << text;
+    EXPECT_TRUE(odd.statement.is_leaving_malformed) << text;
+  }
 }
 
 TEST(RequestHeadersTest, ParsesEventId) {
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -111,6 +111,28 @@
   EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
 }
 
+// Requests reached a target that had said it was leaving (DRAIN).
+TEST(TargetDirectoryTest, NoRowRestoresATargetThatSaidItLeaves) {
+  TargetDirectory directory;
+  directory.Apply(MakeList({MakeRow("a", 5)}, 1));
+  directory.RecordDeparture(TargetId("a"), 5);
+  EXPECT_EQ(directory.departed_count(), 1U);
+  const std::vector<TargetRow> none;
+  for (const auto& rows :
+       {std::vector{MakeRow("a", 5)}, none, std::vector{MakeRow("a", 5)},
+        std::vector{MakeRow("a", 4)}}) {
+    static std::uint64_t version = 1;
+    directory.Apply(MakeList(rows, ++version));
+    EXPECT_TRUE(directory.Serving(PoolId("pool")).empty());
+  }
+  directory.Apply(MakeList({MakeRow("a", 6)}, 9));
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+  EXPECT_EQ(directory.departed_count(), 0U);
+  // News of the former process.
+  directory.RecordDeparture(TargetId("a"), 5);
+  EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
+}
+
 TEST(TargetDirectoryTest, AMissingRowIsGone) {
   TargetDirectory directory;
   directory.Apply(MakeList({MakeRow("a"), MakeRow("b")}, 1));
