Gateway, relay, admission: a target that asks for a pause gets none of the router's requests meanwhile

Cause: Retry-After of targets was never read; all that spared the target was the router's own cooldown of 0.1 s. Ruled out by reading and test_edge: repeats of one request at one target (tried targets are left out).

Change: TargetPauses, the third policy of TargetGuard. A pause holds for the router that was told, for requests and repeats alike, whatever their kind or connection; at its end requests begin with one and double each 0.1 s. Peers hear of it by the same message and spare the target for 0.5 s, no longer: the pause is not theirs, and capacity would stand idle. A longer pause wins, 120 s at most are believed at a time, and times that can't be read are counted and change nothing. All targets pausing: refused at once, targets_paused, with the first end as Retry-After, later callers by the same doubling steps. Even shares count what is left. An unsigned 503 with the request's id is believed too, as it asks for less.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -15,6 +15,7 @@
 #include "admission/router_load.h"
 #include "admission/target_limits.h"
 #include "admission/target_outcomes.h"
+#include "admission/target_pauses.h"
 #include "admission/target_statement.h"
 
 #endif  // ADMISSION_ADMISSION_H_
--- a/admission/target_statement.h
+++ b/admission/target_statement.h
@@ -14,9 +14,12 @@
   std::optional<RequestRate> limit;
   // It leaves: it wants no further requests.
   bool is_leaving = false;
+  // It turned the request away and wants nothing from this router for so long.
+  std::optional<Duration> pause;
   // These were stated but can't be read; they change nothing.
   bool is_limit_malformed = false;
   bool is_leaving_malformed = false;
+  bool is_pause_malformed = false;
   // It may be an earlier answer, written once more, so that what it does not
   // name may hold all the same.
   bool may_be_earlier = false;
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -68,6 +68,10 @@
     return "the customer had used " + DisplayField(line, "share_used") +
            " of its even share, and " + ExplainNoRoom(line);
   }
+  if (outcome == "targets_paused") {
+    return "every target asked this router for a pause (see target_pausing); "
+           "refused until the first one ends";
+  }
   if (outcome == "target_limits") {
     return "every target named a limit that was used up (see target_limited); "
            "the router got no permit for " +
@@ -173,6 +177,8 @@
                                                 "target_limited",
                                                 "target_limit_ended",
                                                 "target_leaving",
+                                                "target_pausing",
+                                                "target_pause_ended",
                                                 "part_quarantined",
                                                 "part_released",
                                                 "process_stood_still",
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -247,6 +247,12 @@
         option.to_read.total() + prompt.expected_output_tokens, now);
     option.is_cooling_down = outcomes_.IsCoolingDown(target.id, now);
     option.failure_rate = outcomes_.FailureRate(target.id, now);
+    if (target_guard_.pauses().TimeToSend(target.id, now) > Duration{}) {
+      option.permission = Permission::kNone;
+      target_guard_.pauses().RecordHeldBack(target.id);
+      options.push_back(option);
+      continue;
+    }
     option.permission = target_guard_.Check(target.id, permit_class, now);
     if (option.permission != Permission::kNotNeeded) {
       const auto* news = target_guard_.limits().FindNews(target.id);
@@ -278,6 +284,8 @@
   const auto options = FindOptions(request, terms.permit_class(), now);
   const auto* option = ChooseOption(options, terms);
   if (option == nullptr) {
+    const auto pause = PromiseReturn(request.pool, now);
+    if (pause > Duration{}) return Refuse(RefusalReason::kTargetsPaused, pause);
     if (!options.empty()) return RefuseLimited(options, terms, now);
     return Refuse(RefusalReason::kNoTarget, kUnknownRetryAfter);
   }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -159,6 +159,13 @@
   // An answer of the placement's target arrived that says this.
   auto RecordStatement(const Placement& placement,
                        const TargetStatement& statement, Time now) -> void;
+  // When a request that finds all targets of the pool pausing may come back;
+  // zero if one of them takes requests.
+  auto PromiseReturn(const PoolId& pool, Time now) -> Duration;
+  // Pauses that began or ended since the last call.
+  auto TakePauseChanges() -> std::vector<PauseChange> {
+    return target_guard_.pauses().TakeChanges();
+  }
   // Targets that said since the last call that they leave.
   auto TakeDepartures() -> std::vector<Departure> {
     return std::exchange(departures_, {});
@@ -287,9 +294,9 @@
   // A process of a target leaves, by its own word or a peer's.
   auto RecordDeparture(const TargetId& target, ProcessStart process,
                        bool is_from_peer) -> void;
-  // What is left of a fleet's capacity by the limits of its targets, as a
+  // What limits and pauses of targets leave of the fleet's capacity, as a
   // share.
-  auto LimitedCapacityShare() const -> double;
+  auto LimitedCapacityShare(Time now) const -> double;
   // The refusal of a request for which all targets lack permits.
   auto RefuseLimited(const std::vector<TargetOption>& options,
                      const AdmissionTerms& terms, Time now) -> Refusal;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -282,7 +282,7 @@
   target_guard_.Tick(peers_, is_leaving_, now);
   if (table_ != nullptr) {
     shares_.SetCapacity(table_->document().fleet_tokens_per_second *
-                        LimitedCapacityShare());
+                        LimitedCapacityShare(now));
   }
   auto messages = exchange_.MakeMessages(MakeReport(now), now);
   PartEvidence evidence{crash_guard_.quarantine().RecordsToSend(now)};
--- a/gateway/gateway_core_statements.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -9,6 +9,9 @@
 
 // Least Retry-After of a request that finds no permit.
 constexpr Duration kLeastLimitRetryAfter = milliseconds(50);
+// A pause holds for the router that the target told. The others spare it for a
+// moment, so that it does not have to turn each of them away.
+constexpr Duration kHeardPauseCooldown = milliseconds(500);
 
 }  // namespace
 
@@ -17,12 +20,29 @@
     -> void {
   const auto& target = placement.target;
   target_guard_.RecordLimit(target, statement, now);
+  if (statement.is_pause_malformed) target_guard_.pauses().RecordMalformed();
+  if (statement.pause) target_guard_.RecordPause(target, *statement.pause, now);
   if (statement.is_leaving_malformed) target_guard_.RecordMalformedLeaving();
   if (statement.is_leaving) {
     RecordDeparture(target.id, ProcessStart(target.started_unix_ms), false);
   }
 }
 
+auto GatewayCore::PromiseReturn(const PoolId& pool, Time now) -> Duration {
+  auto& pauses = target_guard_.pauses();
+  const TargetId* earliest = nullptr;
+  auto least = Duration::max();
+  for (const auto& target : directory_.Serving(pool)) {
+    const auto wait = pauses.TimeToSend(target.id, now);
+    if (wait <= Duration{}) return Duration{};
+    if (wait >= least) continue;
+    least = wait;
+    earliest = &target.id;
+  }
+  return earliest == nullptr ? Duration{}
+                             : pauses.PromiseReturn(*earliest, now);
+}
+
 auto GatewayCore::RecordDeparture(const TargetId& target, ProcessStart process,
                                   bool is_from_peer) -> void {
   const auto passes_on =
@@ -47,6 +67,16 @@
     if (known == target_of_hash_.end()) continue;
     RecordDeparture(known->second, record.process, true);
   }
+  for (const auto& record : report.pauses) {
+    const auto known = target_of_hash_.find(record.target);
+    if (known == target_of_hash_.end()) continue;
+    const auto& target = known->second;
+    if (!target_guard_.RecordHeardPause(target, record, passes_on, now)) {
+      continue;
+    }
+    outcomes_.StartCooldown(
+        target, std::min<Duration>(record.left, kHeardPauseCooldown), now);
+  }
 }
 
 auto GatewayCore::HandlePermitRequest(const PermitRequest& request, Time now)
@@ -78,8 +108,8 @@
     -> Refusal {
   auto wait = Duration::max();
   for (const auto& option : options) {
-    wait = std::min(wait, target_guard_.TimeToAsk(option.target->id,
-                                                  terms.permit_class(), now));
+    wait = std::min(wait, target_guard_.TimeToSend(option.target->id,
+                                                   terms.permit_class(), now));
   }
   const auto retry_after = std::max<Duration>(
       kLeastLimitRetryAfter, target_guard_.PromiseReturn(wait, now));
@@ -90,8 +120,10 @@
   return refusal;
 }
 
-auto GatewayCore::LimitedCapacityShare() const -> double {
-  if (!target_guard_.is_any_limited()) return 1;
+auto GatewayCore::LimitedCapacityShare(Time now) const -> double {
+  if (!target_guard_.is_any_limited() && target_guard_.pauses().is_empty()) {
+    return 1;
+  }
   if (table_ == nullptr || mean_request_cost_ <= 0) return 1;
   const auto capacity = table_->document().fleet_tokens_per_second;
   if (capacity <= 0) return 1;
@@ -107,6 +139,7 @@
   if (slots <= 0) return 1;
   double left = 0;
   for (const auto* engine : engines) {
+    if (target_guard_.IsPausing(engine->id, now)) continue;
     const auto share = engine->slots / slots;
     const auto limit = target_guard_.limits().Find(engine->id);
     const auto rate = limit.value_or(RequestRate{}).per_second;
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -299,8 +299,15 @@
     departures.push_back(record.target);
     departures.push_back(record.process.value());
   }
+  auto pauses = Json::array();
+  for (const auto& record : report.pauses) {
+    pauses.push_back(record.target);
+    pauses.push_back(record.process.value());
+    pauses.push_back(WriteDuration(record.left));
+  }
   // Earlier versions read the limits only.
-  return {kStatementReport, std::move(limits), std::move(departures)};
+  return {kStatementReport, std::move(limits), std::move(departures),
+          std::move(pauses)};
 }
 
 auto DecodeStatementReport(const Json& body) -> StatementReport {
@@ -310,13 +317,20 @@
        i += kRecordMembers) {
     report.limits.push_back(ReadLimitRecord(limits, i));
   }
-  if (body.size() < 3) return report;  // Of an earlier version.
+  if (body.size() < 4) return report;  // Of an earlier version.
   const auto& departures = body.at(2);
   for (std::size_t i = 0; i + 2 <= departures.size(); i += 2) {
     report.departures.push_back(
         {ReadNumber<std::uint32_t>(departures[i]),
          ProcessStart(ReadNumber<std::int64_t>(departures[i + 1]))});
   }
+  const auto& pauses = body.at(3);
+  for (std::size_t i = 0; i + 3 <= pauses.size(); i += 3) {
+    report.pauses.push_back(
+        {ReadNumber<std::uint32_t>(pauses[i]),
+         ProcessStart(ReadNumber<std::int64_t>(pauses[i + 1])),
+         ReadDuration(pauses[i + 2])});
+  }
   return report;
 }
 
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -85,12 +85,24 @@
   ProcessStart process;
 };
 
+// A pause that a target asked another router for.
+struct PauseRecord {
+  // `TargetHash`.
+  std::uint32_t target = 0;
+  ProcessStart process;
+  // As of the sending.
+  Duration left{};
+};
+
 // What targets have said of themselves. Sent only while any of them says so.
 struct StatementReport {
   std::vector<TargetLimitRecord> limits;
   std::vector<DepartureRecord> departures;
+  std::vector<PauseRecord> pauses;
 
-  auto is_empty() const -> bool { return limits.empty() && departures.empty(); }
+  auto is_empty() const -> bool {
+    return limits.empty() && departures.empty() && pauses.empty();
+  }
 };
 
 // Asks the owner of a limited target for the right to send one request there.
--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -24,6 +24,8 @@
       return "no_room";
     case RefusalReason::kTargetLimits:
       return "target_limits";
+    case RefusalReason::kTargetsPaused:
+      return "targets_paused";
     case RefusalReason::kQuarantinedPart:
       return "quarantined_part";
     case RefusalReason::kRouterBusy:
@@ -59,6 +61,7 @@
     case RefusalReason::kNoTarget:
     case RefusalReason::kNoRoom:
     case RefusalReason::kTargetLimits:
+    case RefusalReason::kTargetsPaused:
     case RefusalReason::kQuarantinedPart:
     case RefusalReason::kRouterBusy:
     case RefusalReason::kLeaving:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -57,6 +57,7 @@
   kOverShare,        // Capacity is short; the customer used up its share.
   kNoRoom,           // The best target would be late, is full or lacks memory.
   kTargetLimits,     // The limits of all targets are used up.
+  kTargetsPaused,    // All targets asked this router for a pause.
   kQuarantinedPart,  // A part of the prompt has crashed targets.
   kRouterBusy,       // The processor of the router is saturated.
   kLeaving,          // The router stops before the request could end.
--- a/gateway/target_guard.cpp
+++ b/gateway/target_guard.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxRecords = 128;
 // Use of permits is averaged over this time.
 constexpr Duration kUseWindow = seconds(4);
+// Two reports of one pause differ by less than this.
+constexpr Duration kPauseTolerance = milliseconds(250);
 // A refused request is never sent away for longer than this.
 constexpr Duration kLongestPromise = seconds(4);
 
@@ -71,7 +73,44 @@
   return true;
 }
 
+auto TargetGuard::NotePause(const TargetId& target, const Pause& pause,
+                            Time now) -> bool {
+  auto& known = known_pauses_[target];
+  const auto is_news =
+      pause.until > now && (pause.process > known.process ||
+                            pause.until > known.until + kPauseTolerance);
+  if (is_news) known = pause;
+  return is_news;
+}
+
+auto TargetGuard::RecordPause(const TargetRow& target, Duration pause, Time now)
+    -> void {
+  pauses_.RecordPause(target.id, pause, now);
+  const auto until =
+      now + std::min<Duration>(pause, TargetPauses::kLongestPause);
+  NotePause(target.id,
+            {ProcessStart(target.started_unix_ms), until, kChangeRepeats}, now);
+}
+
+auto TargetGuard::RecordHeardPause(const TargetId& target,
+                                   const PauseRecord& record, bool passes_on,
+                                   Time now) -> bool {
+  const auto left =
+      std::min<Duration>(record.left, TargetPauses::kLongestPause);
+  return NotePause(target,
+                   {record.process, now + left, passes_on ? kChangeRepeats : 0},
+                   now);
+}
+
+auto TargetGuard::IsPausing(const TargetId& target, Time now) const -> bool {
+  const auto known = known_pauses_.find(target);
+  return pauses_.IsPausing(target, now) ||
+         (known != known_pauses_.end() && known->second.until > now);
+}
+
 auto TargetGuard::RemoveTarget(const TargetId& target) -> void {
+  pauses_.RemoveTarget(target);
+  known_pauses_.erase(target);
   leaving_.erase(target);
   limits_.RemoveTarget(target);
   issuer_.Disown(target);
@@ -109,17 +148,20 @@
   return may_ask ? Permission::kMayAsk : Permission::kNone;
 }
 
-auto TargetGuard::TimeToAsk(const TargetId& target, PermitClass permit_class,
-                            Time now) -> Duration {
+auto TargetGuard::TimeToSend(const TargetId& target, PermitClass permit_class,
+                             Time now) -> Duration {
+  const auto pause = pauses_.TimeToSend(target, now);
   const auto limit = limits_.Find(target);
-  if (!limit) return Duration{};
+  if (!limit) return pause;
   if (issuer_.Owns(target)) {
-    return issuer_.TimeToNext(target, *limit, permit_class, now);
+    return std::max(pause,
+                    issuer_.TimeToNext(target, *limit, permit_class, now));
   }
-  return std::max(Duration{}, wallet_.AskTime(target, permit_class, now) - now);
+  return std::max(pause, wallet_.AskTime(target, permit_class, now) - now);
 }
 
 auto TargetGuard::RecordSend(const TargetId& target, Time now) -> void {
+  pauses_.RecordSend(target);
   const auto limit = limits_.Find(target);
   if (!limit) return;
   limits_.RecordSend(target, now);
@@ -201,6 +243,10 @@
     -> void {
   limits_.Tick(now);
   wallet_.Tick(now);
+  pauses_.Tick(now);
+  std::erase_if(known_pauses_, [now](const auto& entry) {
+    return entry.second.until + kPauseTolerance < now;
+  });
   while (!used_.empty() && now - used_.front() > kUseWindow) used_.pop_front();
   std::erase_if(spread_, [this](const auto& entry) {
     return limits_.FindNews(entry.first) == nullptr;
@@ -278,7 +324,9 @@
 auto TargetGuard::MakeReport(bool passes_on, bool is_member, Time now)
     -> StatementReport {
   StatementReport report;
-  if (spread_.empty() && leaving_.empty()) return report;
+  if (spread_.empty() && leaving_.empty() && known_pauses_.empty()) {
+    return report;
+  }
   const auto is_repeat_due = now - repeated_at_ >= kRepeatPeriod;
   if (is_repeat_due) repeated_at_ = now;
   const auto is_due = [is_repeat_due](int& repeats_left) {
@@ -299,6 +347,13 @@
       report.departures.push_back({TargetHash(target), leaving.process});
     }
   }
+  for (auto& [target, pause] : known_pauses_) {
+    if (report.pauses.size() >= kMaxRecords) break;
+    if (pause.until > now && is_due(pause.repeats_left)) {
+      report.pauses.push_back(
+          {TargetHash(target), pause.process, pause.until - now});
+    }
+  }
   const auto period =
       passes_on || is_member ? kHubRefreshPeriod : kMeshRefreshPeriod;
   if (now - refreshed_at_ < period) return report;
--- a/gateway/target_guard.h
+++ b/gateway/target_guard.h
@@ -1,5 +1,5 @@
 // Keeps to what targets say of themselves in their answers, together with the
-// other routers: limits, and that they leave.
+// other routers: limits, pauses, and that they leave.
 //
 // Each limited target has one owner among the routers, by rendezvous hashing;
 // all choose alike, so nothing is agreed on or stored. The owner hands out
@@ -55,6 +55,18 @@
   auto RecordDeparture(const TargetId& target, ProcessStart process,
                        bool is_own, bool passes_on) -> bool;
   auto RecordMalformedLeaving() -> void { ++malformed_leaving_; }
+  // The target turned a request of this router away and wants nothing from it
+  // for so long.
+  auto RecordPause(const TargetRow& target, Duration pause, Time now) -> void;
+  // It asked that of another router; whether that is news. With `passes_on`,
+  // others are told.
+  auto RecordHeardPause(const TargetId& target, const PauseRecord& record,
+                        bool passes_on, Time now) -> bool;
+  // Whether the target asked this router or another one for a pause that is not
+  // over.
+  auto IsPausing(const TargetId& target, Time now) const -> bool;
+  auto pauses() -> TargetPauses& { return pauses_; }
+  auto pauses() const -> const TargetPauses& { return pauses_; }
   auto malformed_leaving() const -> std::uint64_t { return malformed_leaving_; }
   // A record of another router about this target. With `passes_on`, a change is
   // sent on to others.
@@ -69,8 +81,9 @@
 
   auto Check(const TargetId& target, PermitClass permit_class, Time now)
       -> Permission;
-  // Until a permit may be asked for; zero if one may be now.
-  auto TimeToAsk(const TargetId& target, PermitClass permit_class, Time now)
+  // Until a request may be sent, or a permit for it may be asked for; zero if
+  // that may be now.
+  auto TimeToSend(const TargetId& target, PermitClass permit_class, Time now)
       -> Duration;
   // A request is sent to the target; takes a permit if one is needed.
   auto RecordSend(const TargetId& target, Time now) -> void;
@@ -112,6 +125,12 @@
     // It said so to this router.
     bool is_own = false;
   };
+  // A pause that others are to be told of, or were told by others.
+  struct Pause {
+    ProcessStart process;
+    Time until{};
+    int repeats_left = 0;
+  };
   // How much of a record's news others have been sent.
   struct Spread {
     // Sendings left of a change.
@@ -120,6 +139,8 @@
     bool is_own_news = false;
   };
 
+  // Notes a pause of which others are told; whether it is news.
+  auto NotePause(const TargetId& target, const Pause& pause, Time now) -> bool;
   auto ToRecord(const TargetId& target, Time now) const -> TargetLimitRecord;
   // The limit began, changed or ended.
   auto OnChange(const TargetId& target, bool passes_on, Time now) -> void;
@@ -146,6 +167,9 @@
   std::unordered_map<TargetId, Spread> spread_;
   std::unordered_map<TargetId, Leaving> leaving_;
   std::uint64_t malformed_leaving_ = 0;
+  // Pauses that hold for this router, and what it knows of all.
+  TargetPauses pauses_;
+  std::unordered_map<TargetId, Pause> known_pauses_;
   std::vector<std::pair<std::string, PermitRequest>> requests_;
   Time repeated_at_{};
   Time refreshed_at_{};
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -88,6 +88,14 @@
       static_cast<double>(sources.context.core.directory().departed_count()));
   SetMetric(metrics, "leaving_malformed_total",
             static_cast<double>(guard.malformed_leaving()));
+  const auto& pauses = guard.pauses();
+  SetMetric(metrics, "targets_pausing",
+            static_cast<double>(pauses.Pausing(now).size()));
+  SetMetric(metrics, "pauses_total", static_cast<double>(pauses.pauses()));
+  SetMetric(metrics, "pauses_held_back_total",
+            static_cast<double>(pauses.held_back()));
+  SetMetric(metrics, "pauses_malformed_total",
+            static_cast<double>(pauses.malformed()));
   SetMetric(metrics, "limits_malformed_total",
             static_cast<double>(limits.malformed()));
   const auto& permits = guard.counters();
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -319,6 +319,14 @@
 }
 
 auto RelayProcess::ApplyStatements() -> void {
+  for (const auto& change : core_.TakePauseChanges()) {
+    const auto is_over = change.pause <= Duration{};
+    log_.Write(LogClass::kFailure,
+               is_over ? "target_pause_ended" : "target_pausing",
+               {{"target", change.target.value()},
+                {"pause_ms", ToMs(change.pause)},
+                {"held_back", static_cast<std::int64_t>(change.held_back)}});
+  }
   for (const auto& departure : core_.TakeDepartures()) {
     target_connections_.CloseTarget(departure.target);
     log_.Write(LogClass::kState, "target_leaving",
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -1,6 +1,8 @@
 // Attempts, retries and the end of one request.
 #include "relay/relayed_request.h"
 
+#include <algorithm>
+
 namespace papayaplank {
 namespace {
 
@@ -212,7 +214,9 @@
     return Finish();
   }
   if (may_have_run_) return Refuse(Refusal{RefusalReason::kTargetFailed, {}});
-  Refuse(Refusal{RefusalReason::kNotExecuted, kRetryAfterNotExecuted});
+  const auto pause = context_.core.PromiseReturn(accepted_request_.pool, now);
+  Refuse(Refusal{RefusalReason::kNotExecuted,
+                 std::max<Duration>(pause, kRetryAfterNotExecuted)});
 }
 
 auto RelayedRequest::CutAnswer(std::string_view cause) -> void {
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -60,10 +60,13 @@
 }
 
 auto RelayedRequest::RecordStatement(bool may_be_earlier) -> void {
-  const auto says_so =
-      IsFromTarget() || (answer_.is_not_executed && !answer_.is_wrong_target);
-  if (!says_so) return;
-  answer_.statement.may_be_earlier = may_be_earlier;
+  if (answer_.is_wrong_target) return;
+  const auto says_so = IsFromTarget() || answer_.is_not_executed;
+  // A refusal without signature is believed as far as it asks for less.
+  const auto is_unsigned_refusal =
+      answer_.statement.pause && answer_.request_id == request_.request_id;
+  if (!says_so && !is_unsigned_refusal) return;
+  answer_.statement.may_be_earlier = may_be_earlier || !says_so;
   context_.core.RecordStatement(placement_, answer_.statement,
                                 MonotonicClock::now());
 }
--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -70,8 +70,10 @@
   record.age = milliseconds(1200);
   auto ended = record;
   ended.limit.reset();
-  const auto report = DecodePeerMessage(EncodePeerMessage(
-      StatementReport{{record, ended}, {{7, ProcessStart(8)}}}));
+  const auto report = DecodePeerMessage(
+      EncodePeerMessage(StatementReport{{record, ended},
+                                        {{7, ProcessStart(8)}},
+                                        {{9, ProcessStart(3), seconds(4)}}}));
   ASSERT_TRUE(report && std::holds_alternative<StatementReport>(*report));
   const auto& records = std::get<StatementReport>(*report).limits;
   ASSERT_EQ(records.size(), 2U);
@@ -85,6 +87,11 @@
   ASSERT_EQ(departures.size(), 1U);
   EXPECT_EQ(departures[0].target, 7U);
   EXPECT_EQ(departures[0].process, ProcessStart(8));
+  const auto& pauses = std::get<StatementReport>(*report).pauses;
+  ASSERT_EQ(pauses.size(), 1U);
+  EXPECT_EQ(pauses[0].target, 9U);
+  EXPECT_EQ(pauses[0].process, ProcessStart(3));
+  EXPECT_EQ(pauses[0].left, seconds(4));
   const auto request = DecodePeerMessage(EncodePeerMessage(PermitRequest{
       "10.0.0.1:7400", PermitNonce(9), PermitClass::kOverShare, record}));
   ASSERT_TRUE(request && std::holds_alternative<PermitRequest>(*request));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -171,6 +171,26 @@
   }
 }
 
+TEST(RequestHeadersTest, DecodesThePauseOfATarget) {
+  const auto decode = [](int status, const std::string& text) {
+    return DecodeTargetAnswer(status, {{"Retry-After", text}}).statement;
+  };
+  EXPECT_EQ(decode(503, " 2.5 ").pause, milliseconds(2500));
+  EXPECT_EQ(decode(503, "0").pause, Duration{});
+  EXPECT_FALSE(decode(200, "2").pause);
+  EXPECT_FALSE(decode(429, "2").pause);
+  const auto several = DecodeTargetAnswer(
+      503, {{"Retry-After", "1"}, {"retry-after", "3"}, {"Retry-After", "2"}});
+  EXPECT_EQ(several.statement.pause, seconds(3));
+  for (const auto& text :
+       {std::string(""), std::string("-3"), std::string("soon"),
+        std::string("inf"), std::string("1e3"), std::string("1,2"),
+        std::string("Fri, 31 Dec 1999 23:59:59 GMT"), std::string(400, '9')}) {
+    EXPECT_FALSE(decode(503, text).pause) << text;
+    EXPECT_TRUE(decode(503, text).is_pause_malformed) << text;
+  }
+}
+
 TEST(RequestHeadersTest, ParsesEventId) {
   EXPECT_EQ(ParseEventId("id: 12\ndata: x\n\n"), 12);
   EXPECT_EQ(ParseEventId("weight-versions: 2\r\nid:3\r\ndata: x\r\n\r\n"), 3);
