Admission: routers that restarted spent the fleet's repeats once more

Cause: each router divided the slack by the routers that were live at the moment and counted from zero after a start, and until it had heard of a peer it took the whole slack. What a router that has just ended had spent still lies in the window: half of eight routers killed and started again spent 80 where 61 are allowed.

Change: the slack is divided by the most routers of the last window, rows that were found included, and a new process takes 0.43 of its part in its first window, which with the whole part of an earlier process stays within the bound. Restarts of one router again and again within a window aren't covered by this, only by the share of the bound that is left unplanned.

RoutersThatRestartKeepTheBoundOfTheFleet failed before (80 of 61.6), passes. test_admission and test_gateway pass.

--- a/admission/fleet_retry_budget.h
+++ b/admission/fleet_retry_budget.h
@@ -20,13 +20,15 @@
 };
 
 // This router's part of the budget: its own requests count in full, the slack
-// is divided evenly among the routers.
+// is divided evenly among the routers of the last window. A router that has
+// ended may have spent its part just before, and so may the process before this
+// one.
 class FleetRetryBudget {
  public:
   explicit FleetRetryBudget(RetryBound bound) : bound_(bound) {}
 
   // Number of live routers, this one included.
-  auto SetRouters(std::size_t routers) -> void;
+  auto SetRouters(std::size_t routers, Time now) -> void;
   auto RecordRequest(const PoolId& pool, Time now) -> void;
   // Whether one more retry is within the budget; counts it if so.
   auto TrySpend(const PoolId& pool, Time now) -> bool;
@@ -39,11 +41,17 @@
     std::deque<Time> retries;
   };
 
+  // This router's part of the slack.
+  auto SlackShare(Time now) const -> double;
   // Drops times before the window.
   auto Trim(Counts& counts, Time now) const -> void;
 
   RetryBound bound_;
+  // The most routers within the window, and when there were so many last.
   double routers_ = 1;
+  Time counted_at_{};
+  // When this router was first in use.
+  Time began_at_{};
   std::map<PoolId, Counts> pools_;
 };
 
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -84,12 +84,13 @@
 auto GatewayCore::AddPeers(const std::vector<PeerSeed>& seeds, Time now)
     -> void {
   peers_.AddSeeds(seeds, now);
+  retry_budget_.SetRouters(peers_.ExpectedCount(now) + 1, now);
 }
 
 auto GatewayCore::HandleReport(const PeerReport& report, Time now)
     -> DirectoryChange {
   if (!peers_.ApplyReport(report, report.sequence, now)) return {};
-  retry_budget_.SetRouters(peers_.LiveCount(now) + 1);
+  retry_budget_.SetRouters(peers_.ExpectedCount(now) + 1, now);
   exchange_.ApplyReport(report, now);
   auto changes = ApplyTargetUpdates(report.target_updates, now);
   UpdateOtherLoads();
@@ -99,7 +100,7 @@
 auto GatewayCore::HandleSummary(const FleetSummary& summary, Time now)
     -> DirectoryChange {
   if (!exchange_.ApplySummary(summary, now)) return {};
-  retry_budget_.SetRouters(peers_.LiveCount(now) + 1);
+  retry_budget_.SetRouters(peers_.ExpectedCount(now) + 1, now);
   auto changes = ApplyTargetUpdates(summary.target_updates, now);
   UpdateOtherLoads();
   return changes;
--- a/tests/admission/test_admission.cpp
+++ b/tests/admission/test_admission.cpp
@@ -163,11 +163,41 @@
             CachedPrefixes::PreferenceScore(TargetId("a"), other));
 }
 
+// Routers that started anew spent the fleet's repeats once more (BUDGET).
+TEST(FleetRetryBudgetTest, RoutersThatRestartKeepTheBoundOfTheFleet) {
+  const RetryBound bound{0.2, 56, seconds(10)};
+  constexpr std::size_t kRouters = 8;
+  std::vector<FleetRetryBudget> routers(kRouters, FleetRetryBudget(bound));
+  std::vector<Time> retries;
+  int requests = 0;
+  const auto spend_all = [&](Time now, std::size_t live) {
+    for (std::size_t i = 0; i < live; ++i) {
+      routers[i].SetRouters(live, now);
+      routers[i].RecordRequest(PoolId("pool"), now);
+      ++requests;
+      while (routers[i].TrySpend(PoolId("pool"), now)) retries.push_back(now);
+    }
+  };
+  spend_all(kStart, kRouters);
+  spend_all(kStart + seconds(11), kRouters);
+  // Half of them are killed, the others notice, and the killed ones start.
+  spend_all(kStart + seconds(13), kRouters / 2);
+  for (std::size_t i = kRouters / 2; i < kRouters; ++i) {
+    routers[i] = FleetRetryBudget(bound);
+  }
+  spend_all(kStart + seconds(14), kRouters);
+  const auto in_window =
+      std::count_if(retries.begin(), retries.end(),
+                    [](Time at) { return at >= kStart + seconds(11); });
+  EXPECT_LE(static_cast<double>(in_window),
+            bound.ratio * requests + bound.slack);
+}
+
 RC_GTEST_PROP(FleetRetryBudgetTest, TheFleetKeepsTheBoundInEveryWindow, ()) {
   const RetryBound bound{0.2, 50, seconds(10)};
   constexpr std::size_t kRouters = 5;
   std::vector<FleetRetryBudget> routers(kRouters, FleetRetryBudget(bound));
-  for (auto& router : routers) router.SetRouters(kRouters);
+  for (auto& router : routers) router.SetRouters(kRouters, kStart);
   std::vector<Time> requests;
   std::vector<Time> retries;
   auto now = kStart;
