Gateway: a stopping router took requests that could not end

What callers saw (a report of other operators): requests that came late in the grace of a planned stop were cut without an answer, ones that may not be repeated among them (LOST).

Cause: a request was assumed to take half of the longest time that it may.

Change: AnswerTimes knows the longest answer of each route in the last one to two minutes; a stopping router expects twice that, at most the deadline, and refuses what can't end at once, with a promise. Short requests are served longer than before. Routes without an answer yet are assumed as before.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -5,6 +5,7 @@
 #ifndef ADMISSION_ADMISSION_H_
 #define ADMISSION_ADMISSION_H_
 
+#include "admission/answer_times.h"
 #include "admission/cached_prefixes.h"
 #include "admission/engine_load.h"
 #include "admission/fair_share.h"
--- a/admission/target_pauses.cpp
+++ b/admission/target_pauses.cpp
@@ -80,7 +80,7 @@
   if (found == entries_.end()) return Duration{};
   auto& entry = found->second;
   const auto at = entry.until + TimeOfNext(entry.promises++);
-  return std::max(TimeToSend(target, now), Duration(at - now));
+  return std::max<Duration>(TimeToSend(target, now), at - now);
 }
 
 auto TargetPauses::IsPausing(const TargetId& target, Time now) const -> bool {
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -38,9 +38,11 @@
 // For requests without a stated deadline.
 constexpr Duration kDefaultDeadline = seconds(60);
 // A stopping router accepts streams for this long. It accepts other requests
-// as long as they can end before the process is killed; one is assumed to take
-// half of the longest time that it may.
+// as long as they can end before the process is killed: one may take this many
+// times the longest of its route lately or, if that isn't known, half of the
+// longest time that it may.
 constexpr Duration kStreamsAfterStop = milliseconds(300);
+constexpr int kAnswerTimeMargin = 2;
 // Time before the kill by which requests should have ended.
 constexpr Duration kStopMargin = milliseconds(1500);
 // Share of a target's connection limit that all routers together may use.
@@ -132,6 +134,19 @@
   return route.pools.front().pool;
 }
 
+auto GatewayCore::IsTooLongToStop(const Route& route, Duration wait,
+                                  Time now) const -> bool {
+  if (route.kind == RequestKind::kStream) {
+    return now - leaving_since_ > kStreamsAfterStop;
+  }
+  const auto longest = answer_times_.Longest(route.name, now);
+  const auto expected =
+      longest ? std::min(wait, *longest * kAnswerTimeMargin) : wait / 2;
+  const auto time_left =
+      leaving_since_ + options_.stop_grace - kStopMargin - now;
+  return time_left < expected;
+}
+
 auto GatewayCore::Accept(const RequestFacts& facts, Time now) -> AcceptResult {
   ++counters_.requests;
   if (table_ == nullptr) {
@@ -154,15 +169,8 @@
   auto wait =
       facts.caller_wait > Duration{} ? facts.caller_wait : kDefaultDeadline;
   if (route->timeout > Duration{}) wait = std::min(wait, route->timeout);
-  if (is_leaving_) {
-    const auto time_left =
-        leaving_since_ + options_.stop_grace - kStopMargin - now;
-    const auto cannot_end_in_time =
-        is_stream ? now - leaving_since_ > kStreamsAfterStop
-                  : time_left < wait / 2;
-    if (cannot_end_in_time) {
-      return Refuse(RefusalReason::kLeaving, milliseconds(1));
-    }
+  if (is_leaving_ && IsTooLongToStop(*route, wait, now)) {
+    return Refuse(RefusalReason::kLeaving, milliseconds(1));
   }
   if (is_stream && load_.is_saturated()) {
     return Refuse(RefusalReason::kRouterBusy, kBusyRetryAfter);
@@ -366,6 +374,7 @@
     case AttemptOutcome::kComplete:
       ++counters_.completed;
       outcomes_.RecordSuccess(target, now);
+      answer_times_.Record(request.route->name, now - request.arrived_at, now);
       if (!request.prompt.parts.empty()) {
         cached_prefixes_.RecordRead(target, request.prompt.parts, now);
       }
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -300,6 +300,10 @@
   // The refusal of a request for which all targets lack permits.
   auto RefuseLimited(const std::vector<TargetOption>& options,
                      const AdmissionTerms& terms, Time now) -> Refusal;
+  // Whether a request that arrives while the router stops may not end in time;
+  // `wait` is the longest time that it may take.
+  auto IsTooLongToStop(const Route& route, Duration wait, Time now) const
+      -> bool;
   // Makes a refusal and counts it.
   auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   // A random pool of the route, by weight, among those with serving targets.
@@ -327,6 +331,7 @@
   FleetRetryBudget retry_budget_;
   RouterLoad load_;
   TargetOutcomes outcomes_;
+  AnswerTimes answer_times_;
   CrashGuard crash_guard_;
   TargetGuard target_guard_;
   std::vector<Departure> departures_;
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -118,6 +118,7 @@
   router.is_frozen = false;
   router.postponed.clear();
   router.told_at.clear();
+  router.left_at.clear();
   router.waiting.clear();
   GatewayOptions options;
   options.peer_address = router.address;
@@ -339,6 +340,19 @@
       told != router.told_at.end() && now_ - told->second >= milliseconds(500);
   target.arrivals.push_back(
       {now_, attempt.router, is_told && IsInTouch(router)});
+  const auto left = router.left_at.find(index);
+  if (left != router.left_at.end() &&
+      attempt.request->arrived_at > left->second + kDrain) {
+    ++late_arrivals_;
+  }
+  for (auto& pause : pauses_) {
+    const auto is_told = pause.router == attempt.router &&
+                         pause.incarnation == attempt.incarnation &&
+                         pause.target == index;
+    if (is_told && now_ > pause.at + milliseconds(500) && now_ < pause.until) {
+      ++pause.requests;
+    }
+  }
   ++target.running;
   if (target.is_silent) return;
   At(kHeadTime,
@@ -358,7 +372,15 @@
   auto& target = targets_[static_cast<std::size_t>(index)];
   const auto limit = LimitAt(target, now_);
   const auto router = attempt.router;
-  const auto is_rejected = random_.Uniform() < options_.rejected_share;
+  const auto is_paused = target.pause && random_.Uniform() < target.pause_share;
+  if (is_paused) {
+    pauses_.push_back({attempt.router, attempt.incarnation, index, now_,
+                       now_ + *target.pause, 0});
+  }
+  const auto is_rejected =
+      is_paused || random_.Uniform() < options_.rejected_share;
+  const auto is_leaving = target.is_leaving;
+  const auto pause = is_paused ? target.pause : std::nullopt;
   const auto is_broken = random_.Uniform() < options_.broken_share;
   AtRouter(router, attempt.incarnation, kLatency, [=, this] {
     auto& process = routers_.at(router);
@@ -366,6 +388,9 @@
     if (process.is_old) return;
     TargetStatement statement;
     if (limit) statement.limit = RequestRate{*limit};
+    statement.is_leaving = is_leaving;
+    statement.pause = pause;
+    if (is_leaving) process.left_at.try_emplace(index, now_);
     process.core->RecordStatement(attempt.placement, statement, now_);
   });
   if (is_rejected) {
@@ -413,6 +438,12 @@
       }));
 }
 
+auto LimitFleet::MostInPause() const -> int {
+  int most = 0;
+  for (const auto& pause : pauses_) most = std::max(most, pause.requests);
+  return most;
+}
+
 auto LimitFleet::WorstExcess() const -> double {
   constexpr auto kWindow = seconds(4);
   constexpr auto kStep = milliseconds(100);
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -1,4 +1,5 @@
-// A fleet of router cores before targets that name limits, in virtual time:
+// A fleet of router cores before targets that name limits, leave or ask for
+// pauses, in virtual time:
 // messages, requests and answers are events of one queue.
 #ifndef TESTS_GATEWAY_LIMIT_FLEET_H_
 #define TESTS_GATEWAY_LIMIT_FLEET_H_
@@ -59,6 +60,15 @@
   auto SetSilent(int target) -> void {
     targets_.at(static_cast<std::size_t>(target)).is_silent = true;
   }
+  // The target says in its answers from now on that it leaves.
+  auto SetLeaving(int target) -> void {
+    targets_.at(static_cast<std::size_t>(target)).is_leaving = true;
+  }
+  // The target turns away that share of its requests and asks for a pause.
+  auto SetPause(int target, Duration pause, double share) -> void {
+    targets_.at(static_cast<std::size_t>(target)).pause = pause;
+    targets_.at(static_cast<std::size_t>(target)).pause_share = share;
+  }
   auto SetRequestRate(double per_second) -> void {
     options_.requests_per_second = per_second;
   }
@@ -79,6 +89,15 @@
   // requests beyond 1.5 times what its limits allowed. The users allow 5.
   auto WorstExcess() const -> double;
 
+  // Requests that reached a target from a router that had been told that it
+  // leaves, and that arrived there later than the users' bound.
+  auto late_arrivals() const -> int { return late_arrivals_; }
+  // The most requests from one router in a pause that it had been asked for,
+  // later than half a second after it was.
+  auto MostInPause() const -> int;
+  // Pauses that targets have asked for.
+  auto pause_count() const -> std::size_t { return pauses_.size(); }
+
   // Requests and their ends since the last call.
   struct Service {
     int requests = 0;
@@ -105,6 +124,8 @@
 
   // The bound within which routers know of a change.
   static constexpr Duration kContact = seconds(3);
+  // After this, no request may reach a target that said it leaves.
+  static constexpr Duration kDrain = seconds(2);
 
  private:
   struct Attempt {
@@ -130,6 +151,8 @@
     // When it first passed on an answer that names a limit, by target.
     std::map<int, Time> told_at;
     std::map<PermitNonce, Attempt> waiting;
+    // When it was told that a target leaves, by target.
+    std::map<int, Time> left_at;
   };
   struct Arrival {
     Time at{};
@@ -147,6 +170,17 @@
     std::vector<LimitChangeAt> limits;
     int running = 0;
     bool is_silent = false;
+    bool is_leaving = false;
+    std::optional<Duration> pause;
+    double pause_share = 0;
+  };
+  struct Pause {
+    int router = 0;
+    int incarnation = 0;
+    int target = 0;
+    Time at{};
+    Time until{};
+    int requests = 0;
   };
   struct Event {
     Time at{};
@@ -195,6 +229,8 @@
   std::uint64_t request_count_ = 0;
   Service service_;
   Traffic traffic_;
+  int late_arrivals_ = 0;
+  std::vector<Pause> pauses_;
 };
 
 }  // namespace papayaplank
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -267,6 +267,29 @@
       core_.Accept(Facts("/status/1", "key-a"), kStart)));
 }
 
+// Requests that a stopping router took late were cut without an answer (LOST).
+TEST_F(GatewayCoreTest, AStoppingRouterKnowsHowLongRequestsTake) {
+  Serve(1);
+  const auto run = [this](const std::string& path, Duration time) {
+    auto accepted = core_.Accept(Facts(path, "key-a"), kStart - time);
+    auto& request = std::get<GatewayRequest>(accepted);
+    auto placed = core_.Place(request, kStart - time);
+    core_.RecordAttemptEnd(request, std::get<Placement>(placed),
+                           AttemptOutcome::kComplete, kStart);
+  };
+  run("/order/1", seconds(5));
+  run("/status/1", milliseconds(15));
+  core_.BeginStop(kStart);
+  auto facts = Facts("/order/1", "key-a");
+  facts.caller_wait = seconds(6);
+  EXPECT_EQ(Reason(core_.Accept(facts, kStart + milliseconds(3200))),
+            RefusalReason::kLeaving);
+  facts.path = "/status/1";
+  core_.ConfirmConfiguration(kStart + seconds(6));
+  EXPECT_TRUE(std::holds_alternative<GatewayRequest>(
+      core_.Accept(facts, kStart + seconds(6))));
+}
+
 // The callers of one customer flood one small router: it refuses new streams at
 // once and diverts callers to other routers until its lateness has fallen.
 TEST_F(GatewayCoreTest, ASaturatedRouterRefusesStreamsAndDivertsCallers) {
