--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 build="${1:-build-fuzz}"
 cmake -S . -B "$build" -G Ninja -DPAPAYAPLANK_FUZZ=ON \
+  -DPAPAYAPLANK_WERROR=ON \
   -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 ninja -C "$build" --quiet
 for target in documents events http_messages peer_messages; do
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -50,6 +50,12 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXCESS = 5
 LIMITS = ("0", "0.5", "3", "12.5", "many")  # The last one can't be read.
+# The users' bounds: from when a target has said that it leaves, and from when
+# it has asked for a pause, in which two requests of a router are allowed.
+DRAIN_SECONDS = 3
+REACTION_SECONDS = 0.5
+ALLOWED_IN_PAUSE = 2
+PAUSES = ("0", "0.4", "1", "2.5")
 REVOCATION_BOUND = 5  # Seconds; the router's default.
 TARGET_FAULTS = ("lost", "shed", "reset", "truncated", "crossed", "extra",
                  "cut", "error", "slow")
@@ -117,6 +123,8 @@
             self.end_faults()
             self.check_recovery()
             self.check_limits()
+            self.check_leaving_target()
+            self.check_pausing_target(callers)
             self.check_fatal_part()
             self.is_over = True
             for caller in callers:
@@ -143,6 +151,7 @@
                     self.make_target_fail, self.make_target_fail,
                     self.pause_router, self.kill_router, self.stop_router,
                     self.send_fatal_part, self.name_limit,
+                    self.leave, self.ask_for_pause,
                     self.reload_router, self.publish_version, self.revoke_key,
                     self.kill_target, self.stop_target, self.pause_target))
                 self.faults.append(fault.__name__)
@@ -189,6 +198,19 @@
             target.limit = None
         self.run_later(self.random.uniform(0.2, 5), end)
 
+    def leave(self):
+        target = self.random.choice(self.targets)
+        target.leaving = self.random.choice(("1", "1", "perhaps"))
+        self.run_later(self.random.uniform(0.2, 3), target.come_back)
+
+    def ask_for_pause(self):
+        target = self.random.choice(self.targets)
+        target.pause = self.random.choice(PAUSES)
+
+        def end():
+            target.pause = None
+        self.run_later(self.random.uniform(0.2, 3), end)
+
     def choose_router(self):
         return self.random.choice(self.edges)
 
@@ -266,6 +288,7 @@
         for target in self.targets:
             target.faults = []
             target.limit = None
+            target.pause = None
         for edge in self.edges:
             edge.process.send_signal(signal.SIGCONT)
 
@@ -318,6 +341,41 @@
             target.limit = None
         self.check_recovery()
 
+    def check_leaving_target(self):
+        """Checks that a target which says it leaves gets nothing more, though
+        the store lists it as ready."""
+        time.sleep(3.5)  # Targets that left during the faults are back.
+        target = self.random.choice(self.targets)
+        target.leaving = "1"
+        time.sleep(DRAIN_SECONDS)
+        bound = time.monotonic()
+        time.sleep(2)
+        late = [at for at, _ in list(target.requests) if at > bound + 0.2]
+        if late:
+            self.violations.append(f"{len(late)} requests reached "
+                                   f"{target.name}, which had said it leaves")
+        target.come_back()
+
+    def check_pausing_target(self, callers):
+        """Checks that a target which asks for a pause gets it."""
+        target = self.random.choice(self.targets)
+        begin = time.monotonic()
+        target.pause = "2"
+        time.sleep(5)
+        target.pause = None
+        ports = {call.id: call.port for caller in callers
+                 for call in list(caller.calls)}
+        for at, request, pause in list(target.pauses):
+            if at < begin or request not in ports:
+                continue
+            early = sum(at + REACTION_SECONDS < other < at + pause
+                        and ports.get(name) == ports[request]
+                        for other, name in list(target.requests))
+            if early > ALLOWED_IN_PAUSE:
+                self.violations.append(
+                    f"{early} requests reached {target.name} in a pause of "
+                    f"{pause} s that it had asked for")
+
     def check_fatal_part(self):
         """Checks that the fatal part is held back, and others are not."""
         began_at = time.monotonic()
--- a/tests/process/soak_callers.py
+++ b/tests/process/soak_callers.py
@@ -16,6 +16,7 @@
         self.kind = kind
         self.key = key
         self.sent_at = time.monotonic()
+        self.port = None  # Of the router.
         self.status = None  # None: no complete answer.
         self.body = b""
 
@@ -59,6 +60,7 @@
             edge = self.random.choice(self.soak.edges)
             self.connection = http.client.HTTPConnection(
                 "127.0.0.1", edge.caller, timeout=CALL_TIMEOUT)
+        call.port = self.connection.port
         try:
             self.connection.request(
                 "POST", f"/{call.kind}/1", b"x" * self.random.choice((5, 5000)),
