--- a/gateway/gateway_core_statements.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -21,8 +21,9 @@
   const auto& target = placement.target;
   target_guard_.RecordLimit(target, statement, now);
   if (statement.is_pause_malformed) target_guard_.pauses().RecordMalformed();
-  if (statement.pause)
+  if (statement.pause) {
     target_guard_.RecordTargetPause(target, *statement.pause, now);
+  }
   if (statement.is_leaving_malformed) target_guard_.RecordMalformedLeaving();
   if (statement.is_leaving) {
     RecordDeparture(target.id, ProcessStart(target.started_unix_ms), false);
