--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -255,6 +255,7 @@
 
     counter = itertools.count(1)
     work_s = 0.015
+    slots = 6
 
     def __init__(self, store, record, service):
         super().__init__()
@@ -277,7 +278,7 @@
         self.seq += 1
         return await self.store.write("servers", self.id, {
             "service": self.service, "address": self.address, "zone": "zone-a",
-            "version": "v1", "slots": 6, "state": self.state,
+            "version": "v1", "slots": self.slots, "state": self.state,
             "cold-left-ms": 0, "seq": self.seq, "born": self.born})
 
     async def keep_beating(self):
