--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -444,6 +444,7 @@
         self.headers = {}
         self.body = b""
         self.is_whole = False
+        self.has_timed_out = False  # The client gave up; nobody closed.
 
 
 class Client:
@@ -480,7 +481,9 @@
                     answer.status = int(start[1])
                     answer.body = await read_body(reader, answer.headers)
                     answer.is_whole = True
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        except TimeoutError:
+            answer.has_timed_out = True
+        except (OSError, asyncio.IncompleteReadError):
             pass  # The record tells how far the answer came.
         if answer.is_whole and answer.headers.get("connection") != "close":
             self.connections[router.name] = connection
