Gateway: routers that outlive most others read the target list too rarely

Hypotheses: (1) the period counts routers that are gone; (2) a read that was planned while all were there is not moved; (3) the store's answers are late; (4) a read is on time, but its news are not applied. Lines of target_left of the survivor (a trial that kept its log) say source "store" with list_age_ms up to 3,267, so reads come late and are applied at once: 3 and 4 are out. In virtual time both 1 and 2 show by themselves: with the live count alone, survivors of a fleet of 195 still wait up to 45 s for the read that was planned before.

Cause: routers share the reads of the list, and ExpectedCount, which set the period, holds every router that ever reported; rows of killed routers renew it for good. Also counted were routers that reach no store, rows of dead routers at a start (7 s), and, by a hub, data centres whose hubs are silent.

Change: TargetListSchedule counts routers that can read and whose news reach this one, and moves a planned read forward when they become fewer; the time is random within 0.8 s, so that survivors don't read all at once. A router that nobody tells of changes reads at most 1.2 s apart (was 2.25 s). papayaplank_router reads its instance list each second by itself and has no such period.

--- a/gateway/fleet_exchange.cpp
+++ b/gateway/fleet_exchange.cpp
@@ -287,6 +287,15 @@
   return role_ == ExchangeRole::kMesh || near_.source_count() >= known / 2;
 }
 
+auto FleetExchange::CountReaders(Time now) const -> std::size_t {
+  return peers_.CountReaders(
+      [&](const DataCenterId& data_center) {
+        return role_ != ExchangeRole::kHub ||
+               data_center == self_.data_center || HearsHubOf(data_center, now);
+      },
+      now);
+}
+
 auto FleetExchange::Others(std::uint32_t target) const -> LoadShare {
   auto sum = near_.Sum(target);
   const auto far = far_.Sum(target);
--- a/gateway/fleet_exchange.h
+++ b/gateway/fleet_exchange.h
@@ -76,6 +76,8 @@
   // Whether the loads of the whole fleet arrive: a member hears a hub, and most
   // routers of the data centre report to a hub.
   auto is_informed(Time now) const -> bool;
+  // Routers that read the list of targets and whose news reach this one.
+  auto CountReaders(Time now) const -> std::size_t;
 
  private:
   // What is known of one hub's summaries.
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -21,6 +21,7 @@
 #include "gateway/placement_policy.h"
 #include "gateway/request.h"
 #include "gateway/target_guard.h"
+#include "gateway/target_list_schedule.h"
 #include "gateway/target_news.h"
 
 namespace papayaplank {
@@ -227,8 +228,9 @@
   // Delay until the next read of the target list. It is random, so that the
   // reads of the routers spread over time even if all started at once.
   auto NextTargetListDelay(Time now) -> Duration;
-  // Set if other routers may have told of changes that this one missed: the
-  // list is then to be read within that time. Once for each such event.
+  // Set if other routers may have told of changes that this one missed, or if
+  // fewer of them read the list than when its next read was planned: the list
+  // is then to be read within that time. Once for each such event.
   auto TakeListReadDemand() -> std::optional<Duration> {
     return std::exchange(list_read_demand_, std::nullopt);
   }
@@ -318,6 +320,7 @@
   auto ResetTarget(const TargetId& target) -> void;
   // Whether target rows may be missing because of a store outage.
   auto IsStoreRecovering(Time now) const -> bool;
+  auto TargetListReaders(Time now) const -> ListReaders;
 
   GatewayOptions options_;
   Random random_;
@@ -342,6 +345,7 @@
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
   FleetExchange exchange_;
   TargetNews target_news_;
+  TargetListSchedule list_schedule_;
   // Time within which the target list is to be read besides its schedule.
   std::optional<Duration> list_read_demand_;
   StoreContinuity store_continuity_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -8,18 +8,6 @@
 namespace papayaplank {
 namespace {
 
-// Average time between two target list reads in the whole fleet. The router
-// that reads a list reports the changes to the others.
-constexpr Duration kFleetListPeriod = milliseconds(200);
-// Limits of one router's average period. The longest one is shorter while the
-// rows return after a store outage, and while no hub passes changes on.
-constexpr Duration kShortestListPeriod = milliseconds(700);
-constexpr Duration kLongestListPeriod = seconds(30);
-constexpr Duration kLongestRecoveryListPeriod = milliseconds(1500);
-// The same while rows count whose routers may be gone.
-constexpr Duration kLongestUnsettledListPeriod = seconds(7);
-// A delay between two reads differs from the average by at most this share.
-constexpr double kListDelaySpread = 0.5;
 // Average time between two reads of the router list in the whole fleet, and
 // limits of the period of one router.
 constexpr Duration kFleetRouterListPeriod = seconds(2);
@@ -197,20 +185,12 @@
 }
 
 auto GatewayCore::NextTargetListDelay(Time now) -> Duration {
-  // At the start, the rows of the others are known before their reports.
-  const auto routers = static_cast<int>(peers_.ExpectedCount(now)) + 1;
-  const auto relies_on_peers =
-      !IsStoreRecovering(now) && exchange_.is_informed(now);
-  auto longest =
-      relies_on_peers ? kLongestListPeriod : kLongestRecoveryListPeriod;
-  if (!peers_.is_settled(now)) {
-    longest = std::min(longest, kLongestUnsettledListPeriod);
-  }
-  const auto mean =
-      std::clamp(kFleetListPeriod * routers, kShortestListPeriod, longest);
-  const auto factor =
-      1 - kListDelaySpread + 2 * kListDelaySpread * random_.Uniform();
-  return Scale(mean, factor);
+  return list_schedule_.PlanRead(TargetListReaders(now), random_, now);
+}
+
+auto GatewayCore::TargetListReaders(Time now) const -> ListReaders {
+  return ListReaders{exchange_.CountReaders(now), exchange_.is_informed(now),
+                     IsStoreRecovering(now)};
 }
 
 auto GatewayCore::RouterListPeriod(Time now) const -> Duration {
@@ -277,6 +257,9 @@
     list_read_demand_ = exchange_.role() == ExchangeRole::kHub
                             ? Duration{}
                             : Scale(kGapReadTime, random_.Uniform());
+  } else if (const auto delay =
+                 list_schedule_.Advance(TargetListReaders(now), now)) {
+    list_read_demand_ = delay;
   }
   UpdateOtherLoads();
   crash_guard_.Tick(now);
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -15,6 +15,9 @@
 // A router whose row was found may become a hub for this long before its first
 // report, so that routers that start together choose the same ones.
 constexpr Duration kUnheardHubTime = milliseconds(1500);
+// Routers whose rows this router found at its start count as readers of the
+// target list for this long before their first reports.
+constexpr Duration kUnheardReaderTime = seconds(2);
 // Routers whose rows this router found at its start have reported by then. The
 // delay of a target list that was chosen before ends within the 11 s that a
 // change may take.
@@ -166,6 +169,25 @@
                     [](const auto& entry) { return entry.second.has_state; }));
 }
 
+auto PeerTable::CountReaders(
+    const std::function<bool(const DataCenterId&)>& is_heard, Time now) const
+    -> std::size_t {
+  const auto counts_unheard = now - seeded_at_ <= kUnheardReaderTime;
+  std::map<DataCenterId, bool> heard;
+  std::size_t count = 0;
+  for (const auto& [address, peer] : peers_) {
+    const auto& state = peer.state;
+    const auto is_reader = peer.has_state
+                               ? IsLive(peer, now) && !state.is_store_failing
+                               : counts_unheard;
+    if (!is_reader) continue;
+    const auto [entry, is_new] = heard.try_emplace(state.data_center);
+    if (is_new) entry->second = is_heard(state.data_center);
+    if (entry->second) ++count;
+  }
+  return count;
+}
+
 auto PeerTable::is_settled(Time now) const -> bool {
   return now - seeded_at_ > kSettleTime;
 }
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -4,6 +4,7 @@
 #define GATEWAY_PEER_TABLE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -113,6 +114,11 @@
   // those whose rows were found count too: their reports are on the way. Later
   // they don't, as the row of a router that is gone may stay for good.
   auto ExpectedCount(Time now) const -> std::size_t;
+  // Number of routers that read the list of targets: live ones that reach the
+  // store, and at the start those whose rows were found. Only those in data
+  // centres that `is_heard` names count.
+  auto CountReaders(const std::function<bool(const DataCenterId&)>& is_heard,
+                    Time now) const -> std::size_t;
   auto is_settled(Time now) const -> bool;
   // Number of known routers, live or not.
   auto size() const -> std::size_t { return peers_.size(); }
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -87,18 +87,35 @@
   options.seed = random_.Index(1'000'000'000);
   auto core = std::make_unique<GatewayCore>(options);
   core->SetTable(MakeTable());
+  auto& router = routers_[index];
+  router.core = std::move(core);
+  router.incarnation = starts_;
+  ReadRouters(index);
+  ReadTargets(index);
+  Tick(index, starts_);
+}
+
+auto DepartureFleet::ReadRouters(int index) -> void {
+  auto& router = routers_.at(index);
   std::vector<PeerSeed> seeds;
   for (const auto& [address, peer] : index_of_) {
     if (peer != index) {
       seeds.push_back({address, DataCenter(peer), Cores(peer)});
     }
   }
-  core->AddPeers(seeds, now_);
-  auto& router = routers_[index];
-  router.core = std::move(core);
-  router.incarnation = starts_;
-  ReadTargets(index);
-  Tick(index, starts_);
+  router.core->AddPeers(seeds, now_);
+  router.routers_read_at = now_;
+}
+
+auto DepartureFleet::Leave(int index, Duration time) -> void {
+  const auto incarnation = routers_.at(index).incarnation;
+  routers_.at(index).core->BeginStop(now_);
+  At(time, [this, index, incarnation] {
+    const auto found = routers_.find(index);
+    if (found != routers_.end() && found->second.incarnation == incarnation) {
+      Kill(index);
+    }
+  });
 }
 
 auto DepartureFleet::Tick(int index, int incarnation) -> void {
@@ -107,7 +124,11 @@
   auto& router = found->second;
   if (router.incarnation != incarnation) return;
   router.core->ConfirmConfiguration(now_);
-  if (!router.is_cut) router.core->RecordStoreSuccess(now_);
+  if (!router.is_cut && !router.is_cut_from_store) {
+    router.core->RecordStoreSuccess(now_);
+    const auto period = router.core->RouterListPeriod(now_);
+    if (now_ - router.routers_read_at > period) ReadRouters(index);
+  }
   for (const auto& [message, recipients] :
        router.core->MakePeerMessages(now_)) {
     const auto bytes = EncodePeerMessage(message);
@@ -147,7 +168,8 @@
 }
 
 auto DepartureFleet::ReadTargets(int index) -> void {
-  if (routers_.at(index).is_cut) {
+  const auto& router = routers_.at(index);
+  if (router.is_cut || router.is_cut_from_store) {
     routers_.at(index).core->RecordStoreFailure();
     return ScheduleRead(index, seconds(1));
   }
--- a/tests/gateway/departure_fleet.h
+++ b/tests/gateway/departure_fleet.h
@@ -29,6 +29,12 @@
   auto Cut(int index, bool is_cut) -> void {
     if (routers_.count(index) != 0) routers_.at(index).is_cut = is_cut;
   }
+  // The router says that it leaves, and ends after the time given.
+  auto Leave(int index, Duration time) -> void;
+  // The router doesn't reach the store, but does reach other routers.
+  auto CutFromStore(int index) -> void {
+    routers_.at(index).is_cut_from_store = true;
+  }
   // The store takes in that the target leaves.
   auto Drain(int target) -> void;
   // The target's row is taken out of the store.
@@ -51,6 +57,8 @@
   struct Router {
     std::unique_ptr<GatewayCore> core;
     bool is_cut = false;
+    bool is_cut_from_store = false;
+    Time routers_read_at{};
     int incarnation = 0;
     std::uint64_t reads = 0;
   };
@@ -68,6 +76,8 @@
   auto Deliver(int to, const std::string& bytes) -> void;
   auto ScheduleRead(int index, Duration delay) -> void;
   auto ReadTargets(int index) -> void;
+  // Rows of routers that were killed stay in the store.
+  auto ReadRouters(int index) -> void;
 
   Random random_;
   Time now_{seconds(1000)};
