Relay, transport: a body of unknown transfer coding ran as a request

Hypotheses: (1) the parser doesn't see the header; (2) it leaves codings to its user, who doesn't look; (3) the body is kept from an earlier request. Reading messages alone, without connections, shows 2: the reader reports a whole message and leaves the body as the rest, for the first message of a connection, so 3 is out, and `fields` holds the header, so 1 is out.

Cause: Beast takes a message whose last coding isn't `chunked` for one without a length, which for a request means without a body.

Change: the reader ends at the head of a message with codings besides one `chunked`: 400, or 501 where the framing can be read, and the connection is closed; an answer counts as broken. Requests of HTTP/1.0 have no coding. Whatever the header's spelling, the parser must have seen the chunks itself. papayaplank_router smuggled nothing, since libmicrohttpd reads such a body up to the end of the connection: the caller got no answer; an `identity` answer was relayed raw. Both are refused now in the same way.

--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -100,9 +100,12 @@
   constexpr int kBadRequest = 400;
   constexpr int kBodyTooLarge = 413;
   constexpr int kHeadersTooLarge = 431;
+  constexpr int kNotImplemented = 501;
   switch (reader_->Read(in_)) {
     case Progress::kInvalid:
       return Reject(kBadRequest);
+    case Progress::kUnsupportedCoding:
+      return Reject(kNotImplemented);
     case Progress::kHeaderTooLarge:
       return Reject(kHeadersTooLarge);
     case Progress::kBodyTooLarge:
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <iterator>
 
 namespace papayaplank {
 namespace {
@@ -48,6 +50,7 @@
       if (bytes.size() > header_limit_) return Progress::kHeaderTooLarge;
       break;
     }
+    if (is_coding_unsupported_) return Progress::kUnsupportedCoding;
     if (error) return ToProgress<Progress>(error);
   }
   if (this->is_done()) return Progress::kDone;
@@ -84,14 +87,37 @@
 }
 
 template <bool kIsRequest>
-auto MessageReader<kIsRequest>::on_field_impl(http::field, Text name,
+auto MessageReader<kIsRequest>::CheckTransferCodings(ParseError& error)
+    -> void {
+  if (!has_transfer_encoding_) return;
+  // Without chunks at the end, Beast takes the message for one without a body,
+  // and the body for the next message.
+  if (is_http_1_0_ || !this->chunked()) {
+    error = http::error::bad_transfer_encoding;
+    return;
+  }
+  if (transfer_codings_ == 1) return;
+  is_coding_unsupported_ = true;
+  error = http::error::bad_transfer_encoding;
+}
+
+template <bool kIsRequest>
+auto MessageReader<kIsRequest>::on_field_impl(http::field field, Text name,
                                               Text value, ParseError&) -> void {
+  if (field == http::field::transfer_encoding) {
+    has_transfer_encoding_ = true;
+    const http::token_list codings{value};
+    transfer_codings_ +=
+        static_cast<std::size_t>(std::distance(codings.begin(), codings.end()));
+  }
   fields_.emplace_back(std::string(name.data(), name.size()),
                        std::string(value.data(), value.size()));
 }
 
 template <bool kIsRequest>
-auto MessageReader<kIsRequest>::on_header_impl(ParseError&) -> void {}
+auto MessageReader<kIsRequest>::on_header_impl(ParseError& error) -> void {
+  CheckTransferCodings(error);
+}
 
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::on_body_init_impl(
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -31,6 +31,8 @@
     kHeader,    // This read completed the head: start line and fields; once.
     kDone,      // The message is complete.
     kInvalid,   // The bytes are not a valid HTTP message.
+    // The body has a transfer coding besides chunks.
+    kUnsupportedCoding,
     kHeaderTooLarge,
     kBodyTooLarge,
   };
@@ -70,12 +72,20 @@
       -> std::size_t override;
   auto on_finish_impl(ParseError& error) -> void override;
 
+  // Checks that the transfer codings of the body are none or chunks alone.
+  // Anything else has no length that the reader could know.
+  auto CheckTransferCodings(ParseError& error) -> void;
+
   std::size_t header_limit_;
   BodyHook on_body_;
   HttpFields fields_;
   std::string method_;
   std::string request_target_;
   int status_ = 0;
+  bool has_transfer_encoding_ = false;
+  // In all fields that name transfer codings.
+  std::size_t transfer_codings_ = 0;
+  bool is_coding_unsupported_ = false;
   bool is_header_reported_ = false;
   bool is_http_1_0_ = false;
 };
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -202,6 +202,7 @@
   if (!is_busy_) return;
   switch (progress) {
     case Progress::kInvalid:
+    case Progress::kUnsupportedCoding:
     case Progress::kHeaderTooLarge:
     case Progress::kBodyTooLarge:
       return End(TransferEnd::kBroken);
--- a/transport/caller_server.cpp
+++ b/transport/caller_server.cpp
@@ -23,12 +23,14 @@
 constexpr int kBadRequest = 400;
 // Not a standard status; nginx uses it for a caller that closed its connection.
 constexpr int kClientClosed = 499;
+constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kResponseBlockBytes = 16384;
 constexpr std::size_t kConnectionMemoryBytes = 24576;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr Duration kSocketCheckPeriod = milliseconds(500);
+constexpr char kTransferEncoding[] = "transfer-encoding";
 
 auto ToLower(std::string text) -> std::string {
   for (auto& c : text) {
@@ -80,7 +82,12 @@
   auto* call = static_cast<Call*>(user);
   const auto lower = ToLower(name);
   const std::string text = value == nullptr ? "" : value;
-  call->http.headers[lower] = text;
+  const auto [entry, is_new] = call->http.headers.try_emplace(lower, text);
+  if (!is_new && lower == kTransferEncoding) {
+    entry->second += ", " + text;
+  } else {
+    entry->second = text;
+  }
   if (!IsHiddenFromTargets(lower)) {
     call->request.headers.push_back({name, text});
   }
@@ -94,6 +101,21 @@
   return MHD_YES;
 }
 
+// The status for a request whose body has other transfer codings than chunks;
+// 0 if it has none.
+auto RefuseCoding(const Call& call) -> int {
+  const auto found = call.http.headers.find(kTransferEncoding);
+  if (found == call.http.headers.end()) return 0;
+  const auto codings = ToLower(found->second);
+  if (codings == "chunked") return call.is_http_1_0 ? kBadRequest : 0;
+  // Unless chunks come last, the end of the body can't be told.
+  constexpr std::string_view kChunksLast = ", chunked";
+  const auto can_be_read = codings.size() > kChunksLast.size() &&
+                           codings.compare(codings.size() - kChunksLast.size(),
+                                           std::string::npos, kChunksLast) == 0;
+  return can_be_read ? kNotImplemented : kBadRequest;
+}
+
 auto ParseBearerKey(const HttpCall& call) -> std::string {
   const auto found = call.headers.find("authorization");
   if (found == call.headers.end()) return "";
@@ -209,6 +231,14 @@
     MHD_get_connection_values(connection, MHD_HEADER_KIND, AddHeader, &call);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, AddArgument,
                               &call);
+    if (const auto status = RefuseCoding(call); status != 0) {
+      return QueueCompleteAnswer(
+          connection, call, status, "application/json",
+          FormatErrorBody(call.id, "bad_request",
+                          "unknown Transfer-Encoding; send the body with a "
+                          "length or in chunks",
+                          "no"));
+    }
     const auto key = ParseBearerKey(call.http);
     if (!key.empty()) call.request.customer = hooks_.authenticate(key);
     const auto local =
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -160,6 +160,7 @@
   }
   if (EqualsIgnoringCase(name, "transfer-encoding")) {
     is_chunked_ = EqualsIgnoringCase(value, "chunked");
+    has_unknown_coding_ |= !is_chunked_;
   }
   if (EqualsIgnoringCase(name, "x-request-id")) {
     has_request_id_ = true;
@@ -188,6 +189,7 @@
   head_ = AnswerHead{};
   is_event_stream_ = false;
   is_chunked_ = false;
+  has_unknown_coding_ = false;
   target_reports_not_run_ = false;
   has_request_id_ = false;
   begins_after_tokens_ = 0;
@@ -237,7 +239,10 @@
 }
 
 auto TargetTransfer::IsUnusable() const -> bool {
-  if (is_abandoned_ || is_crossed_ || CannotContinueAnswer()) return true;
+  if (is_abandoned_ || is_crossed_ || has_unknown_coding_ ||
+      CannotContinueAnswer()) {
+    return true;
+  }
   return IsTokenStream() &&
          begins_after_tokens_ != request_.resume_after_tokens;
 }
--- a/transport/target_transfer.h
+++ b/transport/target_transfer.h
@@ -76,6 +76,8 @@
   AnswerHead head_;
   bool is_event_stream_ = false;
   bool is_chunked_ = false;
+  // The body has transfer codings besides chunks.
+  bool has_unknown_coding_ = false;
   bool target_reports_not_run_ = false;
   bool has_request_id_ = false;
   // The tokens after which the answer says that it begins.
