Relay: fields of a trailer passed for headers

What callers saw: nothing known. A field behind a chunked body joined the headers of its request, or of a target's answer if head and body came in one read: a key, an id or a deadline could be set where a filter that reads only the head doesn't see it (UNASKED, MIXED).

TrailerFieldsAreNoHeaders failed before with one field too many in requests, and in answers that came in one piece.

--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -104,6 +104,8 @@
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::on_field_impl(http::field field, Text name,
                                               Text value, ParseError&) -> void {
+  // Only fields that are known to be harmless could be merged from a trailer.
+  if (this->is_header_done()) return;
   if (field == http::field::transfer_encoding) {
     has_transfer_encoding_ = true;
     const http::token_list codings{value};
--- a/tests/relay/test_message_framing.cpp
+++ b/tests/relay/test_message_framing.cpp
@@ -121,6 +121,22 @@
   }
 }
 
+// Fields behind the body passed for headers, and went on with them (UNASKED).
+TEST(MessageFramingTest, TrailerFieldsAreNoHeaders) {
+  const std::string body = "2\r\nab\r\n0\r\nCredential: key-2\r\n\r\n";
+  const auto headers = "Transfer-Encoding: chunked\r\nTrailer: Credential\r\n";
+  for (const auto piece : {kLimit, std::size_t{1}}) {
+    const auto request =
+        ReadMessage<RequestReader>(Request(headers, body), piece);
+    EXPECT_EQ(request.progress, RequestReader::Progress::kDone);
+    EXPECT_EQ(request.fields.size(), 3U);
+    const auto answer =
+        ReadMessage<ResponseReader>(Answer(headers, body), piece);
+    EXPECT_EQ(answer.progress, ResponseReader::Progress::kDone);
+    EXPECT_EQ(answer.fields.size(), 2U);
+  }
+}
+
 TEST(MessageFramingTest, ChunksAreReadWhateverTheSpellingOfTheirName) {
   for (const auto* header :
        {"Transfer-Encoding: chunked\r\n", "transfer-encoding:CHUNKED\r\n",
