Relay: answers that are held back have a common bound

What callers could see: many answers that never end, each within its own bound of 256 KB, took the memory of the router together (LOST for whoever else uses it).

Hypotheses: (1) one connection can take memory without bound; (2) what is held back for many requests is bounded for each, not for all; (3) a trailer grows without bound. test_endless_bytes shows 1 and 3 to be impossible: heads, lines, bodies, chunk extensions, trailers, store answers. Bytes without the request's id are skipped, not kept: 400 bodies that are no answers grow the process by less than 24 MB, before the change too. 400 signed errors or events of 200 KB grew it by 87 MB: at the 1,500 requests of a router at the size to design for that is more than its 256 MB.

Change: requests count what they hold back of answers, 16 MiB in all. Beyond that, a good answer is relayed as it comes, an error or an event without end ends the attempt, as a longer one does.

--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -28,6 +28,8 @@
   std::function<bool(Time since)> has_stood_still;
   // Number of requests whose answer has not ended.
   std::size_t open_requests = 0;
+  // Bytes of answers that all requests hold back until they can be relayed.
+  std::size_t held_answer_bytes = 0;
 };
 
 }  // namespace papayaplank
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -35,7 +35,10 @@
   ++context_.open_requests;
 }
 
-RelayedRequest::~RelayedRequest() { --context_.open_requests; }
+RelayedRequest::~RelayedRequest() {
+  DropHeldAnswer();
+  --context_.open_requests;
+}
 
 auto RelayedRequest::Start() -> void {
   RequestFacts facts;
@@ -140,8 +143,7 @@
   transfer_end_.reset();
   is_success_from_target_ = false;
   has_attempt_events_ = false;
-  buffered_body_.clear();
-  event_splitter_.Restart();
+  DropHeldAnswer();
   const auto self = shared_from_this();
   target_connection_->RecordRequest(request_.request_id);
   target_connection_->Send(
@@ -247,6 +249,7 @@
   deadline_timer_.cancel();
   StopWaitingForPermit();
   CloseTargetConnection();
+  DropHeldAnswer();
   caller_->SetCallerLeftHook(nullptr);
   caller_->SetAllSentHook(nullptr);
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -54,6 +54,11 @@
   auto IsFromTarget() const -> bool;
   auto RelayEvents(std::string_view bytes) -> void;
   auto BufferOrRelay(std::string_view bytes) -> void;
+  // Counts the bytes that this request holds back. Whether it may hold them:
+  // its own are limited, and so are those of all requests.
+  auto MayHold(std::size_t bytes) -> bool;
+  // Drops what the request holds back of an answer.
+  auto DropHeldAnswer() -> void;
   // Ends the attempt because of what the target sent.
   auto BreakAttempt() -> void;
   auto BeginAnswer() -> void;
@@ -127,6 +132,8 @@
   // Answer bytes that are buffered until the answer is complete, or too long to
   // be buffered.
   std::string buffered_body_;
+  // This request's part of the bytes that all requests hold back.
+  std::size_t held_bytes_ = 0;
   EventSplitter event_splitter_;
   // Number of events that were written to the caller.
   std::int64_t relayed_events_ = 0;
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -11,6 +11,9 @@
 // failed one can be retried. A longer one is relayed as it arrives and can't be
 // retried; an attempt fails if its bytes can't be relayed and are longer.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262144;
+// The same for all requests of the router, which at the size to design for are
+// some 1,500 within 256 MB.
+constexpr std::size_t kMaxHeldAnswerBytes = 16777216;
 // Bytes not yet taken by a slow caller at which reading from the target pauses.
 constexpr std::size_t kMaxUnsentBytes = 65536;
 
@@ -94,9 +97,8 @@
     context_.core.RecordFirstToken(placement_, MonotonicClock::now());
     AppendToAnswer(complete_events);
   }
-  const auto is_endless =
-      event_splitter_.partial_event_bytes() > kMaxBufferedAnswerBytes;
-  if (event_splitter_.is_out_of_order() || is_endless) BreakAttempt();
+  const auto is_too_long = !MayHold(event_splitter_.partial_event_bytes());
+  if (event_splitter_.is_out_of_order() || is_too_long) BreakAttempt();
 }
 
 auto RelayedRequest::BreakAttempt() -> void {
@@ -124,12 +126,30 @@
     return AppendToAnswer(bytes);
   }
   buffered_body_.append(bytes);
-  if (buffered_body_.size() <= kMaxBufferedAnswerBytes) return;
-  if (!IsFromTarget() || is_stream_) return BreakAttempt();
+  if (MayHold(buffered_body_.size())) return;
+  // A caller may read an error slowly; without memory left, it gets the
+  // router's own.
+  const auto is_long = buffered_body_.size() > kMaxBufferedAnswerBytes;
+  const auto can_relay =
+      IsFromTarget() && !is_stream_ && (is_long || is_success_from_target_);
+  if (!can_relay) return BreakAttempt();
   BeginAnswer();
   RecordFirstByte();
   AppendToAnswer(buffered_body_);
-  buffered_body_.clear();
+  DropHeldAnswer();
+}
+
+auto RelayedRequest::MayHold(std::size_t bytes) -> bool {
+  context_.held_answer_bytes += bytes - held_bytes_;
+  held_bytes_ = bytes;
+  return bytes <= kMaxBufferedAnswerBytes &&
+         context_.held_answer_bytes <= kMaxHeldAnswerBytes;
+}
+
+auto RelayedRequest::DropHeldAnswer() -> void {
+  buffered_body_ = std::string();
+  event_splitter_.Restart();
+  context_.held_answer_bytes -= std::exchange(held_bytes_, 0);
 }
 
 auto RelayedRequest::BeginAnswer() -> void {
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -187,6 +187,18 @@
             return self.serve(connection, start, headers, body)
         return self.reply(connection, 200, answer)
 
+    def send_part(self, connection, headers, fault):
+        length = b"Content-Length: 262144\r\n"
+        head = {
+            "held_body": b"HTTP/1.1 200 X\r\n" + length,
+            "held_error": self.response_head(headers, 500, length),
+            "held_event": self.response_head(
+                headers, 200, b"Content-Type: text/event-stream\r\n" + length),
+        }[fault]
+        connection.sendall(head + b"\r\n" + b"x" * 200000)
+        connection.recv(1)  # Until the other side closes.
+        return False
+
     def send_endlessly(self, connection):
         connection.sendall(b"HTTP/1.1 200 X\r\n\r\n")
         while True:
@@ -238,7 +250,12 @@
         "endless_error"  the body of a server error
         "endless_event"  one event of a stream
         "endless_chunk"  the extension of a chunk
+        "endless_trailer"  fields behind a chunked body
         "trickle"        a byte of a header line every 50 ms
+    These send 200 KB of a longer body and then nothing more:
+        "held_body"      a body that is no answer of the target
+        "held_error"     the body of a server error
+        "held_event"     one event of a stream
     """
 
     def __init__(self, store, name, service, state="ready"):
@@ -283,6 +300,8 @@
             return False
         if fault == "hang":
             time.sleep(3600)
+        if fault and fault.startswith("held"):
+            return self.send_part(connection, headers, fault)
         if fault and (fault.startswith("endless") or fault == "trickle"):
             return self.send_endlessly(connection, headers, fault)
         if start[1].startswith("/stream/"):
@@ -306,6 +325,18 @@
                                b"Content-Length: 4\r\n\r\nlate")
         return fault != "truncated"
 
+    def send_part(self, connection, headers, fault):
+        length = b"Content-Length: 262144\r\n"
+        head = {
+            "held_body": b"HTTP/1.1 200 X\r\n" + length,
+            "held_error": self.response_head(headers, 500, length),
+            "held_event": self.response_head(
+                headers, 200, b"Content-Type: text/event-stream\r\n" + length),
+        }[fault]
+        connection.sendall(head + b"\r\n" + b"x" * 200000)
+        connection.recv(1)  # Until the other side closes.
+        return False
+
     def send_endlessly(self, connection, headers, fault):
         signed_stream = self.response_head(
             headers, extra=b"Content-Type: text/event-stream\r\n"
@@ -318,6 +349,8 @@
             "endless_error": (self.response_head(headers, 500) + b"\r\n",
                               filler),
             "endless_event": (signed_stream, b"10000\r\n" + filler + b"\r\n"),
+            "endless_trailer": (signed_stream + b"0\r\n",
+                                b"Name: value\r\n" * 4096),
             "endless_chunk": (signed_stream + b"5;", filler),
             "trickle": (b"HTTP/1.1 200 X\r\nName: ", b"x"),
         }[fault]
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -9,6 +9,7 @@
 import os
 import socket
 import sys
+import threading
 import time
 import unittest
 
@@ -18,10 +19,12 @@
 
 Edge.program = os.path.join(sys.argv.pop(1), "apps/papayaplank_edge")
 
-# Growth of the process that one sender may cause, kB; what a sender may get rid
+# Growth of the process that all senders may cause, kB; what a sender may get rid
 # of lies in socket buffers as well.
 MEMORY_SLACK_KB = 24 * 1024
 MAX_ENDLESS_BYTES = 32 * 1024 * 1024
+# Requests at the same time, whose answers are three times that memory.
+MANY_REQUESTS = 400
 # An answer long before the deadline of the request, which is 6 s.
 PROMPT_SECONDS = 2.5
 
@@ -34,6 +37,9 @@
         self.store.put("op", "config", configuration(1))
         self.targets = [standin.Target(self.store, f"t{i}", "s")
                         for i in range(2)]
+        for target in self.targets:
+            target.row["slots"] = MANY_REQUESTS
+            self.store.put("servers", target.name, target.row)
         self.edge = Edge(self.store, "e0")
         wait_for(self.edge.is_ready, "the router is ready")
         wait_for(lambda: sum(line["event"] == "target_joined"
@@ -113,6 +119,40 @@
     def test_a_chunk_extension_without_end(self):
         self.check_target("endless_chunk", "/stream/once/1", {502})
 
+    def test_a_trailer_without_end(self):
+        self.check_target("endless_trailer", "/stream/once/1", {502})
+
+    def check_many(self, fault, path):
+        """Many targets' slots hold such answers at the same time."""
+        for target in self.targets:
+            target.faults = [fault] * MANY_REQUESTS
+        answers = []
+        callers = [threading.Thread(
+            target=lambda: answers.append(self.ask(path, wait_ms=3000)[0]))
+            for _ in range(MANY_REQUESTS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        held = sum(MANY_REQUESTS - len(target.faults)
+                   for target in self.targets)
+        for target in self.targets:
+            target.faults = []
+        self.assertGreater(held, MANY_REQUESTS // 2)
+        # A refusal names the reason at once; the others wait for the rest.
+        self.assertLessEqual(set(answers), {502, 503, 504, 500}, answers)
+        self.check_bounded()
+        self.assertEqual(self.ask("/read/other")[0], 200)
+
+    def test_many_bodies_that_are_no_answers(self):
+        self.check_many("held_body", "/write/1")
+
+    def test_many_long_errors(self):
+        self.check_many("held_error", "/write/1")
+
+    def test_many_long_events(self):
+        self.check_many("held_event", "/stream/once/1")
+
     def test_a_head_that_comes_byte_by_byte_ends_at_the_deadline(self):
         self.targets[0].faults = self.targets[1].faults = ["trickle"]
         began = time.monotonic()
