Relay: a long 503 of a target promised that a request had not run

Cause: the check for such statuses comes at the end of the answer; a long one is relayed before it ends. A short one was replaced by 502 as it should.

Change: no answer with such a status is relayed before its end; a long one ends the attempt, and the caller gets 502. BeginAnswer has no other caller that could pass one on: streams begin with the events of a success only.

--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -128,10 +128,11 @@
   buffered_body_.append(bytes);
   if (MayHold(buffered_body_.size())) return;
   // A caller may read an error slowly; without memory left, it gets the
-  // router's own.
+  // router's own. It never gets a promise that its request has not run.
   const auto is_long = buffered_body_.size() > kMaxBufferedAnswerBytes;
-  const auto can_relay =
-      IsFromTarget() && !is_stream_ && (is_long || is_success_from_target_);
+  const auto can_relay = IsFromTarget() && !is_stream_ &&
+                         !PromisesNotRun(answer_.status) &&
+                         (is_long || is_success_from_target_);
   if (!can_relay) return BreakAttempt();
   BeginAnswer();
   RecordFirstByte();
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -248,6 +248,8 @@
         "endless_line"   one header line
         "endless_body"   a body that is no answer of the target
         "endless_error"  the body of a server error
+        "endless_503"    the body of a 503 to a request that has run
+        "endless_429"    the same of a 429
         "endless_event"  one event of a stream
         "endless_chunk"  the extension of a chunk
         "endless_trailer"  fields behind a chunked body
@@ -348,6 +350,10 @@
             "endless_body": (b"HTTP/1.1 200 X\r\n\r\n", filler),
             "endless_error": (self.response_head(headers, 500) + b"\r\n",
                               filler),
+            "endless_503": (self.response_head(headers, 503) + b"\r\n",
+                            filler),
+            "endless_429": (self.response_head(headers, 429) + b"\r\n",
+                            filler),
             "endless_event": (signed_stream, b"10000\r\n" + filler + b"\r\n"),
             "endless_trailer": (signed_stream + b"0\r\n",
                                 b"Name: value\r\n" * 4096),
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -113,6 +113,11 @@
     def test_the_body_of_an_error_on_a_stream(self):
         self.check_target("endless_error", "/stream/once/1", {502})
 
+    # The head of a long answer promised a caller that its request had not run.
+    def test_the_body_of_a_refusal_to_a_request_that_has_run(self):
+        self.check_target("endless_503", "/write/1", {502})
+        self.check_target("endless_429", "/write/2", {502})
+
     def test_an_event_without_end(self):
         self.check_target("endless_event", "/stream/once/1", {502})
 
