Gateway: evacuated data centres, home regions

Routers sent requests to targets of data centres that the operator had evacuated, and knew no home regions. The readers of the operator's rows now pass evacuations to the core; routers tell each other, also without the store. Shown in virtual time for 8 and 60 routers (test_evacuated_data_centers, 50 cases), with lost messages, hubs that die, routers without the store and restarts. The same fleet shows that no router names one that ended more than 7 s before; that held before this change.

--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -4,6 +4,8 @@
 #include <gflags/gflags.h>
 
 #include <fstream>
+#include <map>
+#include <optional>
 #include <sstream>
 
 #include "platform/platform.h"
@@ -16,6 +18,9 @@
 DEFINE_string(name, "", "Name of this instance; unique in the fleet.");
 DEFINE_string(data_center, "", "Data centre of this instance.");
 DEFINE_string(region, "", "Region of the data centre.");
+DEFINE_string(data_center_regions, "",
+              "Region of each data centre: name=region, separated by commas. "
+              "Needed where routes or customers have home regions.");
 DEFINE_string(caller_listen, "", "IP:port for callers.");
 DEFINE_string(ready_listen, "", "IP:port for readiness checks.");
 DEFINE_string(directory_listen, "",
@@ -87,11 +92,32 @@
   errors.push_back(text.str());
 }
 
+// Nothing if the text is not of the form name=region,name=region.
+auto ParseRegions(const std::string& text)
+    -> std::optional<std::map<DataCenterId, RegionId>> {
+  std::map<DataCenterId, RegionId> regions;
+  std::istringstream in(text);
+  for (std::string entry; std::getline(in, entry, ',');) {
+    const auto equals = entry.find('=');
+    if (equals == std::string::npos || equals == 0 ||
+        equals + 1 == entry.size()) {
+      return std::nullopt;
+    }
+    regions[DataCenterId(entry.substr(0, equals))] =
+        RegionId(entry.substr(equals + 1));
+  }
+  return regions;
+}
+
 auto ValidateFlags(std::vector<std::string>& errors) -> void {
   if (FLAGS_name.empty()) errors.emplace_back("--name is missing");
   if (FLAGS_data_center.empty()) {
     errors.emplace_back("--data_center is missing");
   }
+  if (!ParseRegions(FLAGS_data_center_regions)) {
+    errors.push_back("--data_center_regions is '" + FLAGS_data_center_regions +
+                     "'; give name=region, separated by commas");
+  }
   CheckAddress("caller_listen", FLAGS_caller_listen, true, errors);
   CheckAddress("ready_listen", FLAGS_ready_listen, false, errors);
   CheckAddress("directory_listen", FLAGS_directory_listen, false, errors);
@@ -118,6 +144,8 @@
   RelaySettings settings;
   settings.name = FLAGS_name;
   settings.data_center = FLAGS_data_center;
+  settings.regions =
+      ParseRegions(FLAGS_data_center_regions).value_or(settings.regions);
   settings.caller_listen = FLAGS_caller_listen;
   settings.ready_listen = FLAGS_ready_listen;
   settings.directory_listen = FLAGS_directory_listen;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/caller_steering.h"
 #include "gateway/config_watch.h"
+#include "gateway/evacuation_news.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/gateway_core.h"
 #include "gateway/load_sums.h"
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -224,6 +224,18 @@
   return preferred;
 }
 
+auto GatewayCore::FindRegion(const DataCenterId& data_center) const
+    -> RegionId {
+  const auto found = options_.regions.find(data_center);
+  return found == options_.regions.end() ? RegionId() : found->second;
+}
+
+auto GatewayCore::IsAtHome(const GatewayRequest& request,
+                           const TargetRow& target) const -> bool {
+  return request.table->IsHome(*request.route, request.customer,
+                               FindRegion(target.data_center));
+}
+
 auto GatewayCore::FindOptions(const GatewayRequest& request,
                               PermitClass permit_class, Time now)
     -> std::vector<TargetOption> {
@@ -237,6 +249,7 @@
   for (std::size_t i = 0; i < targets.size(); ++i) {
     const auto& target = targets[(first + i) % targets.size()];
     if (request.tried_targets.count(target.id) != 0) continue;
+    if (!IsAtHome(request, target)) continue;
     TargetOption option;
     option.target = &target;
     // For a target that is not preferred, `find` gives the number of preferred
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -5,6 +5,7 @@
 #define GATEWAY_GATEWAY_CORE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 
 #include "gateway/config_watch.h"
 #include "gateway/crash_guard.h"
+#include "gateway/evacuation_news.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
@@ -33,6 +35,8 @@
   std::string peer_address;
   std::string caller_address;
   DataCenterId data_center;
+  // Region of each data centre; needed where home regions are configured.
+  std::map<DataCenterId, RegionId> regions{};
   // Processor time that the instance grants, in cores.
   double cores = 1;
   // A revoked key is accepted for at most this long after its revocation.
@@ -108,6 +112,21 @@
   auto RecordStoreSuccess(Time now) -> void;
   // A call to the store failed.
   auto RecordStoreFailure() -> void { store_continuity_.RecordFailure(); }
+  // The evacuated data centres as of a version of the store, all of them or
+  // one that changed.
+  auto SetEvacuated(const std::vector<EvacuationRecord>& evacuated,
+                    std::uint64_t version, Time now) -> void;
+  auto SetEvacuation(const EvacuationRecord& record, Time now) -> void;
+  // Evacuations that another router's snapshot names.
+  auto HandleEvacuations(const std::vector<EvacuationRecord>& records, Time now)
+      -> void;
+  // Evacuations that began or ended since the last call.
+  auto TakeEvacuationChanges() -> std::vector<EvacuationChange> {
+    return evacuation_news_.TakeChanges();
+  }
+  auto evacuations() const -> const Evacuations& {
+    return evacuation_news_.evacuations();
+  }
   // Adds the routers whose rows were read from the store.
   auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
   // Returns the changes in the directory by the target updates of the report.
@@ -247,8 +266,11 @@
   auto MakePeerMessages(Time now) -> std::vector<OutgoingMessage>;
   auto exchange_role() const -> ExchangeRole { return exchange_.role(); }
   // Routers for the caller with this IP address in data centre `near`.
-  auto CallerAddresses(const DataCenterId& near, std::string_view caller,
-                       Time now) const -> std::vector<std::string>;
+  // Routers of other regions are among them only if the caller's one has none,
+  // or if they are in a home region of the routes of `host`.
+  auto CallerAddresses(const DataCenterId& near, std::string_view host,
+                       std::string_view caller, Time now) const
+      -> std::vector<std::string>;
   // Whether new connections of callers are accepted.
   auto is_accepting_connections(Time now) const -> bool;
 
@@ -280,7 +302,13 @@
  private:
   // All routers that callers may be directed to, including this one.
   auto ServingRouters(Time now) const -> std::vector<ServingRouter>;
-  // The serving targets of the pool that the request has not tried yet.
+  // Region of the data centre; empty if it is not known.
+  auto FindRegion(const DataCenterId& data_center) const -> RegionId;
+  // Whether the target is in a home region of the request, if it has such.
+  auto IsAtHome(const GatewayRequest& request, const TargetRow& target) const
+      -> bool;
+  // The serving targets of the pool that the request has not tried yet and that
+  // are in its home regions.
   auto FindOptions(const GatewayRequest& request, PermitClass permit_class,
                    Time now) -> std::vector<TargetOption>;
   // The preferred targets of the prompt's shared parts, best first.
@@ -316,6 +344,9 @@
   // Passes the requests of other routers on to the forecasts.
   auto UpdateOtherLoads() -> void;
   auto ApplyChange(const DirectoryChange& change, Time now) -> void;
+  // Evacuations have changed.
+  auto ApplyEvacuations(const std::vector<EvacuationRecord>& changes, Time now)
+      -> void;
   // Drops what is known of a target that left or restarted.
   auto ResetTarget(const TargetId& target) -> void;
   // Whether target rows may be missing because of a store outage.
@@ -345,6 +376,7 @@
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
   FleetExchange exchange_;
   TargetNews target_news_;
+  EvacuationNews evacuation_news_;
   TargetListSchedule list_schedule_;
   // Time within which the target list is to be read besides its schedule.
   std::optional<Duration> list_read_demand_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -47,6 +47,31 @@
   }
 }
 
+auto GatewayCore::SetEvacuated(const std::vector<EvacuationRecord>& evacuated,
+                               std::uint64_t version, Time now) -> void {
+  ApplyEvacuations(evacuation_news_.RecordList(evacuated, version, now), now);
+}
+
+auto GatewayCore::SetEvacuation(const EvacuationRecord& record, Time now)
+    -> void {
+  if (evacuation_news_.RecordRead(record, now)) ApplyEvacuations({record}, now);
+}
+
+auto GatewayCore::HandleEvacuations(
+    const std::vector<EvacuationRecord>& records, Time now) -> void {
+  std::vector<EvacuationRecord> changes;
+  for (const auto& record : records) {
+    if (evacuation_news_.RecordHeard(record, now)) changes.push_back(record);
+  }
+  ApplyEvacuations(changes, now);
+}
+
+auto GatewayCore::ApplyEvacuations(const std::vector<EvacuationRecord>& changes,
+                                   Time /*now*/) -> void {
+  if (changes.empty()) return;
+  directory_.SetEvacuated(evacuations().Evacuated());
+}
+
 auto GatewayCore::ResetTarget(const TargetId& target) -> void {
   cached_prefixes_.RemoveTarget(target);
   outcomes_.RemoveTarget(target);
@@ -181,7 +206,8 @@
 
 auto GatewayCore::MakeSnapshot() const -> std::optional<PeerSnapshot> {
   if (table_ == nullptr) return std::nullopt;
-  return PeerSnapshot{table_->document().source, directory_.AsUpdates()};
+  return PeerSnapshot{table_->document().source, directory_.AsUpdates(),
+                      evacuations().Records()};
 }
 
 auto GatewayCore::NextTargetListDelay(Time now) -> Duration {
@@ -277,6 +303,8 @@
   StatementReport statements{
       target_guard_.MakeReport(exchange_.role() == ExchangeRole::kHub,
                                exchange_.role() == ExchangeRole::kMember, now)};
+  statements.evacuations =
+      evacuation_news_.ToSend(exchange_.role() == ExchangeRole::kHub, now);
   if (!statements.is_empty()) {
     messages.push_back(
         {std::move(statements), exchange_.EvidenceRecipients(now)});
@@ -294,9 +322,24 @@
 }
 
 auto GatewayCore::CallerAddresses(const DataCenterId& near,
+                                  std::string_view host,
                                   std::string_view caller, Time now) const
     -> std::vector<std::string> {
-  return ChooseCallerAddresses(ServingRouters(now), near, caller);
+  auto serving = ServingRouters(now);
+  const auto region = FindRegion(near);
+  const auto is_foreign = [this, &region, host](const ServingRouter& router) {
+    const auto other = FindRegion(router.data_center);
+    return other != region &&
+           (table_ == nullptr || !table_->IsHomeOfHost(host, other));
+  };
+  const auto is_near_served = std::any_of(
+      serving.begin(), serving.end(), [this, &region](const auto& router) {
+        return FindRegion(router.data_center) == region;
+      });
+  // A caller whose own region has no router is better served by any other one
+  // than by none.
+  if (is_near_served) std::erase_if(serving, is_foreign);
+  return ChooseCallerAddresses(serving, near, caller);
 }
 
 auto GatewayCore::is_accepting_connections(Time now) const -> bool {
--- a/gateway/gateway_core_statements.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -79,6 +79,7 @@
     outcomes_.StartCooldown(
         target, std::min<Duration>(record.left, kHeardPauseCooldown), now);
   }
+  HandleEvacuations(report.evacuations, now);
 }
 
 auto GatewayCore::HandlePermitRequest(const PermitRequest& request, Time now)
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -291,6 +291,27 @@
   return record;
 }
 
+auto EncodeEvacuations(const std::vector<EvacuationRecord>& records) -> Json {
+  auto all = Json::array();
+  for (const auto& record : records) {
+    all.push_back(record.data_center.value());
+    all.push_back(record.version);
+    all.push_back(record.is_evacuated);
+  }
+  return all;
+}
+
+auto DecodeEvacuations(const Json& json) -> std::vector<EvacuationRecord> {
+  constexpr std::size_t kMembers = 3;
+  std::vector<EvacuationRecord> records;
+  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
+    records.push_back({DataCenterId(json[i].get<std::string>()),
+                       ReadNumber<std::uint64_t>(json[i + 1]),
+                       json[i + 2].get<bool>()});
+  }
+  return records;
+}
+
 auto ToJson(const StatementReport& report) -> Json {
   auto limits = Json::array();
   for (const auto& record : report.limits) AppendLimitRecord(limits, record);
@@ -305,9 +326,11 @@
     pauses.push_back(record.process.value());
     pauses.push_back(WriteDuration(record.left));
   }
-  // Earlier versions read the limits only.
-  return {kStatementReport, std::move(limits), std::move(departures),
-          std::move(pauses)};
+  // Earlier versions read the first elements only. The fifth one is for the
+  // cold states of targets.
+  return {kStatementReport,      std::move(limits),
+          std::move(departures), std::move(pauses),
+          Json::array(),         EncodeEvacuations(report.evacuations)};
 }
 
 auto DecodeStatementReport(const Json& body) -> StatementReport {
@@ -331,6 +354,10 @@
          ProcessStart(ReadNumber<std::int64_t>(pauses[i + 1])),
          ReadDuration(pauses[i + 2])});
   }
+  constexpr std::size_t kEvacuations = 5;
+  if (body.size() > kEvacuations) {
+    report.evacuations = DecodeEvacuations(body.at(kEvacuations));
+  }
   return report;
 }
 
@@ -374,8 +401,10 @@
 }
 
 auto ToJson(const PeerSnapshot& snapshot) -> Json {
+  // Earlier versions read the first elements only.
   return {kSnapshot, snapshot.configuration,
-          EncodeTargetUpdates(snapshot.targets)};
+          EncodeTargetUpdates(snapshot.targets),
+          EncodeEvacuations(snapshot.evacuations)};
 }
 
 auto DecodeReport(const Json& body) -> PeerReport {
@@ -433,8 +462,10 @@
                           ReadNumber<std::uint64_t>(body.at(2)), age};
   }
   if (kind == kSnapshot) {
-    return PeerSnapshot{body.at(1).get<std::string>(),
-                        DecodeTargetUpdates(body.at(2))};
+    PeerSnapshot snapshot{
+        body.at(1).get<std::string>(), DecodeTargetUpdates(body.at(2)), {}};
+    if (body.size() > 3) snapshot.evacuations = DecodeEvacuations(body.at(3));
+    return snapshot;
   }
   return std::nullopt;
 }
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -99,9 +99,12 @@
   std::vector<TargetLimitRecord> limits;
   std::vector<DepartureRecord> departures;
   std::vector<PauseRecord> pauses;
+  // Not a statement of targets, but of the operator about them.
+  std::vector<EvacuationRecord> evacuations;
 
   auto is_empty() const -> bool {
-    return limits.empty() && departures.empty() && pauses.empty();
+    return limits.empty() && departures.empty() && pauses.empty() &&
+           evacuations.empty();
   }
 };
 
@@ -143,6 +146,7 @@
   // The operator's configuration document that is in force.
   std::string configuration;
   std::vector<TargetUpdate> targets;
+  std::vector<EvacuationRecord> evacuations;
 };
 
 using PeerMessage = std::variant<PeerReport, FleetSummary, PartEvidence,
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -56,11 +56,14 @@
   ReadStore();
 }
 
-auto ConfigurationReader::ReadStore() -> void {
-  const auto sent_at = MonotonicClock::now();
-  store_client_.Call(ListRows(kOperatorTable, {}), kListTimeout,
-                     [this, sent_at](const Outcome<HttpReply>& reply) {
-                       HandleStoreReply(reply, sent_at);
+auto ConfigurationReader::ReadStore(const PageStart& after) -> void {
+  if (!after) {
+    listed_evacuations_.clear();
+    list_sent_at_ = MonotonicClock::now();
+  }
+  store_client_.Call(ListRows(kOperatorTable, after), kListTimeout,
+                     [this, after](const Outcome<HttpReply>& reply) {
+                       HandleListReply(reply, after);
                      });
 }
 
@@ -71,11 +74,31 @@
   store_client_.Call(WatchRows(kOperatorTable, store_version_, wait),
                      wait + kWatchSlack,
                      [this, sent_at](const Outcome<HttpReply>& reply) {
-                       HandleStoreReply(reply, sent_at);
+                       HandleWatchReply(reply, sent_at);
                      });
 }
 
-auto ConfigurationReader::HandleStoreReply(const Outcome<HttpReply>& reply,
+auto ConfigurationReader::HandleListReply(const Outcome<HttpReply>& reply,
+                                          const PageStart& after) -> void {
+  const auto rows = store_health_.DecodeRows(kStoreCallName, reply, after);
+  if (!rows) {
+    store_failed_at_ = MonotonicClock::now();
+    return ScheduleRetry();
+  }
+  backoff_ = {};
+  ApplyRows(*rows);
+  for (const auto& row : rows->rows) {
+    const auto data_center = FindEvacuated(row);
+    if (!data_center || row.is_removed) continue;
+    const auto version = row.version == 0 ? rows->version : row.version;
+    listed_evacuations_.push_back({*data_center, version, true});
+  }
+  if (rows->next_after) return ReadStore(rows->next_after);
+  core_.SetEvacuated(listed_evacuations_, rows->version, MonotonicClock::now());
+  ConfirmRows(*rows, list_sent_at_);
+}
+
+auto ConfigurationReader::HandleWatchReply(const Outcome<HttpReply>& reply,
                                            Time sent_at) -> void {
   if (IsOk(reply) && IsHistoryLost(ValueOf(reply).status)) return ReadStore();
   const auto rows = store_health_.DecodeRows(kStoreCallName, reply);
@@ -85,7 +108,19 @@
   }
   backoff_ = {};
   ApplyRows(*rows);
-  store_version_ = std::max(store_version_, rows->version);
+  for (const auto& row : rows->rows) {
+    const auto data_center = FindEvacuated(row);
+    if (!data_center) continue;
+    const auto version = row.version == 0 ? rows->version : row.version;
+    core_.SetEvacuation({*data_center, version, !row.is_removed},
+                        MonotonicClock::now());
+  }
+  ConfirmRows(*rows, sent_at);
+}
+
+auto ConfigurationReader::ConfirmRows(const StoreRows& rows, Time sent_at)
+    -> void {
+  store_version_ = std::max(store_version_, rows.version);
   if (core_.table() != nullptr) core_.ConfirmConfiguration(sent_at);
   ScheduleNext();
 }
@@ -114,6 +149,7 @@
     return ReadStore();
   }
   ApplyDocument(snapshot->configuration, address);
+  core_.HandleEvacuations(snapshot->evacuations, MonotonicClock::now());
   const auto change =
       core_.ApplyTargetUpdates(snapshot->targets, MonotonicClock::now());
   if (on_target_change_) on_target_change_(change);
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "relay/event_log.h"
@@ -46,9 +47,14 @@
 
  private:
   auto ReadNewest() -> void;
-  auto ReadStore() -> void;
+  // Lists the operator's rows, from the page after `after`.
+  auto ReadStore(const PageStart& after = {}) -> void;
   auto WatchStore() -> void;
-  auto HandleStoreReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
+  auto HandleListReply(const Outcome<HttpReply>& reply, const PageStart& after)
+      -> void;
+  auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
+  // The configuration in the rows was the newest one at `sent_at`.
+  auto ConfirmRows(const StoreRows& rows, Time sent_at) -> void;
   auto ReadPeer(const std::string& address) -> void;
   auto HandlePeerReply(const std::string& address,
                        const Outcome<HttpReply>& reply) -> void;
@@ -73,6 +79,10 @@
   Random random_;
   // Version of the store that the latest read covers; 0 before the first read.
   std::uint64_t store_version_ = 0;
+  // When the first page of the list that is being read was asked for, and the
+  // evacuated data centres in its pages so far.
+  Time list_sent_at_{};
+  std::vector<EvacuationRecord> listed_evacuations_;
   Duration backoff_{};
   Time store_failed_at_{};
 };
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -74,6 +74,8 @@
             static_cast<double>(quarantine.quarantined_count()));
   SetMetric(metrics, "parts_suspected",
             static_cast<double>(quarantine.suspect_count()));
+  SetMetric(metrics, "data_centers_evacuated",
+            static_cast<double>(core.evacuations().Evacuated().size()));
   SetMetric(metrics, "is_ready", core.is_ready(now) ? 1 : 0);
   SetMetric(metrics, "is_watcher", core.is_watcher(now) ? 1 : 0);
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
@@ -143,8 +145,8 @@
     return caller->Answer(kNotFound, "", "");
   }
   const auto addresses = context.core.CallerAddresses(
-      ParseCallerDataCenter(request.request_target), caller->caller_address(),
-      now);
+      ParseCallerDataCenter(request.request_target),
+      ParseCallerHost(request.request_target), caller->caller_address(), now);
   context.log.Write(LogClass::kRoutine, "addresses_answered",
                     {{"count", static_cast<std::int64_t>(addresses.size())},
                      {"query", request.request_target},
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -72,6 +72,7 @@
   options.peer_address = settings.peer_listen;
   options.caller_address = settings.caller_listen;
   options.data_center = DataCenterId(settings.data_center);
+  options.regions = settings.regions;
   options.cores = settings.cores;
   options.revocation_bound = settings.revocation_bound;
   options.stop_grace = settings.stop_grace;
@@ -333,6 +334,15 @@
                {{"target", departure.target.value()},
                 {"source", departure.is_from_peer ? "peer" : "own"}});
   }
+  for (const auto& change : core_.TakeEvacuationChanges()) {
+    log_.Write(
+        LogClass::kState,
+        change.record.is_evacuated ? "data_center_evacuated"
+                                   : "data_center_returned",
+        {{"data_center", change.record.data_center.value()},
+         {"store_version", static_cast<std::int64_t>(change.record.version)},
+         {"source", change.is_from_peer ? "peer" : "store"}});
+  }
   for (const auto& change : core_.TakeLimitChanges()) {
     log_.Write(
         LogClass::kState, change.now ? "target_limited" : "target_limit_ended",
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -4,6 +4,7 @@
 #define RELAY_RELAY_PROCESS_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,8 @@
   // the log.
   std::string name;
   std::string data_center;
+  // Region of each data centre.
+  std::map<DataCenterId, RegionId> regions;
   // Addresses are IP:port; `directory_listen` and `metrics_listen` may be
   // empty. On `directory_listen`, callers ask for the addresses of routers; on
   // `ready_listen`, the platform asks whether this router is ready.
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -3,6 +3,7 @@
 #ifndef ROUTING_ROUTING_H_
 #define ROUTING_ROUTING_H_
 
+#include "routing/evacuations.h"
 #include "routing/key_validity.h"
 #include "routing/routing_table.h"
 #include "routing/store_continuity.h"
--- a/routing/routing_table.cpp
+++ b/routing/routing_table.cpp
@@ -40,6 +40,27 @@
   return found == document_.customer_of_key.end() ? nullptr : &found->second;
 }
 
+auto RoutingTable::IsHome(const Route& route, const CustomerId& customer,
+                          const RegionId& region) const -> bool {
+  const auto names = [&region](const std::vector<RegionId>& regions) {
+    return regions.empty() ||
+           std::find(regions.begin(), regions.end(), region) != regions.end();
+  };
+  if (!names(route.home_regions)) return false;
+  const auto found = document_.home_regions.find(customer);
+  return found == document_.home_regions.end() || names(found->second);
+}
+
+auto RoutingTable::IsHomeOfHost(std::string_view host,
+                                const RegionId& region) const -> bool {
+  const auto found = by_host_.find(host);
+  if (found == by_host_.end()) return true;
+  return std::all_of(found->second.begin(), found->second.end(),
+                     [&](std::size_t index) {
+                       return IsHome(document_.routes[index], {}, region);
+                     });
+}
+
 auto RoutingTable::FindService(const PoolId& id) const -> const Service* {
   const auto found = services_.find(id);
   return found == services_.end() ? nullptr
--- a/routing/routing_table.h
+++ b/routing/routing_table.h
@@ -48,6 +48,8 @@
   int max_attempts = 1;
   // Never empty.
   std::vector<WeightedPool> pools;
+  // Regions whose targets may execute its requests; empty means all.
+  std::vector<RegionId> home_regions;
 };
 
 // Limits of a model engine, the same for all targets of a service.
@@ -90,6 +92,9 @@
   // Whether requests need a key at all.
   bool has_customers = false;
   std::unordered_map<std::string, CustomerId> customer_of_key;
+  // Regions whose targets may execute a customer's requests, for customers that
+  // have such.
+  std::unordered_map<CustomerId, std::vector<RegionId>> home_regions;
 };
 
 // An immutable version of the configuration.
@@ -103,6 +108,14 @@
   // The customer that holds the key, or null.
   auto FindCustomer(const std::string& key) const -> const CustomerId*;
   auto FindService(const PoolId& id) const -> const Service*;
+  // Whether targets in the region may execute the customer's requests on the
+  // route. Where both have home regions, both bind.
+  auto IsHome(const Route& route, const CustomerId& customer,
+              const RegionId& region) const -> bool;
+  // Whether the region is a home region of each route of the host that has
+  // such.
+  auto IsHomeOfHost(std::string_view host, const RegionId& region) const
+      -> bool;
 
   auto version() const -> std::uint64_t { return document_.version; }
   auto limits() const -> const CallerLimits& { return document_.limits; }
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -159,11 +159,20 @@
 auto TargetDirectory::RebuildPools() -> void {
   serving_by_pool_.clear();
   for (const auto& [id, target] : targets_) {
-    if (target.is_draining || HasDeparted(target)) continue;
+    if (target.is_draining || HasDeparted(target) ||
+        evacuated_.count(target.data_center) != 0) {
+      continue;
+    }
     serving_by_pool_[target.pool].push_back(target);
   }
 }
 
+auto TargetDirectory::SetEvacuated(std::set<DataCenterId> data_centers)
+    -> void {
+  evacuated_ = std::move(data_centers);
+  RebuildPools();
+}
+
 auto TargetDirectory::Serving(const PoolId& pool) const
     -> const std::vector<TargetRow>& {
   static const std::vector<TargetRow> kNone;
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -73,6 +73,9 @@
   auto RecordDeparture(const TargetId& id, std::int64_t started_unix_ms)
       -> void;
 
+  // The data centres whose targets get no new requests.
+  auto SetEvacuated(std::set<DataCenterId> data_centers) -> void;
+
   // Targets of a pool that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
@@ -101,7 +104,9 @@
   std::set<std::pair<TargetId, std::int64_t>> drained_;
   // Newest process of a target that said that it leaves, by its start.
   std::map<TargetId, std::int64_t> departed_;
-  // Exactly the targets that are not draining and have not departed.
+  std::set<DataCenterId> evacuated_;
+  // Exactly the targets that are not draining, have not departed, and are in no
+  // evacuated data centre.
   std::map<PoolId, std::vector<TargetRow>> serving_by_pool_;
   // Version of the newest list.
   std::uint64_t list_version_ = 0;
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -2,22 +2,25 @@
 #include "tests/gateway/departure_fleet.h"
 
 #include <algorithm>
+#include <set>
 
 namespace papayaplank {
 namespace {
 
-constexpr int kDataCenters = 5;
 constexpr Duration kTick = milliseconds(100);
 constexpr Duration kMessageLatency = milliseconds(3);
 constexpr Duration kReadLatency = milliseconds(10);
+// Of a watcher's calls for the operator's rows.
+constexpr Duration kWatchPeriod = milliseconds(700);
 
 auto DataCenter(int index) -> DataCenterId {
-  return DataCenterId("dc" + std::to_string(index % kDataCenters));
+  return DataCenterId("dc" +
+                      std::to_string(index % DepartureFleet::kDataCenters));
 }
 
 // One in thirteen instances is large.
 auto Cores(int index) -> double {
-  return index % 13 < kDataCenters ? 0.5 : 0.12;
+  return index % 13 < DepartureFleet::kDataCenters ? 0.5 : 0.12;
 }
 
 auto MakeTable() -> std::shared_ptr<const RoutingTable> {
@@ -92,6 +95,7 @@
   router.incarnation = starts_;
   ReadRouters(index);
   ReadTargets(index);
+  ReadOperatorRows(index);
   Tick(index, starts_);
 }
 
@@ -128,13 +132,14 @@
     router.core->RecordStoreSuccess(now_);
     const auto period = router.core->RouterListPeriod(now_);
     if (now_ - router.routers_read_at > period) ReadRouters(index);
+    if (router.core->is_watcher(now_)) ReadOperatorRows(index);
   }
   for (const auto& [message, recipients] :
        router.core->MakePeerMessages(now_)) {
     const auto bytes = EncodePeerMessage(message);
     for (const auto& address : recipients) {
       cost_.bytes += bytes.size();
-      if (router.is_cut) continue;
+      if (router.is_cut || random_.Uniform() < loss_) continue;
       At(kMessageLatency,
          [this, to = index_of_.at(address), bytes] { Deliver(to, bytes); });
     }
@@ -154,6 +159,8 @@
     core.HandleReport(*report, now_);
   } else if (const auto* summary = std::get_if<FleetSummary>(&*message)) {
     core.HandleSummary(*summary, now_);
+  } else if (const auto* statements = std::get_if<StatementReport>(&*message)) {
+    core.HandleStatementReport(*statements, now_);
   }
 }
 
@@ -187,6 +194,65 @@
   });
 }
 
+auto DepartureFleet::ReadOperatorRows(int index) -> void {
+  auto& router = routers_.at(index);
+  if (router.is_cut || router.is_cut_from_store) return;
+  if (now_ - router.operator_rows_read_at < kWatchPeriod) return;
+  router.operator_rows_read_at = now_;
+  std::vector<EvacuationRecord> rows;
+  for (const auto& [data_center, record] : evacuated_) rows.push_back(record);
+  At(kReadLatency, [this, index, incarnation = router.incarnation, rows,
+                    version = store_version_] {
+    const auto found = routers_.find(index);
+    if (found == routers_.end() || found->second.incarnation != incarnation) {
+      return;
+    }
+    found->second.core->SetEvacuated(rows, version, now_);
+  });
+}
+
+auto DepartureFleet::SetEvacuated(int data_center, bool is_evacuated) -> void {
+  ++store_version_;
+  const auto id = DataCenter(data_center);
+  if (is_evacuated) {
+    evacuated_[id] = {id, store_version_, true};
+  } else {
+    evacuated_.erase(id);
+  }
+}
+
+auto DepartureFleet::UsersOf(int data_center) const -> std::vector<int> {
+  std::vector<int> users;
+  const auto id = DataCenter(data_center);
+  for (const auto& [index, router] : routers_) {
+    const auto& serving = router.core->directory().Serving(PoolId("targets"));
+    const auto is_used = std::any_of(
+        serving.begin(), serving.end(),
+        [&id](const TargetRow& row) { return row.data_center == id; });
+    if (is_used) users.push_back(index);
+  }
+  return users;
+}
+
+auto DepartureFleet::NameAnyOf(const std::vector<int>& dead) const
+    -> std::vector<int> {
+  std::set<std::string> dead_addresses;
+  for (const auto index : dead) {
+    dead_addresses.insert("c" + addresses_[static_cast<std::size_t>(index)]);
+  }
+  std::vector<int> naming;
+  for (const auto& [index, router] : routers_) {
+    const auto named = router.core->CallerAddresses(
+        DataCenter(index), "shop.example", "100.66.0.7", now_);
+    const auto is_named =
+        std::any_of(named.begin(), named.end(), [&](const auto& address) {
+          return dead_addresses.count(address) != 0;
+        });
+    if (is_named) naming.push_back(index);
+  }
+  return naming;
+}
+
 auto DepartureFleet::Drain(int target) -> void {
   ++store_version_;
   const TargetId id("t" + std::to_string(target));
--- a/tests/gateway/departure_fleet.h
+++ b/tests/gateway/departure_fleet.h
@@ -40,6 +40,15 @@
   // The target's row is taken out of the store.
   auto Remove(int target) -> void;
 
+  // The operator evacuates the data centre, or takes it back.
+  auto SetEvacuated(int data_center, bool is_evacuated) -> void;
+  // Share of the messages between routers that are lost.
+  auto SetLoss(double loss) -> void { loss_ = loss; }
+
+  // Routers that run and use a target of the data centre.
+  auto UsersOf(int data_center) const -> std::vector<int>;
+  // Routers that run and send callers to one of these, which don't.
+  auto NameAnyOf(const std::vector<int>& dead) const -> std::vector<int>;
   // Routers that run and still use the target.
   auto Unaware(int target) const -> std::vector<int>;
   auto Running() const -> std::vector<int>;
@@ -52,6 +61,7 @@
   auto TakeCost() -> Cost { return std::exchange(cost_, {}); }
 
   static constexpr int kTargets = 20;
+  static constexpr int kDataCenters = 5;
 
  private:
   struct Router {
@@ -59,6 +69,7 @@
     bool is_cut = false;
     bool is_cut_from_store = false;
     Time routers_read_at{};
+    Time operator_rows_read_at{};
     int incarnation = 0;
     std::uint64_t reads = 0;
   };
@@ -76,6 +87,8 @@
   auto Deliver(int to, const std::string& bytes) -> void;
   auto ScheduleRead(int index, Duration delay) -> void;
   auto ReadTargets(int index) -> void;
+  // As configuration readers do: watchers all the time, others at the start.
+  auto ReadOperatorRows(int index) -> void;
   // Rows of routers that were killed stay in the store.
   auto ReadRouters(int index) -> void;
 
@@ -87,6 +100,8 @@
   std::map<std::string, int> index_of_;
   std::map<int, Router> routers_;
   std::vector<TargetRow> rows_;
+  std::map<DataCenterId, EvacuationRecord> evacuated_;
+  double loss_ = 0;
   std::uint64_t store_version_ = 1;
   int starts_ = 0;
   std::uint64_t reads_ = 0;
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -258,8 +258,10 @@
 TEST_F(GatewayCoreTest, AStoppingRouterRefusesWhatCannotEnd) {
   Serve(1);
   core_.BeginStop(kStart);
-  EXPECT_TRUE(
-      core_.CallerAddresses(DataCenterId("west"), "caller", kStart).empty());
+  EXPECT_TRUE(core_
+                  .CallerAddresses(DataCenterId("west"), "shop.example",
+                                   "caller", kStart)
+                  .empty());
   const auto late = kStart + seconds(2);
   EXPECT_EQ(Reason(core_.Accept(Facts("/chat/1", "key-a", 100), late)),
             RefusalReason::kLeaving);
@@ -306,8 +308,11 @@
     report.caller_address = "c" + report.peer_address;
     core_.HandleReport(report, kStart);
   }
-  EXPECT_EQ(
-      core_.CallerAddresses(DataCenterId("west"), "caller", kStart).size(), 4U);
+  EXPECT_EQ(core_
+                .CallerAddresses(DataCenterId("west"), "shop.example", "caller",
+                                 kStart)
+                .size(),
+            4U);
   for (int i = 0; i < 10; ++i) {
     core_.RecordLateness(milliseconds(300), kStart);
   }
@@ -316,8 +321,11 @@
   EXPECT_EQ(reason, RefusalReason::kRouterBusy);
   EXPECT_EQ(RefusalStatus(reason), 503);
   Accepted(Facts("/order/1", "key-a"));
-  EXPECT_EQ(
-      core_.CallerAddresses(DataCenterId("west"), "caller", kStart).size(), 3U);
+  EXPECT_EQ(core_
+                .CallerAddresses(DataCenterId("west"), "shop.example", "caller",
+                                 kStart)
+                .size(),
+            3U);
   EXPECT_FALSE(core_.is_accepting_connections(kStart));
   for (int i = 0; i < 10; ++i) core_.RecordLateness({}, kStart);
   Accepted(Facts("/chat/1", "key-a", 100));
