--- a/admission/admission.h
+++ b/admission/admission.h
@@ -7,6 +7,7 @@
 
 #include "admission/answer_times.h"
 #include "admission/cached_prefixes.h"
+#include "admission/cold_targets.h"
 #include "admission/engine_load.h"
 #include "admission/fair_share.h"
 #include "admission/fleet_retry_budget.h"
--- a/admission/permit_issuer.cpp
+++ b/admission/permit_issuer.cpp
@@ -9,8 +9,6 @@
 // Least rate at which a limited target is tried, requests per second: only an
 // answer can tell that a limit of zero has ended.
 constexpr double kLeastRate = 0.1;
-// A bucket holds one permit and what the limit allows in this time.
-constexpr double kBurstSeconds = 0.25;
 // Share of that burst which customers over their share leave to the others:
 // they get a permit when nobody else has wanted one for a moment.
 constexpr double kReservedShare = 0.8;
@@ -39,7 +37,7 @@
 auto PermitIssuer::Level(RequestRate limit, PermitClass permit_class) const
     -> double {
   if (permit_class == PermitClass::kWithinShare) return 1;
-  return 1 + Rate(limit) * kBurstSeconds * kReservedShare;
+  return 1 + Rate(limit) * limit.burst_seconds * kReservedShare;
 }
 
 auto PermitIssuer::Fill(const TargetId& target, RequestRate limit, Time now)
@@ -50,7 +48,7 @@
   if (elapsed <= 0) return bucket;
   const auto rate = Rate(limit);
   bucket.permits =
-      std::min(bucket.permits + rate * elapsed, 1 + rate * kBurstSeconds);
+      std::min(bucket.permits + rate * elapsed, 1 + rate * limit.burst_seconds);
   bucket.filled_at = now;
   return bucket;
 }
--- a/admission/target_limits.h
+++ b/admission/target_limits.h
@@ -18,6 +18,8 @@
 
 struct RequestRate {
   double per_second = 0;
+  // Permits that were not used are kept for this long, besides one.
+  double burst_seconds = 0.25;
   // NOLINTNEXTLINE: false positive on defaulted comparisons.
   friend auto operator==(const RequestRate&, const RequestRate&)
       -> bool = default;
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -40,6 +40,14 @@
               "Retries that the fleet may make beyond retry_ratio.");
 DEFINE_double(retry_window_seconds, 10,
               "Time window of retry_ratio and retry_slack.");
+DEFINE_double(
+    cold_overshoot, 0,
+    "Requests that may reach a cold target in a second, as a multiple "
+    "of the rate that its service tolerates; 0 means that there is "
+    "no bound.");
+DEFINE_double(cold_slack, 0,
+              "Requests that may reach a cold target in a second beyond "
+              "cold_overshoot.");
 DEFINE_double(memory_limit_mb, 256,
               "Accepted in settings files; has no effect.");
 DEFINE_double(cores, 1,
@@ -131,6 +139,8 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
+  CheckRange("cold_overshoot", FLAGS_cold_overshoot, 0, 1000, errors);
+  CheckRange("cold_slack", FLAGS_cold_slack, 0, 100000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
   CheckRange("max_descriptors", FLAGS_max_descriptors, 64, 1000000, errors);
 }
@@ -158,6 +168,7 @@
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
   settings.retry_window = SecondsToDuration(FLAGS_retry_window_seconds);
+  settings.cold = ColdBound{FLAGS_cold_overshoot, FLAGS_cold_slack};
   settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
   return settings;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -63,7 +63,9 @@
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
-      target_guard_(options_.peer_address, StableHash("limits", options_.seed)),
+      target_guard_(
+          options_.peer_address, StableHash("limits", options_.seed),
+          [this](const TargetId& target) { return ColdRate(target); }),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -277,8 +279,9 @@
     option.permission = target_guard_.Check(target.id, permit_class, now);
     if (option.permission != Permission::kNotNeeded) {
       const auto* news = target_guard_.limits().FindNews(target.id);
-      option.is_limit_stale =
-          now - news->at > kStaleLimitAge && FindOrAddLoad(target).is_idle();
+      option.is_limit_stale = news != nullptr && news->limit &&
+                              now - news->at > kStaleLimitAge &&
+                              FindOrAddLoad(target).is_idle();
       if (option.permission == Permission::kMayAsk &&
           request.permit_requests >= kMaxPermitRequests) {
         option.permission = Permission::kNone;
@@ -373,6 +376,7 @@
     return;
   }
   crash_guard_.RecordUnreachable(target, now);
+  PresumeCold(target, ColdCause::kUnreachable, now);
   outcomes_.StartCooldown(target, kNotReachedCooldown, now);
 }
 
@@ -398,6 +402,8 @@
       outcomes_.StartCooldown(target, kRefusalCooldown, now);
       break;
     case AttemptOutcome::kNotReached:
+      PresumeCold(target, ColdCause::kUnreachable, now);
+      [[fallthrough]];
     case AttemptOutcome::kWrongTarget:
       outcomes_.StartCooldown(target, kNotReachedCooldown, now);
       outcomes_.RecordFailure(target, now);
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -42,6 +42,8 @@
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
   RetryBound retries;
+  // Bound on the requests to a cold target.
+  ColdBound cold;
   // Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   std::uint64_t seed = 0;
@@ -190,6 +192,10 @@
   auto TakeDepartures() -> std::vector<Departure> {
     return std::exchange(departures_, {});
   }
+  // Targets that became cold or ceased to be since the last call.
+  auto TakeColdChanges() -> std::vector<ColdChange> {
+    return target_guard_.cold().TakeChanges();
+  }
   // Limits that changed since the last call.
   auto TakeLimitChanges() -> std::vector<LimitChange> {
     return target_guard_.limits().TakeChanges();
@@ -321,6 +327,11 @@
       -> std::optional<Refusal>;
   // Whether this router tries the part for the fleet.
   auto IsProbeOwner(PartId part, Time now) const -> bool;
+  // The rate at which the target may get permits while it is cold; nothing if
+  // there is no bound.
+  auto ColdRate(const TargetId& target) const -> std::optional<RequestRate>;
+  // The target may be cold from now on, without a row that says so yet.
+  auto PresumeCold(const TargetId& target, ColdCause cause, Time now) -> void;
   // A process of a target leaves, by its own word or a peer's.
   auto RecordDeparture(const TargetId& target, ProcessStart process,
                        bool is_from_peer) -> void;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -31,6 +31,11 @@
       TargetList{std::move(rows), store_version, IsStoreRecovering(now)});
   for (const auto& update : change.updates) target_news_.AddRead(update, now);
   ApplyChange(change, now);
+  if (options_.cold.is_set()) {
+    for (const auto& update : directory_.AsUpdates()) {
+      if (!update.is_gone) target_guard_.RecordRow(update.row, true, now);
+    }
+  }
   return change;
 }
 
@@ -41,6 +46,7 @@
   for (const auto& target : change.restarted) {
     crash_guard_.RecordUnreachable(target, now);
     ResetTarget(target);
+    PresumeCold(target, ColdCause::kRestarted, now);
   }
   for (const auto& target : change.left) {
     if (directory_.Find(target) == nullptr) ResetTarget(target);
@@ -67,9 +73,15 @@
 }
 
 auto GatewayCore::ApplyEvacuations(const std::vector<EvacuationRecord>& changes,
-                                   Time /*now*/) -> void {
+                                   Time now) -> void {
   if (changes.empty()) return;
   directory_.SetEvacuated(evacuations().Evacuated());
+  for (const auto& change : changes) {
+    if (change.is_evacuated) continue;
+    for (const auto& target : directory_.IdsIn(change.data_center)) {
+      PresumeCold(target, ColdCause::kReturned, now);
+    }
+  }
 }
 
 auto GatewayCore::ResetTarget(const TargetId& target) -> void {
@@ -135,6 +147,7 @@
   for (const auto& update : updates) {
     const auto change = directory_.Apply(update);
     ApplyChange(change, now);
+    if (!update.is_gone) target_guard_.RecordRow(update.row, false, now);
     // A departure is news to other routers also if this one has never known
     // the target or has read of it itself.
     const auto is_news = !change.left.empty() || !change.restarted.empty() ||
--- a/gateway/gateway_core_statements.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -12,6 +12,9 @@
 // A pause holds for the router that the target told. The others spare it for a
 // moment, so that it does not have to turn each of them away.
 constexpr Duration kHeardPauseCooldown = milliseconds(500);
+// A target that can't be reached may return this much later than the last try,
+// and is cold from then on.
+constexpr Duration kColdNewsDelay = seconds(2);
 
 }  // namespace
 
@@ -30,6 +33,28 @@
   }
 }
 
+auto GatewayCore::ColdRate(const TargetId& target) const
+    -> std::optional<RequestRate> {
+  const auto* row = directory_.Find(target);
+  if (row == nullptr || table_ == nullptr || !options_.cold.is_set()) {
+    return std::nullopt;
+  }
+  const auto* service = table_->FindService(row->pool);
+  if (service == nullptr || service->cold_requests_per_second <= 0) {
+    return std::nullopt;
+  }
+  return options_.cold.PermitRate(service->cold_requests_per_second);
+}
+
+auto GatewayCore::PresumeCold(const TargetId& target, ColdCause cause, Time now)
+    -> void {
+  const auto* row = directory_.Find(target);
+  if (row == nullptr || !ColdRate(target)) return;
+  const auto* service = table_->FindService(row->pool);
+  target_guard_.PresumeCold(*row, cause, service->cold_time + kColdNewsDelay,
+                            now);
+}
+
 auto GatewayCore::PromiseReturn(const PoolId& pool, Time now) -> Duration {
   auto& pauses = target_guard_.pauses();
   const TargetId* earliest = nullptr;
@@ -79,6 +104,11 @@
     outcomes_.StartCooldown(
         target, std::min<Duration>(record.left, kHeardPauseCooldown), now);
   }
+  for (const auto& record : report.cold) {
+    const auto known = target_of_hash_.find(record.target);
+    if (known == target_of_hash_.end()) continue;
+    target_guard_.MergeCold(known->second, record, passes_on, now);
+  }
   HandleEvacuations(report.evacuations, now);
 }
 
@@ -144,7 +174,7 @@
   for (const auto* engine : engines) {
     if (target_guard_.IsPausing(engine->id, now)) continue;
     const auto share = engine->slots / slots;
-    const auto limit = target_guard_.limits().Find(engine->id);
+    const auto limit = target_guard_.FindRate(engine->id, now);
     const auto rate = limit.value_or(RequestRate{}).per_second;
     left +=
         limit ? std::min(share, rate * mean_request_cost_ / capacity) : share;
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -149,6 +149,17 @@
   return rates;
 }
 
+// Durations are encoded in milliseconds.
+auto WriteDuration(Duration duration) -> std::int64_t {
+  return std::clamp<std::int64_t>(
+      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
+      std::numeric_limits<std::uint32_t>::max());
+}
+
+auto ReadDuration(const Json& json) -> Duration {
+  return milliseconds(ReadNumber<std::uint32_t>(json));
+}
+
 auto EncodeTargetUpdates(const std::vector<TargetUpdate>& updates) -> Json {
   auto all = Json::array();
   for (const auto& update : updates) {
@@ -156,6 +167,10 @@
     all.push_back({update.version, update.is_gone, row.id.value(), row.address,
                    row.pool.value(), row.data_center.value(), row.slots,
                    row.is_draining, row.started_unix_ms, row.reports});
+    // Earlier versions read the first elements only.
+    if (row.cold_left > Duration{}) {
+      all.back().push_back(WriteDuration(row.cold_left));
+    }
   }
   return all;
 }
@@ -175,6 +190,7 @@
     row.is_draining = entry.at(7).get<bool>();
     row.started_unix_ms = ReadNumber<std::int64_t>(entry.at(8));
     row.reports = ReadNumber<std::int64_t>(entry.at(9));
+    if (entry.size() > 10) row.cold_left = ReadDuration(entry.at(10));
     updates.push_back(std::move(update));
   }
   return updates;
@@ -259,16 +275,6 @@
 constexpr double kRateSteps = 1000;
 constexpr std::size_t kRecordMembers = 5;
 
-auto WriteDuration(Duration duration) -> std::int64_t {
-  return std::clamp<std::int64_t>(
-      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
-      std::numeric_limits<std::uint32_t>::max());
-}
-
-auto ReadDuration(const Json& json) -> Duration {
-  return milliseconds(ReadNumber<std::uint32_t>(json));
-}
-
 auto AppendLimitRecord(Json& to, const TargetLimitRecord& record) -> void {
   to.push_back(record.target);
   to.push_back(record.id);
@@ -326,11 +332,35 @@
     pauses.push_back(record.process.value());
     pauses.push_back(WriteDuration(record.left));
   }
-  // Earlier versions read the first elements only. The fifth one is for the
-  // cold states of targets.
+  auto cold = Json::array();
+  for (const auto& record : report.cold) {
+    cold.push_back(record.target);
+    cold.push_back(record.process.value());
+    cold.push_back(static_cast<int>(record.cause));
+    cold.push_back(WriteDuration(record.age));
+    cold.push_back(WriteDuration(record.left));
+  }
+  // Earlier versions read the first elements only.
   return {kStatementReport,      std::move(limits),
           std::move(departures), std::move(pauses),
-          Json::array(),         EncodeEvacuations(report.evacuations)};
+          std::move(cold),       EncodeEvacuations(report.evacuations)};
+}
+
+auto DecodeCold(const Json& json) -> std::vector<ColdRecord> {
+  constexpr std::size_t kMembers = 5;
+  constexpr auto kLastCause = static_cast<int>(ColdCause::kReturned);
+  std::vector<ColdRecord> records;
+  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
+    const auto cause = ReadNumber<int>(json[i + 2]);
+    if (cause < 0 || cause > kLastCause) {
+      throw Json::other_error::create(0, "an unknown cause", &json);
+    }
+    records.push_back({ReadNumber<std::uint32_t>(json[i]),
+                       ProcessStart(ReadNumber<std::int64_t>(json[i + 1])),
+                       static_cast<ColdCause>(cause), ReadDuration(json[i + 3]),
+                       ReadDuration(json[i + 4])});
+  }
+  return records;
 }
 
 auto DecodeStatementReport(const Json& body) -> StatementReport {
@@ -354,7 +384,9 @@
          ProcessStart(ReadNumber<std::int64_t>(pauses[i + 1])),
          ReadDuration(pauses[i + 2])});
   }
+  constexpr std::size_t kCold = 4;
   constexpr std::size_t kEvacuations = 5;
+  if (body.size() > kCold) report.cold = DecodeCold(body.at(kCold));
   if (body.size() > kEvacuations) {
     report.evacuations = DecodeEvacuations(body.at(kEvacuations));
   }
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -94,17 +94,30 @@
   Duration left{};
 };
 
+// What a router knows of whether a target is cold; see `ColdState`.
+struct ColdRecord {
+  // `TargetHash`.
+  std::uint32_t target = 0;
+  ProcessStart process;
+  ColdCause cause = ColdCause::kStated;
+  // Of the evidence, as of the sending.
+  Duration age{};
+  // How much longer it is cold.
+  Duration left{};
+};
+
 // What targets have said of themselves. Sent only while any of them says so.
 struct StatementReport {
   std::vector<TargetLimitRecord> limits;
   std::vector<DepartureRecord> departures;
   std::vector<PauseRecord> pauses;
+  std::vector<ColdRecord> cold;
   // Not a statement of targets, but of the operator about them.
   std::vector<EvacuationRecord> evacuations;
 
   auto is_empty() const -> bool {
     return limits.empty() && departures.empty() && pauses.empty() &&
-           evacuations.empty();
+           cold.empty() && evacuations.empty();
   }
 };
 
--- a/gateway/target_guard.cpp
+++ b/gateway/target_guard.cpp
@@ -43,16 +43,74 @@
     -> void {
   auto& spread = spread_[target];
   if (passes_on) spread.repeats_left = kChangeRepeats;
-  const auto limit = limits_.Find(target);
   // Permits were handed out at the former rate.
   wallet_.Drop(target);
-  if (limit && IsOwn(target)) {
+  UpdateOwnership(target, now);
+}
+
+auto TargetGuard::UpdateOwnership(const TargetId& target, Time now) -> void {
+  if (FindRate(target, now) && IsOwn(target)) {
     issuer_.Own(target, now);
   } else {
     issuer_.Disown(target);
   }
 }
 
+auto TargetGuard::FindRate(const TargetId& target, Time now) const
+    -> std::optional<RequestRate> {
+  const auto limit = limits_.Find(target);
+  if (!cold_.IsCold(target, now)) return limit;
+  const auto cold = cold_rate_(target);
+  if (!limit || !cold) return limit ? limit : cold;
+  return limit->per_second < cold->per_second ? limit : cold;
+}
+
+auto TargetGuard::RecordRow(const TargetRow& row, bool passes_on, Time now)
+    -> void {
+  if (!cold_rate_(row.id)) return;
+  const ProcessStart process(row.started_unix_ms);
+  if (cold_.RecordRow(row.id, process, row.reports, row.cold_left, now)) {
+    OnColdNews(row.id, passes_on, now);
+  }
+}
+
+auto TargetGuard::PresumeCold(const TargetRow& target, ColdCause cause,
+                              Duration time, Time now) -> void {
+  if (!cold_rate_(target.id)) return;
+  const ProcessStart process(target.started_unix_ms);
+  if (cold_.Presume(target.id, process, cause, time, now)) {
+    OnColdNews(target.id, true, now);
+  }
+}
+
+auto TargetGuard::MergeCold(const TargetId& target, const ColdRecord& record,
+                            bool passes_on, Time now) -> void {
+  if (!cold_rate_(target)) return;
+  const ColdState state{record.process, record.cause, now - record.age,
+                        now + record.left};
+  if (cold_.Merge(target, state, now)) OnColdNews(target, passes_on, now);
+}
+
+auto TargetGuard::OnColdNews(const TargetId& target, bool passes_on, Time now)
+    -> void {
+  auto& spread = cold_spread_[target];
+  if (passes_on) spread.repeats_left = kChangeRepeats;
+  UpdateOwnership(target, now);
+}
+
+auto TargetGuard::ToColdRecord(const TargetId& target, Time now) const
+    -> ColdRecord {
+  ColdRecord record;
+  record.target = TargetHash(target);
+  const auto* state = cold_.Find(target);
+  if (state == nullptr) return record;
+  record.process = state->process;
+  record.cause = state->cause;
+  record.age = std::max(Duration{}, now - state->evidence_at);
+  record.left = std::max(Duration{}, state->cold_until - now);
+  return record;
+}
+
 auto TargetGuard::Merge(const TargetId& target, const TargetLimitRecord& record,
                         bool passes_on, Time now) -> void {
   if (record.id == 0) return;
@@ -113,6 +171,8 @@
   known_pauses_.erase(target);
   leaving_.erase(target);
   limits_.RemoveTarget(target);
+  cold_.RemoveTarget(target);
+  cold_spread_.erase(target);
   issuer_.Disown(target);
   wallet_.Drop(target);
   spread_.erase(target);
@@ -135,7 +195,7 @@
 
 auto TargetGuard::Check(const TargetId& target, PermitClass permit_class,
                         Time now) -> Permission {
-  const auto limit = limits_.Find(target);
+  const auto limit = FindRate(target, now);
   if (!limit) return Permission::kNotNeeded;
   if (issuer_.Owns(target)) {
     return issuer_.HasPermit(target, *limit, permit_class, now)
@@ -151,7 +211,7 @@
 auto TargetGuard::TimeToSend(const TargetId& target, PermitClass permit_class,
                              Time now) -> Duration {
   const auto pause = pauses_.TimeToSend(target, now);
-  const auto limit = limits_.Find(target);
+  const auto limit = FindRate(target, now);
   if (!limit) return pause;
   if (issuer_.Owns(target)) {
     return std::max(pause,
@@ -162,7 +222,7 @@
 
 auto TargetGuard::RecordSend(const TargetId& target, Time now) -> void {
   pauses_.RecordSend(target);
-  const auto limit = limits_.Find(target);
+  const auto limit = FindRate(target, now);
   if (!limit) return;
   limits_.RecordSend(target, now);
   if (issuer_.Owns(target)) {
@@ -195,7 +255,7 @@
   PermitGrant grant;
   grant.nonce = request.nonce;
   grant.record = ToRecord(target, now);
-  const auto limit = limits_.Find(target);
+  const auto limit = FindRate(target, now);
   // If the limit has ended, the record tells so.
   grant.is_granted =
       !limit || (issuer_.Owns(target) &&
@@ -237,11 +297,15 @@
       issuer_.Disown(limited.target);
     }
   }
+  for (const auto& [target, spread] : cold_spread_) {
+    UpdateOwnership(target, now);
+  }
 }
 
 auto TargetGuard::Tick(const PeerTable& peers, bool is_leaving, Time now)
     -> void {
   limits_.Tick(now);
+  cold_.Tick(now);
   wallet_.Tick(now);
   pauses_.Tick(now);
   std::erase_if(known_pauses_, [now](const auto& entry) {
@@ -251,6 +315,9 @@
   std::erase_if(spread_, [this](const auto& entry) {
     return limits_.FindNews(entry.first) == nullptr;
   });
+  std::erase_if(cold_spread_, [this](const auto& entry) {
+    return cold_.Find(entry.first) == nullptr;
+  });
   if (!is_any_limited() && leaving_.empty()) return;
   auto issuers = peers.LiveIssuers(now);
   auto owners = std::move(issuers.owners);
@@ -310,6 +377,15 @@
   return TakeTurn(std::move(due));
 }
 
+auto TargetGuard::ColdToRefresh(bool passes_on, bool is_member, Time now)
+    -> std::vector<TargetId> {
+  std::vector<TargetId> due;
+  for (const auto& target : cold_.Cold(now)) {
+    if (passes_on || (!is_member && IsOwn(target))) due.push_back(target);
+  }
+  return TakeTurn(std::move(due));
+}
+
 auto TargetGuard::DeparturesToRefresh(bool passes_on, bool is_member)
     -> std::vector<TargetId> {
   std::vector<TargetId> due;
@@ -324,7 +400,8 @@
 auto TargetGuard::MakeReport(bool passes_on, bool is_member, Time now)
     -> StatementReport {
   StatementReport report;
-  if (spread_.empty() && leaving_.empty() && known_pauses_.empty()) {
+  if (spread_.empty() && leaving_.empty() && known_pauses_.empty() &&
+      cold_spread_.empty()) {
     return report;
   }
   const auto is_repeat_due = now - repeated_at_ >= kRepeatPeriod;
@@ -354,6 +431,12 @@
           {TargetHash(target), pause.process, pause.until - now});
     }
   }
+  for (auto& [target, spread] : cold_spread_) {
+    if (report.cold.size() >= kMaxRecords) break;
+    if (is_due(spread.repeats_left)) {
+      report.cold.push_back(ToColdRecord(target, now));
+    }
+  }
   const auto period =
       passes_on || is_member ? kHubRefreshPeriod : kMeshRefreshPeriod;
   if (now - refreshed_at_ < period) return report;
@@ -361,6 +444,9 @@
   for (const auto& target : LimitsToRefresh(passes_on, is_member, now)) {
     report.limits.push_back(ToRecord(target, now));
   }
+  for (const auto& target : ColdToRefresh(passes_on, is_member, now)) {
+    report.cold.push_back(ToColdRecord(target, now));
+  }
   for (const auto& target : DeparturesToRefresh(passes_on, is_member)) {
     report.departures.push_back(
         {TargetHash(target), leaving_.at(target).process});
--- a/gateway/target_guard.h
+++ b/gateway/target_guard.h
@@ -1,15 +1,17 @@
-// Keeps to what targets say of themselves in their answers, together with the
-// other routers: limits, pauses, and that they leave.
+// Keeps to what targets say of themselves, together with the other routers:
+// limits, pauses, that they leave, and that they are cold.
 //
-// Each limited target has one owner among the routers, by rendezvous hashing;
-// all choose alike, so nothing is agreed on or stored. The owner hands out
-// permits at the target's rate, one for each request, to whichever router asks.
-// Routers ask when they have a request to send there. What targets name travels
-// as records: changes at once, the rest periodically for new routers.
+// Each target with a limited rate has one owner among the routers, by
+// rendezvous hashing; all choose alike, so nothing is agreed on or stored. The
+// owner hands out permits at the target's rate, one for each request, to
+// whichever router asks. Routers ask when they have a request to send there.
+// What targets name travels as records: changes at once, the rest periodically
+// for new routers.
 #ifndef GATEWAY_TARGET_GUARD_H_
 #define GATEWAY_TARGET_GUARD_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -42,8 +44,16 @@
 
 class TargetGuard {
  public:
-  TargetGuard(std::string self_address, std::uint64_t seed)
-      : self_address_(std::move(self_address)), limits_(seed) {}
+  // The rate at which a cold target may get permits; nothing if there is no
+  // bound for it.
+  using ColdRateHook =
+      std::function<std::optional<RequestRate>(const TargetId&)>;
+
+  TargetGuard(std::string self_address, std::uint64_t seed,
+              ColdRateHook cold_rate)
+      : self_address_(std::move(self_address)),
+        cold_rate_(std::move(cold_rate)),
+        limits_(seed) {}
 
   // What targets say.
 
@@ -74,9 +84,29 @@
   auto Merge(const TargetId& target, const TargetLimitRecord& record,
              bool passes_on, Time now) -> void;
   auto RemoveTarget(const TargetId& target) -> void;
+
+  // Cold targets.
+
+  // A row that was read states how long the process stays cold.
+  auto RecordRow(const TargetRow& row, bool passes_on, Time now) -> void;
+  // The process of the target may be cold for so long.
+  auto PresumeCold(const TargetRow& target, ColdCause cause, Duration time,
+                   Time now) -> void;
+  // With `passes_on`, news are sent on to others.
+  auto MergeCold(const TargetId& target, const ColdRecord& record,
+                 bool passes_on, Time now) -> void;
+  auto cold() -> ColdTargets& { return cold_; }
+  auto cold() const -> const ColdTargets& { return cold_; }
+
+  // The rate at which all routers together may send to the target now; nothing
+  // if there is no bound.
+  auto FindRate(const TargetId& target, Time now) const
+      -> std::optional<RequestRate>;
   auto limits() -> TargetLimits& { return limits_; }
   auto limits() const -> const TargetLimits& { return limits_; }
-  auto is_any_limited() const -> bool { return limits_.is_any_limited(); }
+  auto is_any_limited() const -> bool {
+    return limits_.is_any_limited() || cold_.is_any_cold();
+  }
 
   // Permits.
 
@@ -145,6 +175,12 @@
   auto ToRecord(const TargetId& target, Time now) const -> TargetLimitRecord;
   // The limit began, changed or ended.
   auto OnChange(const TargetId& target, bool passes_on, Time now) -> void;
+  // The rate of the target may have changed.
+  auto UpdateOwnership(const TargetId& target, Time now) -> void;
+  auto OnColdNews(const TargetId& target, bool passes_on, Time now) -> void;
+  auto ToColdRecord(const TargetId& target, Time now) const -> ColdRecord;
+  auto ColdToRefresh(bool passes_on, bool is_member, Time now)
+      -> std::vector<TargetId>;
   auto IsOwn(const TargetId& target) const -> bool {
     return Owner(target) == self_address_;
   }
@@ -158,7 +194,11 @@
   auto TakeTurn(std::vector<TargetId> due) -> std::vector<TargetId>;
 
   std::string self_address_;
+  ColdRateHook cold_rate_;
   TargetLimits limits_;
+  ColdTargets cold_;
+  // Sendings left of news of cold targets; an entry for each target of `cold_`.
+  std::unordered_map<TargetId, Spread> cold_spread_;
   PermitIssuer issuer_;
   PermitWallet wallet_;
   // Routers that hand out permits, this one included unless it is leaving.
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -111,6 +111,10 @@
             static_cast<double>(permits.unanswered));
   SetMetric(metrics, "permits_issued_total",
             static_cast<double>(guard.issuer().issued()));
+  SetMetric(metrics, "targets_cold",
+            static_cast<double>(guard.cold().Cold(now).size()));
+  SetMetric(metrics, "targets_presumed_cold_total",
+            static_cast<double>(guard.cold().presumed()));
   const auto limited = limits.Limited(now);
   SetMetric(metrics, "targets_limited", static_cast<double>(limited.size()));
   for (const auto& target : limited) {
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -75,6 +75,7 @@
   options.regions = settings.regions;
   options.cores = settings.cores;
   options.revocation_bound = settings.revocation_bound;
+  options.cold = settings.cold;
   options.stop_grace = settings.stop_grace;
   options.retries = RetryBound{settings.retry_ratio, settings.retry_slack,
                                settings.retry_window};
@@ -343,6 +344,15 @@
          {"store_version", static_cast<std::int64_t>(change.record.version)},
          {"source", change.is_from_peer ? "peer" : "store"}});
   }
+  for (const auto& change : core_.TakeColdChanges()) {
+    log_.Write(LogClass::kState,
+               change.is_cold ? "target_cold" : "target_not_cold",
+               {{"target", change.target.value()},
+                {"cause", ColdCauseName(change.cause)},
+                {"age_ms", ToMs(change.age)},
+                {"left_ms", ToMs(change.left)},
+                {"source", change.is_from_peer ? "peer" : "own"}});
+  }
   for (const auto& change : core_.TakeLimitChanges()) {
     log_.Write(
         LogClass::kState, change.now ? "target_limited" : "target_limit_ended",
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "admission/admission.h"
 #include "base/base.h"
 
 namespace papayaplank {
@@ -31,6 +32,8 @@
   std::string store_address;
   // Longest time for which a revoked API key may still work.
   Duration revocation_bound{};
+  // Bound on the requests to a cold target.
+  ColdBound cold;
   // Time from the stop signal until the process is killed.
   Duration stop_grace{};
   // Retry budget of the fleet: retries per request, and retries allowed on top
--- a/routing/routing_table.h
+++ b/routing/routing_table.h
@@ -66,6 +66,10 @@
   // Connections that one target accepts from all routers together; zero if not
   // stated.
   int max_connections = 0;
+  // How long a target is cold after it starts, and the requests a second that
+  // it tolerates meanwhile from all routers together; zero if it tolerates all.
+  Duration cold_time{};
+  double cold_requests_per_second = 0;
   // Set for model engines only.
   std::optional<EngineLimits> engine;
 };
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -23,8 +23,10 @@
   const auto found = targets_.find(row.id);
   if (found == targets_.end()) return true;
   const auto& known = found->second;
+  const auto is_cold_before = known.cold_left > Duration{};
+  const auto is_cold = row.cold_left > Duration{};
   return known.is_draining != row.is_draining || known.pool != row.pool ||
-         HasRestarted(known, row);
+         is_cold != is_cold_before || HasRestarted(known, row);
 }
 
 auto TargetDirectory::Upsert(TargetRow row, DirectoryChange& change) -> void {
@@ -180,6 +182,15 @@
   return found == serving_by_pool_.end() ? kNone : found->second;
 }
 
+auto TargetDirectory::IdsIn(const DataCenterId& data_center) const
+    -> std::vector<TargetId> {
+  std::vector<TargetId> ids;
+  for (const auto& [id, target] : targets_) {
+    if (target.data_center == data_center) ids.push_back(id);
+  }
+  return ids;
+}
+
 auto TargetDirectory::Find(const TargetId& id) const -> const TargetRow* {
   const auto found = targets_.find(id);
   return found == targets_.end() ? nullptr : &found->second;
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -23,6 +23,8 @@
   bool is_draining = false;
   // Start of the target's process, Unix milliseconds; 0 if not stated.
   std::int64_t started_unix_ms = 0;
+  // How much longer it is cold, as of the read of the row.
+  Duration cold_left{};
   // Number of reports that the target has written to the store since its start;
   // a lower one shows that it restarted.
   std::int64_t reports = 0;
@@ -79,6 +81,8 @@
   // Targets of a pool that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
+  // The targets of the data centre, also those that take no requests.
+  auto IdsIn(const DataCenterId& data_center) const -> std::vector<TargetId>;
   // Whether the update takes the target out of service, and it is out of
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -42,6 +42,13 @@
   // Share of messages between routers that get lost.
   double message_loss = 0;
   Duration message_latency = milliseconds(2);
+  // Requests a second that a cold target tolerates, and for how long a target
+  // is cold after its start; no bound if zero. Routers then read the list of
+  // targets, one of them each 200 ms.
+  double cold_per_second = 0;
+  Duration cold_time = seconds(3);
+  // Age at which a change of a target's row can be read.
+  Duration row_lag = milliseconds(800);
   // The last routers of the fleet know nothing of limits.
   int old_routers = 0;
   std::uint64_t seed = 1;
@@ -69,6 +76,19 @@
     targets_.at(static_cast<std::size_t>(target)).pause = pause;
     targets_.at(static_cast<std::size_t>(target)).pause_share = share;
   }
+  // The target's process ends: it accepts no connections until `Restart`.
+  auto Crash(int target) -> void {
+    targets_.at(static_cast<std::size_t>(target)).is_down = true;
+  }
+  // A new process of the target starts, which is cold.
+  auto Restart(int target) -> void;
+  // The operator evacuates the data centre, or takes it back; its targets are
+  // cold then.
+  auto SetEvacuated(int data_center, bool is_evacuated) -> void;
+  // The most requests that a target got in a second while it was cold.
+  auto WorstColdSecond() const -> int;
+  // The mean rate at which cold targets got requests.
+  auto ColdUse() const -> double;
   auto SetRequestRate(double per_second) -> void {
     options_.requests_per_second = per_second;
   }
@@ -173,6 +193,9 @@
     bool is_leaving = false;
     std::optional<Duration> pause;
     double pause_share = 0;
+    bool is_down = false;
+    // When it became cold, each time.
+    std::vector<Time> cold_since;
   };
   struct Pause {
     int router = 0;
@@ -196,6 +219,10 @@
   auto AtRouter(int router, int incarnation, Duration delay,
                 std::function<void()> action) -> void;
   auto Rows() const -> std::vector<TargetRow>;
+  // A random router reads the list of targets; the next one follows.
+  auto ReadRows() -> void;
+  // The target is cold from now on; its row says so after the lag.
+  auto BecomeCold(int target) -> void;
   auto SendMessages() -> void;
   auto Send(int from, std::vector<OutgoingMessage> messages) -> void;
   auto Deliver(int from, int to, const PeerMessage& message) -> void;
@@ -223,6 +250,7 @@
   std::map<int, Router> routers_;
   std::map<std::string, int> router_of_address_;
   std::vector<Target> targets_;
+  std::vector<EvacuationRecord> evacuated_;
   std::map<TargetId, int> target_index_;
   int starts_ = 0;
   std::uint64_t store_version_ = 0;
