--- a/tests/process/edge_process.py
+++ b/tests/process/edge_process.py
@@ -43,8 +43,9 @@
     # Path of papayaplank_edge; tests set it from the build directory.
     program = None
 
-    def __init__(self, store, name, reads_log=True):
+    def __init__(self, store, name, reads_log=True, flags=()):
         self.name = name
+        self.flags = list(flags)  # Beyond those that every test gives.
         # Ports on 127.0.0.1.
         self.caller, self.ready, self.directory, self.metrics, self.peer = (
             claim_port() for _ in range(5))
@@ -64,7 +65,7 @@
              f"--metrics_listen=127.0.0.1:{self.metrics}",
              f"--peer_listen=127.0.0.1:{self.peer}",
              f"--store_address={store.address}", "--retry_slack=1000",
-             "--stop_grace_seconds=8"],
+             "--stop_grace_seconds=8", *self.flags],
             stdout=subprocess.PIPE, text=True)
         self.lines = []  # Parsed lines of the log.
         if reads_log:
