--- a/admission/admission.h
+++ b/admission/admission.h
@@ -11,6 +11,7 @@
 #include "admission/engine_load.h"
 #include "admission/fair_share.h"
 #include "admission/fleet_retry_budget.h"
+#include "admission/memory_budget.h"
 #include "admission/part_quarantine.h"
 #include "admission/permit_issuer.h"
 #include "admission/permit_wallet.h"
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -48,8 +48,10 @@
 DEFINE_double(cold_slack, 0,
               "Requests that may reach a cold target in a second beyond "
               "cold_overshoot.");
-DEFINE_double(memory_limit_mb, 256,
-              "Accepted in settings files; has no effect.");
+DEFINE_double(
+    memory_limit_mb, 256,
+    "Memory of the instance, in MB. Callers may make the router hold a "
+    "part of it.");
 DEFINE_double(cores, 1,
               "Processor time that the instance grants, in cores. Larger "
               "instances get more callers and collect the reports of their "
@@ -139,6 +141,7 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
+  CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 32, 1 << 20, errors);
   CheckRange("cold_overshoot", FLAGS_cold_overshoot, 0, 1000, errors);
   CheckRange("cold_slack", FLAGS_cold_slack, 0, 100000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
@@ -168,6 +171,8 @@
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
   settings.retry_window = SecondsToDuration(FLAGS_retry_window_seconds);
+  settings.memory_limit =
+      static_cast<std::size_t>(FLAGS_memory_limit_mb * (1 << 20));
   settings.cold = ColdBound{FLAGS_cold_overshoot, FLAGS_cold_slack};
   settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -28,6 +28,8 @@
       return "targets_paused";
     case RefusalReason::kQuarantinedPart:
       return "quarantined_part";
+    case RefusalReason::kRouterMemory:
+      return "router_memory";
     case RefusalReason::kRouterBusy:
       return "router_busy";
     case RefusalReason::kLeaving:
@@ -63,6 +65,7 @@
     case RefusalReason::kTargetLimits:
     case RefusalReason::kTargetsPaused:
     case RefusalReason::kQuarantinedPart:
+    case RefusalReason::kRouterMemory:
     case RefusalReason::kRouterBusy:
     case RefusalReason::kLeaving:
     case RefusalReason::kDeadline:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -59,6 +59,7 @@
   kTargetLimits,     // The limits of all targets are used up.
   kTargetsPaused,    // All targets asked this router for a pause.
   kQuarantinedPart,  // A part of the prompt has crashed targets.
+  kRouterMemory,     // The memory of the router is full of requests.
   kRouterBusy,       // The processor of the router is saturated.
   kLeaving,          // The router stops before the request could end.
   kDeadline,         // The deadline passed before it was sent.
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
 
+#include "platform/platform.h"
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -13,6 +14,10 @@
 
 // Bytes of pipelined requests that are buffered while an answer is written.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+// Reads of what a caller still sends when its connection is closed.
+constexpr int kMaxReadsAtClose = 64;
+// Short heads and bodies aren't counted one by one.
+constexpr std::size_t kUncountedBytes = 4096;
 
 auto ExpectsContinue(const HttpFields& fields) -> bool {
   for (const auto& [name, value] : fields) {
@@ -24,11 +29,62 @@
 }  // namespace
 
 HttpConnection::HttpConnection(tcp::socket socket, const tcp::endpoint& caller,
-                               CallerLimits limits, RequestHook on_request)
+                               CallerLimits limits, RequestHook on_request,
+                               MemoryBudget& budget)
     : socket_(std::move(socket)),
       caller_(caller),
       limits_(limits),
-      on_request_(std::move(on_request)) {}
+      on_request_(std::move(on_request)),
+      budget_(budget) {}
+
+HttpConnection::~HttpConnection() {
+  budget_.Remove(holder());
+  Count(HeldKind::kUnsentAnswer, counted_unsent_, 0);
+  Count(HeldKind::kPipelined, counted_pipelined_, 0);
+}
+
+auto HttpConnection::Count(HeldKind kind, std::size_t& counted,
+                           std::size_t bytes) -> void {
+  if (bytes == counted) return;
+  budget_.Subtract(kind, counted);
+  budget_.Add(kind, bytes);
+  counted = bytes;
+}
+
+auto HttpConnection::MaxPipelinedBytes() const -> std::size_t {
+  return budget_.Fits(kMaxPipelinedBytes) ? kMaxPipelinedBytes
+                                          : kUncountedBytes;
+}
+
+auto HttpConnection::UpdateHeld(Time now) -> void {
+  // An empty request that a connection may yet send costs no more than the
+  // connection itself.
+  const auto held = body_.capacity() + in_.capacity();
+  Count(HeldKind::kPipelined, counted_pipelined_,
+        is_answering_ ? in_.capacity() : 0);
+  if (is_answering_ || is_closing_ || held <= kUncountedBytes) {
+    return budget_.Remove(holder());
+  }
+  const auto has_head = reader_ && reader_->is_header_done();
+  const auto owner =
+      has_head ? FindApiKey(reader_->fields()) : std::string_view();
+  budget_.Update(holder(), owner, held, now);
+  const auto on_held = on_held_;
+  if (on_held) on_held();
+}
+
+auto HttpConnection::GiveUp() -> void {
+  if (is_answering_ || is_closing_ || !is_open()) return;
+  budget_.Remove(holder());
+  body_ = std::string();
+  in_ = std::string();
+  const auto has_head = reader_ && reader_->is_header_done();
+  if (!has_head) return Close();
+  constexpr int kUnavailable = 503;
+  is_answering_ = true;
+  is_last_answer_ = true;
+  Answer(kUnavailable, "Retry-After: 1\r\n", "");
+}
 
 auto HttpConnection::Start(Hook on_closed) -> void {
   on_closed_ = std::move(on_closed);
@@ -55,6 +111,7 @@
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   }
   socket_.close(ignored);
+  budget_.Remove(holder());
   is_answering_ = false;
   on_all_sent_ = nullptr;
   const auto on_left = std::exchange(on_caller_left_, nullptr);
@@ -65,7 +122,7 @@
 
 auto HttpConnection::WaitReadable() -> void {
   if (is_reading_ || !socket_.is_open()) return;
-  if (is_answering_ && in_.size() >= kMaxPipelinedBytes) return;
+  if (is_answering_ && in_.size() >= MaxPipelinedBytes()) return;
   is_reading_ = true;
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code error) {
@@ -82,8 +139,10 @@
   if (error == asio::error::would_block) return WaitReadable();
   if (error) return Close();
   last_activity_ = MonotonicClock::now();
-  in_.append(buffer.data(), count);
+  // What follows the last answer is read only so that closing resets nothing.
+  if (!is_closing_) in_.append(buffer.data(), count);
   HandleInput();
+  UpdateHeld(last_activity_);
   WaitReadable();
 }
 
@@ -153,6 +212,8 @@
   is_head_request_ = request.method == "HEAD";
   reader_.reset();
   is_answering_ = true;
+  has_served_ = true;
+  budget_.Remove(holder());
   on_request_(shared_from_this(), std::move(request));
 }
 
@@ -231,9 +292,10 @@
   error_code ignored;  // The caller may have closed first.
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   // Closing with unread bytes would send a reset, and the answer could be lost.
+  // Bounded, as a caller may send without end.
   auto& buffer = SharedReadBuffer();
-  while (socket_.is_open() &&
-         socket_.read_some(asio::buffer(buffer), ignored) > 0) {
+  for (int i = 0; i < kMaxReadsAtClose && socket_.is_open(); ++i) {
+    if (socket_.read_some(asio::buffer(buffer), ignored) == 0) break;
   }
   Close();
 }
@@ -248,6 +310,7 @@
   }
   if (sent == bytes.size()) return;
   out_.append(bytes.substr(sent));
+  Count(HeldKind::kUnsentAnswer, counted_unsent_, out_.size());
   WaitWritable();
 }
 
@@ -268,6 +331,7 @@
       socket_.write_some(asio::buffer(out_.data(), out_.size()), error);
   if (error && error != asio::error::would_block) return Close();
   out_.erase(0, sent);
+  Count(HeldKind::kUnsentAnswer, counted_unsent_, out_.size());
   if (!out_.empty()) return WaitWritable();
   out_.shrink_to_fit();
   if (is_closing_) return CloseGracefully();
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "admission/admission.h"
 #include "relay/asio.h"
 #include "relay/message_reader.h"
 #include "routing/routing.h"
@@ -31,8 +32,13 @@
       std::function<void(std::shared_ptr<HttpConnection>, HttpServerRequest)>;
   using Hook = std::function<void()>;
 
+  // `budget` counts what the connection holds, and outlives it.
   HttpConnection(tcp::socket socket, const tcp::endpoint& caller,
-                 CallerLimits limits, RequestHook on_request);
+                 CallerLimits limits, RequestHook on_request,
+                 MemoryBudget& budget);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  auto operator=(const HttpConnection&) -> HttpConnection& = delete;
 
   // `on_closed` is called once, when the connection has ended.
   auto Start(Hook on_closed) -> void;
@@ -61,6 +67,12 @@
   // Closes the connection, so that the caller sees an incomplete answer.
   auto AbortAnswer() -> void { Close(); }
 
+  // Called after bytes of an unfinished request have arrived.
+  auto SetHeldHook(Hook hook) -> void { on_held_ = std::move(hook); }
+  // Ends the unfinished request: with 503 if its head has arrived, as it has
+  // not run, and then closes the connection.
+  auto GiveUp() -> void;
+
   // Closes the connection after its current or next answer.
   auto CloseAfterAnswer() -> void { is_last_answer_ = true; }
 
@@ -75,10 +87,24 @@
     return caller_.address().to_string();
   }
   auto is_answering() const -> bool { return is_answering_; }
+  // Whether it has carried a complete request.
+  auto has_served() const -> bool { return has_served_; }
+  // When bytes arrived last, or an answer ended.
+  auto last_activity() const -> Time { return last_activity_; }
+  // Names what it holds in the memory budget.
+  auto holder() const -> HolderId {
+    return HolderId(reinterpret_cast<std::uintptr_t>(this));
+  }
   // Bytes of answers that the socket has not taken yet.
   auto unsent_bytes() const -> std::size_t { return out_.size(); }
 
  private:
+  // Counts what the connection holds of an unfinished request.
+  auto UpdateHeld(Time now) -> void;
+  // Counts bytes of the kind; `counted` is the part that was counted before.
+  auto Count(HeldKind kind, std::size_t& counted, std::size_t bytes) -> void;
+  // Bytes that may be buffered while an answer is written.
+  auto MaxPipelinedBytes() const -> std::size_t;
   auto WaitReadable() -> void;
   auto OnReadable() -> void;
   auto HandleInput() -> void;
@@ -95,6 +121,8 @@
   tcp::endpoint caller_;
   CallerLimits limits_;
   RequestHook on_request_;
+  MemoryBudget& budget_;
+  Hook on_held_;
   Hook on_closed_;
   Hook on_caller_left_;
   Hook on_all_sent_;
@@ -105,11 +133,16 @@
   std::string body_;
   // Bytes of answers that the socket has not taken yet.
   std::string out_;
+  // The part of `out_` that the budget counts.
+  std::size_t counted_unsent_ = 0;
+  // The part of `in_` that the budget counts while an answer is written.
+  std::size_t counted_pipelined_ = 0;
   Time last_activity_{};
   // Arrival of the first byte of the request that is being read.
   Time request_began_at_{};
   // A request is complete and its answer is not.
   bool is_answering_ = false;
+  bool has_served_ = false;
   // How the answer that has begun is framed; at most one is true.
   bool is_chunked_ = false;
   bool is_unframed_ = false;
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -1,16 +1,28 @@
 // Listening, accepting and time limits of connections.
 #include "relay/http_server.h"
 
+#include <algorithm>
+#include <tuple>
+
 #include "relay/socket_options.h"
 
 namespace papayaplank {
+namespace {
+
+// A connection that has been silent for less is not closed to make room for a
+// new one: its next bytes may be on their way.
+constexpr Duration kLeastSilence = milliseconds(250);
+
+}  // namespace
 
 HttpServer::HttpServer(asio::io_context& io, LimitsHook limits,
-                       HttpConnection::RequestHook on_request)
+                       HttpConnection::RequestHook on_request,
+                       MemoryBudget& budget)
     : io_(io),
       acceptor_(io),
       limits_(std::move(limits)),
-      on_request_(std::move(on_request)) {}
+      on_request_(std::move(on_request)),
+      budget_(budget) {}
 
 auto HttpServer::Listen(const std::string& address) -> Outcome<Done> {
   const auto endpoint = ParseTcpEndpoint(address);
@@ -66,12 +78,14 @@
     error_code error;
     acceptor_.accept(socket, caller, error);
     if (error) return;
-    if (connections_.size() >= max_connections_) {
+    if (connections_.size() >= max_connections_ &&
+        !Displace(MonotonicClock::now())) {
       ++refused_;
       continue;
     }
     const auto connection = std::make_shared<HttpConnection>(
-        std::move(socket), caller, limits_(), on_request_);
+        std::move(socket), caller, limits_(), on_request_, budget_);
+    connection->SetHeldHook([this] { RelieveMemory(); });
     if (is_stopping_ || is_nearly_full()) connection->CloseAfterAnswer();
     connections_[connection.get()] = connection;
     connection->Start(
@@ -79,6 +93,39 @@
   }
 }
 
+auto HttpServer::RelieveMemory() -> void {
+  while (const auto victim = budget_.ChooseVictim(MonotonicClock::now())) {
+    budget_.Remove(*victim);
+    const auto found = std::find_if(connections_.begin(), connections_.end(),
+                                    [&victim](const auto& entry) {
+                                      return entry.second->holder() == *victim;
+                                    });
+    if (found == connections_.end()) continue;
+    const auto connection = found->second;
+    connection->GiveUp();
+  }
+}
+
+auto HttpServer::Displace(Time now) -> bool {
+  std::shared_ptr<HttpConnection> chosen;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->is_answering() ||
+        now - connection->last_activity() < kLeastSilence) {
+      continue;
+    }
+    const auto is_better =
+        chosen == nullptr ||
+        std::make_tuple(connection->has_served(), connection->last_activity()) <
+            std::make_tuple(chosen->has_served(), chosen->last_activity());
+    if (is_better) chosen = connection;
+  }
+  if (chosen == nullptr) return false;
+  ++displaced_;
+  chosen->GiveUp();
+  chosen->Close();
+  return true;
+}
+
 // A copy for loops that close connections, which removes them from the map.
 auto HttpServer::OpenConnections() const
     -> std::vector<std::shared_ptr<HttpConnection>> {
--- a/relay/http_server.h
+++ b/relay/http_server.h
@@ -19,8 +19,9 @@
  public:
   using LimitsHook = std::function<CallerLimits()>;
 
+  // `budget` counts what the connections hold, and outlives the server.
   HttpServer(asio::io_context& io, LimitsHook limits,
-             HttpConnection::RequestHook on_request);
+             HttpConnection::RequestHook on_request, MemoryBudget& budget);
 
   // Binds and listens; an error names the address.
   auto Listen(const std::string& address) -> Outcome<Done>;
@@ -36,6 +37,8 @@
   auto connections() const -> std::size_t { return connections_.size(); }
   // Connections that were closed at once because `max_connections_` were open.
   auto refused() const -> std::uint64_t { return refused_; }
+  // Connections that were closed to make room for new ones.
+  auto displaced() const -> std::uint64_t { return displaced_; }
   auto set_max_connections(std::size_t count) -> void {
     max_connections_ = count;
   }
@@ -49,17 +52,24 @@
   auto OpenConnections() const -> std::vector<std::shared_ptr<HttpConnection>>;
   auto WaitForConnection() -> void;
   auto AcceptAll() -> void;
+  // Gives up unfinished requests until the memory budget is kept.
+  auto RelieveMemory() -> void;
+  // Closes the connection that is least likely to be of use, if there is one
+  // that has been silent for a while. Whether it did.
+  auto Displace(Time now) -> bool;
 
   asio::io_context& io_;
   std::string address_;
   tcp::acceptor acceptor_;
   LimitsHook limits_;
   HttpConnection::RequestHook on_request_;
+  MemoryBudget& budget_;
   // Exactly the open connections; each removes itself when it closes.
   std::unordered_map<const HttpConnection*, std::shared_ptr<HttpConnection>>
       connections_;
   std::size_t max_connections_ = 3000;
   std::uint64_t refused_ = 0;
+  std::uint64_t displaced_ = 0;
   bool is_stopping_ = false;
 };
 
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -76,6 +76,16 @@
             static_cast<double>(quarantine.suspect_count()));
   SetMetric(metrics, "data_centers_evacuated",
             static_cast<double>(core.evacuations().Evacuated().size()));
+  const auto& budget = sources.context.budget;
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const auto kind = static_cast<HeldKind>(i);
+    SetMetric(metrics, "held_" + std::string(HeldKindName(kind)) + "_bytes",
+              static_cast<double>(budget.held(kind)));
+  }
+  SetMetric(metrics, "memory_budget_bytes",
+            static_cast<double>(budget.limit()));
+  SetMetric(metrics, "requests_given_up_total",
+            static_cast<double>(budget.given_up()));
   SetMetric(metrics, "is_ready", core.is_ready(now) ? 1 : 0);
   SetMetric(metrics, "is_watcher", core.is_watcher(now) ? 1 : 0);
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -26,6 +26,8 @@
   // Whether the event loop stood still, so that what it handles now may have
   // arrived long ago.
   std::function<bool(Time since)> has_stood_still;
+  // What the router holds for others.
+  MemoryBudget& budget;
   // Number of requests whose answer has not ended.
   std::size_t open_requests = 0;
   // Bytes of answers that all requests hold back until they can be relayed.
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -43,6 +43,10 @@
 // Descriptors reserved for uses other than callers' connections. The rest of
 // the limit is the usable ones, of which callers get their share.
 constexpr int kReservedDescriptors = 260;
+// Share of the instance's memory for what callers make the router hold. The
+// rest is for the process itself, its connections, the configuration, and what
+// the allocator loses.
+constexpr double kBudgetShare = 0.35;
 
 auto UnixMilliseconds() -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -90,6 +94,8 @@
                const std::function<std::string()>& on_reload)
       : settings_(settings),
         on_reload_(on_reload),
+        budget_(static_cast<std::size_t>(
+            static_cast<double>(settings.memory_limit) * kBudgetShare)),
         log_(STDOUT_FILENO, settings.name),
         core_(CoreOptions(settings)),
         target_connections_(io_),
@@ -103,12 +109,14 @@
                  [this](Time since) {
                    return loop_watch_.MayBeLate(since, MonotonicClock::now(),
                                                 BootTime());
-                 }},
+                 },
+                 budget_},
         caller_server_(
             io_, [this] { return Limits(); },
             [this](auto caller, auto request) {
               HandleRequest(std::move(caller), std::move(request));
-            }),
+            },
+            budget_),
         readiness_server_(MakeInfoServer(AnswerDiscoveryRequest)),
         discovery_server_(MakeInfoServer(AnswerDiscoveryRequest)),
         metrics_server_(MakeInfoServer(AnswerMetricsRequest)),
@@ -147,7 +155,8 @@
         io_, [] { return CallerLimits{}; },
         [this, answer](const auto& caller, const auto& request) {
           answer(info_sources_, caller, request);
-        });
+        },
+        budget_);
   }
   auto StoreCalls() const -> std::uint64_t {
     return configuration_reader_.calls() + registry_reader_.calls() +
@@ -165,6 +174,7 @@
   auto TickSweep() -> void;
   auto UpdateAccepting(Time now) -> void;
   auto LogCrashes() -> void;
+  auto LogBudget(Time now) -> void;
   auto ApplyStatements() -> void;
   auto LogLimitShares(Time now) -> void;
   auto WaitForSignal() -> void;
@@ -173,6 +183,8 @@
 
   RelaySettings settings_;
   std::function<std::string()> on_reload_;
+  // Before `io_`, whose handlers own connections that count in it.
+  MemoryBudget budget_;
   asio::io_context io_;
   EventLog log_;
   GatewayCore core_;
@@ -284,6 +296,7 @@
     registry_reader_.ReadWithin(*delay);
   }
   LogCrashes();
+  LogBudget(now);
   ApplyStatements();
   quarantine_store_.Tick(now);
   report_timer_.expires_after(kReportPeriod);
@@ -320,6 +333,18 @@
   }
 }
 
+auto RelayProcess::LogBudget(Time now) -> void {
+  budget_.Tick(now);
+  for (const auto& change : budget_.TakeChanges()) {
+    log_.Write(
+        LogClass::kState,
+        change.is_binding ? "memory_budget_reached" : "memory_budget_free",
+        {{"held_bytes", static_cast<std::int64_t>(change.held)},
+         {"limit_bytes", static_cast<std::int64_t>(change.limit)},
+         {"given_up", static_cast<std::int64_t>(budget_.given_up())}});
+  }
+}
+
 auto RelayProcess::ApplyStatements() -> void {
   for (const auto& change : core_.TakePauseChanges()) {
     const auto is_over = change.pause <= Duration{};
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -43,6 +43,8 @@
   Duration retry_window{};
   // Processor time that the instance grants, in cores.
   double cores = 1;
+  // Memory of the instance, in bytes.
+  std::size_t memory_limit = 256 << 20;
   // File descriptors that the process may use.
   int max_descriptors = 1024;
 };
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kDeadlineMargin = milliseconds(20);
 // Retry-After of a request that no target has executed.
 constexpr Duration kRetryAfterNotExecuted = milliseconds(100);
+// Retry-After of a request whose body finds no memory.
+constexpr Duration kMemoryRetryAfter = seconds(1);
 
 auto ToMs(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -31,16 +33,28 @@
       arrived_at_(MonotonicClock::now()) {
   if (!request.body.empty()) {
     body_ = std::make_shared<const std::string>(std::move(request.body));
+    counted_body_ = body_->capacity();
+    context_.budget.Add(HeldKind::kBody, counted_body_);
   }
   ++context_.open_requests;
 }
 
 RelayedRequest::~RelayedRequest() {
   DropHeldAnswer();
+  DropBody();
   --context_.open_requests;
 }
 
+auto RelayedRequest::DropBody() -> void {
+  body_.reset();
+  context_.budget.Subtract(HeldKind::kBody, std::exchange(counted_body_, 0));
+}
+
 auto RelayedRequest::Start() -> void {
+  // What was passed on stays, so that there may be no room for this one.
+  if (counted_body_ > 0 && !context_.budget.Fits(0)) {
+    return Refuse(Refusal{RefusalReason::kRouterMemory, kMemoryRetryAfter});
+  }
   RequestFacts facts;
   facts.host = request_.host;
   const std::string_view request_target = request_.request_target;
@@ -250,6 +264,7 @@
   StopWaitingForPermit();
   CloseTargetConnection();
   DropHeldAnswer();
+  DropBody();
   caller_->SetCallerLeftHook(nullptr);
   caller_->SetAllSentHook(nullptr);
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -57,6 +57,8 @@
   // Counts the bytes that this request holds back. Whether it may hold them:
   // its own are limited, and so are those of all requests.
   auto MayHold(std::size_t bytes) -> bool;
+  // Drops the body of the request, which can't be sent again then.
+  auto DropBody() -> void;
   // Drops what the request holds back of an answer.
   auto DropHeldAnswer() -> void;
   // Ends the attempt because of what the target sent.
@@ -66,6 +68,8 @@
   auto ForwardedHeaders() const -> std::string;
   // Writes to the caller; pauses the target while the caller is slow.
   auto AppendToAnswer(std::string_view bytes) -> void;
+  // Unread bytes of its answer at which reading from the target pauses.
+  auto MaxUnsentBytes() const -> std::size_t;
   auto EndAttempt(AttemptOutcome outcome) -> void;
   auto CloseTargetConnection() -> void;
   auto Complete() -> void;
@@ -88,6 +92,8 @@
   std::shared_ptr<HttpConnection> caller_;
   CallerRequest request_;
   std::shared_ptr<const std::string> body_;
+  // Bytes of the body that the memory budget counts.
+  std::size_t counted_body_ = 0;
   GatewayRequest accepted_request_;
   Placement placement_;
   std::shared_ptr<TargetConnection> target_connection_;
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kSmallAnswerBytes = 8192;
 // Bytes not yet taken by a slow caller at which reading from the target pauses.
 constexpr std::size_t kMaxUnsentBytes = 65536;
+// The same for all requests together, as a share of the memory budget, and what
+// each may have in any case.
+constexpr double kUnsentShare = 0.25;
+constexpr std::size_t kLeastUnsentBytes = 4096;
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -111,7 +115,7 @@
 
 auto RelayedRequest::AppendToAnswer(std::string_view bytes) -> void {
   caller_->Append(bytes);
-  if (caller_->unsent_bytes() < kMaxUnsentBytes ||
+  if (caller_->unsent_bytes() < MaxUnsentBytes() ||
       target_connection_ == nullptr) {
     return;
   }
@@ -123,6 +127,15 @@
   });
 }
 
+auto RelayedRequest::MaxUnsentBytes() const -> std::size_t {
+  const auto requests = std::max<std::size_t>(1, context_.open_requests);
+  const auto share =
+      static_cast<std::size_t>(static_cast<double>(context_.budget.limit()) *
+                               kUnsentShare) /
+      requests;
+  return std::clamp(share, kLeastUnsentBytes, kMaxUnsentBytes);
+}
+
 auto RelayedRequest::BufferOrRelay(std::string_view bytes) -> void {
   if (answer_state_ == AnswerState::kStarted && !is_stream_) {
     return AppendToAnswer(bytes);
@@ -146,8 +159,9 @@
   context_.held_answer_bytes += bytes - held_bytes_;
   held_bytes_ = bytes;
   if (bytes <= kSmallAnswerBytes) return true;
-  return bytes <= kMaxBufferedAnswerBytes &&
-         context_.held_answer_bytes <= kMaxHeldAnswerBytes;
+  // Beside the budget, as requests and answers must not crowd each other out.
+  const auto most = std::min(kMaxHeldAnswerBytes, context_.budget.limit() / 4);
+  return bytes <= kMaxBufferedAnswerBytes && context_.held_answer_bytes <= most;
 }
 
 auto RelayedRequest::DropHeldAnswer() -> void {
@@ -163,7 +177,7 @@
   caller_->BeginAnswer(answer_.status, ForwardedHeaders());
   if (accepted_request_.route->is_resumable) return;
   // The answer has started, so the request can't be sent to another target.
-  body_.reset();
+  DropBody();
 }
 
 auto RelayedRequest::ClassifyAnswer(TransferEnd end) const -> AttemptOutcome {
--- a/tests/relay/test_http_server.cpp
+++ b/tests/relay/test_http_server.cpp
@@ -26,12 +26,14 @@
     return !error;
   }
 
+  MemoryBudget budget_{1 << 20};
   asio::io_context io_;
   std::uint16_t port_ = 0;
   std::vector<tcp::socket> sockets_;
   HttpServer server_{
       io_, [] { return CallerLimits{}; },
-      [](const auto& caller, const auto&) { caller->Answer(200, "", ""); }};
+      [](const auto& caller, const auto&) { caller->Answer(200, "", ""); },
+      budget_};
 };
 
 TEST_F(HttpServerTest, PausedListenerRefusesNewAndKeepsOpenConnections) {
