--- a/tests/gateway/test_peer_messages.cpp
+++ b/tests/gateway/test_peer_messages.cpp
@@ -70,10 +70,12 @@
   record.age = milliseconds(1200);
   auto ended = record;
   ended.limit.reset();
-  const auto report = DecodePeerMessage(
-      EncodePeerMessage(StatementReport{{record, ended},
-                                        {{7, ProcessStart(8)}},
-                                        {{9, ProcessStart(3), seconds(4)}}}));
+  const auto report = DecodePeerMessage(EncodePeerMessage(StatementReport{
+      {record, ended},
+      {{7, ProcessStart(8)}},
+      {{9, ProcessStart(3), seconds(4)}},
+      {{11, ProcessStart(5), ColdCause::kReturned, seconds(1), seconds(2)}},
+      {{DataCenterId("west"), 12, true}}}));
   ASSERT_TRUE(report && std::holds_alternative<StatementReport>(*report));
   const auto& records = std::get<StatementReport>(*report).limits;
   ASSERT_EQ(records.size(), 2U);
@@ -92,6 +94,18 @@
   EXPECT_EQ(pauses[0].target, 9U);
   EXPECT_EQ(pauses[0].process, ProcessStart(3));
   EXPECT_EQ(pauses[0].left, seconds(4));
+  const auto& cold = std::get<StatementReport>(*report).cold;
+  ASSERT_EQ(cold.size(), 1U);
+  EXPECT_EQ(cold[0].target, 11U);
+  EXPECT_EQ(cold[0].process, ProcessStart(5));
+  EXPECT_EQ(cold[0].cause, ColdCause::kReturned);
+  EXPECT_EQ(cold[0].age, seconds(1));
+  EXPECT_EQ(cold[0].left, seconds(2));
+  const auto& evacuations = std::get<StatementReport>(*report).evacuations;
+  ASSERT_EQ(evacuations.size(), 1U);
+  EXPECT_EQ(evacuations[0].data_center, DataCenterId("west"));
+  EXPECT_EQ(evacuations[0].version, 12U);
+  EXPECT_TRUE(evacuations[0].is_evacuated);
   const auto request = DecodePeerMessage(EncodePeerMessage(PermitRequest{
       "10.0.0.1:7400", PermitNonce(9), PermitClass::kOverShare, record}));
   ASSERT_TRUE(request && std::holds_alternative<PermitRequest>(*request));
