--- a/admission/admission.h
+++ b/admission/admission.h
@@ -7,9 +7,11 @@
 
 #include "admission/answer_times.h"
 #include "admission/cached_prefixes.h"
+#include "admission/cold_targets.h"
 #include "admission/engine_load.h"
 #include "admission/fair_share.h"
 #include "admission/fleet_retry_budget.h"
+#include "admission/memory_budget.h"
 #include "admission/part_quarantine.h"
 #include "admission/permit_issuer.h"
 #include "admission/permit_wallet.h"
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -4,6 +4,8 @@
 #include <gflags/gflags.h>
 
 #include <fstream>
+#include <map>
+#include <optional>
 #include <sstream>
 
 #include "platform/platform.h"
@@ -16,6 +18,9 @@
 DEFINE_string(name, "", "Name of this instance; unique in the fleet.");
 DEFINE_string(data_center, "", "Data centre of this instance.");
 DEFINE_string(region, "", "Region of the data centre.");
+DEFINE_string(data_center_regions, "",
+              "Region of each data centre: name=region, separated by commas. "
+              "Needed where routes or customers have home regions.");
 DEFINE_string(caller_listen, "", "IP:port for callers.");
 DEFINE_string(ready_listen, "", "IP:port for readiness checks.");
 DEFINE_string(directory_listen, "",
@@ -35,8 +40,18 @@
               "Retries that the fleet may make beyond retry_ratio.");
 DEFINE_double(retry_window_seconds, 10,
               "Time window of retry_ratio and retry_slack.");
-DEFINE_double(memory_limit_mb, 256,
-              "Accepted in settings files; has no effect.");
+DEFINE_double(
+    cold_overshoot, 0,
+    "Requests that may reach a cold target in a second, as a multiple "
+    "of the rate that its service tolerates; 0 means that there is "
+    "no bound.");
+DEFINE_double(cold_slack, 0,
+              "Requests that may reach a cold target in a second beyond "
+              "cold_overshoot.");
+DEFINE_double(
+    memory_limit_mb, 256,
+    "Memory of the instance, in MB. Callers may make the router hold a "
+    "part of it.");
 DEFINE_double(cores, 1,
               "Processor time that the instance grants, in cores. Larger "
               "instances get more callers and collect the reports of their "
@@ -87,11 +102,32 @@
   errors.push_back(text.str());
 }
 
+// Nothing if the text is not of the form name=region,name=region.
+auto ParseRegions(const std::string& text)
+    -> std::optional<std::map<DataCenterId, RegionId>> {
+  std::map<DataCenterId, RegionId> regions;
+  std::istringstream in(text);
+  for (std::string entry; std::getline(in, entry, ',');) {
+    const auto equals = entry.find('=');
+    if (equals == std::string::npos || equals == 0 ||
+        equals + 1 == entry.size()) {
+      return std::nullopt;
+    }
+    regions[DataCenterId(entry.substr(0, equals))] =
+        RegionId(entry.substr(equals + 1));
+  }
+  return regions;
+}
+
 auto ValidateFlags(std::vector<std::string>& errors) -> void {
   if (FLAGS_name.empty()) errors.emplace_back("--name is missing");
   if (FLAGS_data_center.empty()) {
     errors.emplace_back("--data_center is missing");
   }
+  if (!ParseRegions(FLAGS_data_center_regions)) {
+    errors.push_back("--data_center_regions is '" + FLAGS_data_center_regions +
+                     "'; give name=region, separated by commas");
+  }
   CheckAddress("caller_listen", FLAGS_caller_listen, true, errors);
   CheckAddress("ready_listen", FLAGS_ready_listen, false, errors);
   CheckAddress("directory_listen", FLAGS_directory_listen, false, errors);
@@ -105,6 +141,9 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
+  CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 32, 1 << 20, errors);
+  CheckRange("cold_overshoot", FLAGS_cold_overshoot, 0, 1000, errors);
+  CheckRange("cold_slack", FLAGS_cold_slack, 0, 100000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
   CheckRange("max_descriptors", FLAGS_max_descriptors, 64, 1000000, errors);
 }
@@ -118,6 +157,8 @@
   RelaySettings settings;
   settings.name = FLAGS_name;
   settings.data_center = FLAGS_data_center;
+  settings.regions =
+      ParseRegions(FLAGS_data_center_regions).value_or(settings.regions);
   settings.caller_listen = FLAGS_caller_listen;
   settings.ready_listen = FLAGS_ready_listen;
   settings.directory_listen = FLAGS_directory_listen;
@@ -130,6 +171,9 @@
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
   settings.retry_window = SecondsToDuration(FLAGS_retry_window_seconds);
+  settings.memory_limit =
+      static_cast<std::size_t>(FLAGS_memory_limit_mb * (1 << 20));
+  settings.cold = ColdBound{FLAGS_cold_overshoot, FLAGS_cold_slack};
   settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
   return settings;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -63,7 +63,9 @@
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
-      target_guard_(options_.peer_address, StableHash("limits", options_.seed)),
+      target_guard_(
+          options_.peer_address, StableHash("limits", options_.seed),
+          [this](const TargetId& target) { return ColdRate(target); }),
       exchange_(peers_, shares_, options_.seed) {}
 
 auto GatewayCore::SetTable(std::shared_ptr<const RoutingTable> table) -> bool {
@@ -224,6 +226,18 @@
   return preferred;
 }
 
+auto GatewayCore::FindRegion(const DataCenterId& data_center) const
+    -> RegionId {
+  const auto found = options_.regions.find(data_center);
+  return found == options_.regions.end() ? RegionId() : found->second;
+}
+
+auto GatewayCore::IsAtHome(const GatewayRequest& request,
+                           const TargetRow& target) const -> bool {
+  return request.table->IsHome(*request.route, request.customer,
+                               FindRegion(target.data_center));
+}
+
 auto GatewayCore::FindOptions(const GatewayRequest& request,
                               PermitClass permit_class, Time now)
     -> std::vector<TargetOption> {
@@ -237,6 +251,7 @@
   for (std::size_t i = 0; i < targets.size(); ++i) {
     const auto& target = targets[(first + i) % targets.size()];
     if (request.tried_targets.count(target.id) != 0) continue;
+    if (!IsAtHome(request, target)) continue;
     TargetOption option;
     option.target = &target;
     // For a target that is not preferred, `find` gives the number of preferred
@@ -264,8 +279,9 @@
     option.permission = target_guard_.Check(target.id, permit_class, now);
     if (option.permission != Permission::kNotNeeded) {
       const auto* news = target_guard_.limits().FindNews(target.id);
-      option.is_limit_stale =
-          now - news->at > kStaleLimitAge && FindOrAddLoad(target).is_idle();
+      option.is_limit_stale = news != nullptr && news->limit &&
+                              now - news->at > kStaleLimitAge &&
+                              FindOrAddLoad(target).is_idle();
       if (option.permission == Permission::kMayAsk &&
           request.permit_requests >= kMaxPermitRequests) {
         option.permission = Permission::kNone;
@@ -360,6 +376,7 @@
     return;
   }
   crash_guard_.RecordUnreachable(target, now);
+  PresumeCold(target, ColdCause::kUnreachable, now);
   outcomes_.StartCooldown(target, kNotReachedCooldown, now);
 }
 
@@ -385,6 +402,8 @@
       outcomes_.StartCooldown(target, kRefusalCooldown, now);
       break;
     case AttemptOutcome::kNotReached:
+      PresumeCold(target, ColdCause::kUnreachable, now);
+      [[fallthrough]];
     case AttemptOutcome::kWrongTarget:
       outcomes_.StartCooldown(target, kNotReachedCooldown, now);
       outcomes_.RecordFailure(target, now);
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -5,6 +5,7 @@
 #define GATEWAY_GATEWAY_CORE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 
 #include "gateway/config_watch.h"
 #include "gateway/crash_guard.h"
+#include "gateway/evacuation_news.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/peer_messages.h"
 #include "gateway/peer_table.h"
@@ -33,11 +35,15 @@
   std::string peer_address;
   std::string caller_address;
   DataCenterId data_center;
+  // Region of each data centre; needed where home regions are configured.
+  std::map<DataCenterId, RegionId> regions{};
   // Processor time that the instance grants, in cores.
   double cores = 1;
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
   RetryBound retries;
+  // Bound on the requests to a cold target.
+  ColdBound cold;
   // Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   std::uint64_t seed = 0;
@@ -108,6 +114,21 @@
   auto RecordStoreSuccess(Time now) -> void;
   // A call to the store failed.
   auto RecordStoreFailure() -> void { store_continuity_.RecordFailure(); }
+  // The evacuated data centres as of a version of the store, all of them or
+  // one that changed.
+  auto SetEvacuated(const std::vector<EvacuationRecord>& evacuated,
+                    std::uint64_t version, Time now) -> void;
+  auto SetEvacuation(const EvacuationRecord& record, Time now) -> void;
+  // Evacuations that another router's snapshot names.
+  auto HandleEvacuations(const std::vector<EvacuationRecord>& records, Time now)
+      -> void;
+  // Evacuations that began or ended since the last call.
+  auto TakeEvacuationChanges() -> std::vector<EvacuationChange> {
+    return evacuation_news_.TakeChanges();
+  }
+  auto evacuations() const -> const Evacuations& {
+    return evacuation_news_.evacuations();
+  }
   // Adds the routers whose rows were read from the store.
   auto AddPeers(const std::vector<PeerSeed>& seeds, Time now) -> void;
   // Returns the changes in the directory by the target updates of the report.
@@ -171,6 +192,10 @@
   auto TakeDepartures() -> std::vector<Departure> {
     return std::exchange(departures_, {});
   }
+  // Targets that became cold or ceased to be since the last call.
+  auto TakeColdChanges() -> std::vector<ColdChange> {
+    return target_guard_.cold().TakeChanges();
+  }
   // Limits that changed since the last call.
   auto TakeLimitChanges() -> std::vector<LimitChange> {
     return target_guard_.limits().TakeChanges();
@@ -247,8 +272,11 @@
   auto MakePeerMessages(Time now) -> std::vector<OutgoingMessage>;
   auto exchange_role() const -> ExchangeRole { return exchange_.role(); }
   // Routers for the caller with this IP address in data centre `near`.
-  auto CallerAddresses(const DataCenterId& near, std::string_view caller,
-                       Time now) const -> std::vector<std::string>;
+  // Routers of other regions are among them only if the caller's one has none,
+  // or if they are in a home region of the routes of `host`.
+  auto CallerAddresses(const DataCenterId& near, std::string_view host,
+                       std::string_view caller, Time now) const
+      -> std::vector<std::string>;
   // Whether new connections of callers are accepted.
   auto is_accepting_connections(Time now) const -> bool;
 
@@ -280,7 +308,13 @@
  private:
   // All routers that callers may be directed to, including this one.
   auto ServingRouters(Time now) const -> std::vector<ServingRouter>;
-  // The serving targets of the pool that the request has not tried yet.
+  // Region of the data centre; empty if it is not known.
+  auto FindRegion(const DataCenterId& data_center) const -> RegionId;
+  // Whether the target is in a home region of the request, if it has such.
+  auto IsAtHome(const GatewayRequest& request, const TargetRow& target) const
+      -> bool;
+  // The serving targets of the pool that the request has not tried yet and that
+  // are in its home regions.
   auto FindOptions(const GatewayRequest& request, PermitClass permit_class,
                    Time now) -> std::vector<TargetOption>;
   // The preferred targets of the prompt's shared parts, best first.
@@ -293,6 +327,11 @@
       -> std::optional<Refusal>;
   // Whether this router tries the part for the fleet.
   auto IsProbeOwner(PartId part, Time now) const -> bool;
+  // The rate at which the target may get permits while it is cold; nothing if
+  // there is no bound.
+  auto ColdRate(const TargetId& target) const -> std::optional<RequestRate>;
+  // The target may be cold from now on, without a row that says so yet.
+  auto PresumeCold(const TargetId& target, ColdCause cause, Time now) -> void;
   // A process of a target leaves, by its own word or a peer's.
   auto RecordDeparture(const TargetId& target, ProcessStart process,
                        bool is_from_peer) -> void;
@@ -316,6 +355,9 @@
   // Passes the requests of other routers on to the forecasts.
   auto UpdateOtherLoads() -> void;
   auto ApplyChange(const DirectoryChange& change, Time now) -> void;
+  // Evacuations have changed.
+  auto ApplyEvacuations(const std::vector<EvacuationRecord>& changes, Time now)
+      -> void;
   // Drops what is known of a target that left or restarted.
   auto ResetTarget(const TargetId& target) -> void;
   // Whether target rows may be missing because of a store outage.
@@ -345,6 +387,7 @@
   std::unordered_map<std::uint32_t, TargetId> target_of_hash_;
   FleetExchange exchange_;
   TargetNews target_news_;
+  EvacuationNews evacuation_news_;
   TargetListSchedule list_schedule_;
   // Time within which the target list is to be read besides its schedule.
   std::optional<Duration> list_read_demand_;
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -149,6 +149,17 @@
   return rates;
 }
 
+// Durations are encoded in milliseconds.
+auto WriteDuration(Duration duration) -> std::int64_t {
+  return std::clamp<std::int64_t>(
+      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
+      std::numeric_limits<std::uint32_t>::max());
+}
+
+auto ReadDuration(const Json& json) -> Duration {
+  return milliseconds(ReadNumber<std::uint32_t>(json));
+}
+
 auto EncodeTargetUpdates(const std::vector<TargetUpdate>& updates) -> Json {
   auto all = Json::array();
   for (const auto& update : updates) {
@@ -156,6 +167,10 @@
     all.push_back({update.version, update.is_gone, row.id.value(), row.address,
                    row.pool.value(), row.data_center.value(), row.slots,
                    row.is_draining, row.started_unix_ms, row.reports});
+    // Earlier versions read the first elements only.
+    if (row.cold_left > Duration{}) {
+      all.back().push_back(WriteDuration(row.cold_left));
+    }
   }
   return all;
 }
@@ -175,6 +190,7 @@
     row.is_draining = entry.at(7).get<bool>();
     row.started_unix_ms = ReadNumber<std::int64_t>(entry.at(8));
     row.reports = ReadNumber<std::int64_t>(entry.at(9));
+    if (entry.size() > 10) row.cold_left = ReadDuration(entry.at(10));
     updates.push_back(std::move(update));
   }
   return updates;
@@ -259,16 +275,6 @@
 constexpr double kRateSteps = 1000;
 constexpr std::size_t kRecordMembers = 5;
 
-auto WriteDuration(Duration duration) -> std::int64_t {
-  return std::clamp<std::int64_t>(
-      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
-      std::numeric_limits<std::uint32_t>::max());
-}
-
-auto ReadDuration(const Json& json) -> Duration {
-  return milliseconds(ReadNumber<std::uint32_t>(json));
-}
-
 auto AppendLimitRecord(Json& to, const TargetLimitRecord& record) -> void {
   to.push_back(record.target);
   to.push_back(record.id);
@@ -291,6 +297,27 @@
   return record;
 }
 
+auto EncodeEvacuations(const std::vector<EvacuationRecord>& records) -> Json {
+  auto all = Json::array();
+  for (const auto& record : records) {
+    all.push_back(record.data_center.value());
+    all.push_back(record.version);
+    all.push_back(record.is_evacuated);
+  }
+  return all;
+}
+
+auto DecodeEvacuations(const Json& json) -> std::vector<EvacuationRecord> {
+  constexpr std::size_t kMembers = 3;
+  std::vector<EvacuationRecord> records;
+  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
+    records.push_back({DataCenterId(json[i].get<std::string>()),
+                       ReadNumber<std::uint64_t>(json[i + 1]),
+                       json[i + 2].get<bool>()});
+  }
+  return records;
+}
+
 auto ToJson(const StatementReport& report) -> Json {
   auto limits = Json::array();
   for (const auto& record : report.limits) AppendLimitRecord(limits, record);
@@ -305,9 +332,35 @@
     pauses.push_back(record.process.value());
     pauses.push_back(WriteDuration(record.left));
   }
-  // Earlier versions read the limits only.
-  return {kStatementReport, std::move(limits), std::move(departures),
-          std::move(pauses)};
+  auto cold = Json::array();
+  for (const auto& record : report.cold) {
+    cold.push_back(record.target);
+    cold.push_back(record.process.value());
+    cold.push_back(static_cast<int>(record.cause));
+    cold.push_back(WriteDuration(record.age));
+    cold.push_back(WriteDuration(record.left));
+  }
+  // Earlier versions read the first elements only.
+  return {kStatementReport,      std::move(limits),
+          std::move(departures), std::move(pauses),
+          std::move(cold),       EncodeEvacuations(report.evacuations)};
+}
+
+auto DecodeCold(const Json& json) -> std::vector<ColdRecord> {
+  constexpr std::size_t kMembers = 5;
+  constexpr auto kLastCause = static_cast<int>(ColdCause::kReturned);
+  std::vector<ColdRecord> records;
+  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
+    const auto cause = ReadNumber<int>(json[i + 2]);
+    if (cause < 0 || cause > kLastCause) {
+      throw Json::other_error::create(0, "an unknown cause", &json);
+    }
+    records.push_back({ReadNumber<std::uint32_t>(json[i]),
+                       ProcessStart(ReadNumber<std::int64_t>(json[i + 1])),
+                       static_cast<ColdCause>(cause), ReadDuration(json[i + 3]),
+                       ReadDuration(json[i + 4])});
+  }
+  return records;
 }
 
 auto DecodeStatementReport(const Json& body) -> StatementReport {
@@ -331,6 +384,12 @@
          ProcessStart(ReadNumber<std::int64_t>(pauses[i + 1])),
          ReadDuration(pauses[i + 2])});
   }
+  constexpr std::size_t kCold = 4;
+  constexpr std::size_t kEvacuations = 5;
+  if (body.size() > kCold) report.cold = DecodeCold(body.at(kCold));
+  if (body.size() > kEvacuations) {
+    report.evacuations = DecodeEvacuations(body.at(kEvacuations));
+  }
   return report;
 }
 
@@ -374,8 +433,10 @@
 }
 
 auto ToJson(const PeerSnapshot& snapshot) -> Json {
+  // Earlier versions read the first elements only.
   return {kSnapshot, snapshot.configuration,
-          EncodeTargetUpdates(snapshot.targets)};
+          EncodeTargetUpdates(snapshot.targets),
+          EncodeEvacuations(snapshot.evacuations)};
 }
 
 auto DecodeReport(const Json& body) -> PeerReport {
@@ -433,8 +494,10 @@
                           ReadNumber<std::uint64_t>(body.at(2)), age};
   }
   if (kind == kSnapshot) {
-    return PeerSnapshot{body.at(1).get<std::string>(),
-                        DecodeTargetUpdates(body.at(2))};
+    PeerSnapshot snapshot{
+        body.at(1).get<std::string>(), DecodeTargetUpdates(body.at(2)), {}};
+    if (body.size() > 3) snapshot.evacuations = DecodeEvacuations(body.at(3));
+    return snapshot;
   }
   return std::nullopt;
 }
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -74,6 +74,18 @@
             static_cast<double>(quarantine.quarantined_count()));
   SetMetric(metrics, "parts_suspected",
             static_cast<double>(quarantine.suspect_count()));
+  SetMetric(metrics, "data_centers_evacuated",
+            static_cast<double>(core.evacuations().Evacuated().size()));
+  const auto& budget = sources.context.budget;
+  for (std::size_t i = 0; i < kHeldKinds; ++i) {
+    const auto kind = static_cast<HeldKind>(i);
+    SetMetric(metrics, "held_" + std::string(HeldKindName(kind)) + "_bytes",
+              static_cast<double>(budget.held(kind)));
+  }
+  SetMetric(metrics, "memory_budget_bytes",
+            static_cast<double>(budget.limit()));
+  SetMetric(metrics, "requests_given_up_total",
+            static_cast<double>(budget.given_up()));
   SetMetric(metrics, "is_ready", core.is_ready(now) ? 1 : 0);
   SetMetric(metrics, "is_watcher", core.is_watcher(now) ? 1 : 0);
   SetMetric(metrics, "lateness_seconds", core.load().lateness_ms() / 1000);
@@ -109,6 +121,10 @@
             static_cast<double>(permits.unanswered));
   SetMetric(metrics, "permits_issued_total",
             static_cast<double>(guard.issuer().issued()));
+  SetMetric(metrics, "targets_cold",
+            static_cast<double>(guard.cold().Cold(now).size()));
+  SetMetric(metrics, "targets_presumed_cold_total",
+            static_cast<double>(guard.cold().presumed()));
   const auto limited = limits.Limited(now);
   SetMetric(metrics, "targets_limited", static_cast<double>(limited.size()));
   for (const auto& target : limited) {
@@ -143,8 +159,8 @@
     return caller->Answer(kNotFound, "", "");
   }
   const auto addresses = context.core.CallerAddresses(
-      ParseCallerDataCenter(request.request_target), caller->caller_address(),
-      now);
+      ParseCallerDataCenter(request.request_target),
+      ParseCallerHost(request.request_target), caller->caller_address(), now);
   context.log.Write(LogClass::kRoutine, "addresses_answered",
                     {{"count", static_cast<std::int64_t>(addresses.size())},
                      {"query", request.request_target},
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -4,9 +4,11 @@
 #define RELAY_RELAY_PROCESS_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
+#include "admission/admission.h"
 #include "base/base.h"
 
 namespace papayaplank {
@@ -17,6 +19,8 @@
   // the log.
   std::string name;
   std::string data_center;
+  // Region of each data centre.
+  std::map<DataCenterId, RegionId> regions;
   // Addresses are IP:port; `directory_listen` and `metrics_listen` may be
   // empty. On `directory_listen`, callers ask for the addresses of routers; on
   // `ready_listen`, the platform asks whether this router is ready.
@@ -28,6 +32,8 @@
   std::string store_address;
   // Longest time for which a revoked API key may still work.
   Duration revocation_bound{};
+  // Bound on the requests to a cold target.
+  ColdBound cold;
   // Time from the stop signal until the process is killed.
   Duration stop_grace{};
   // Retry budget of the fleet: retries per request, and retries allowed on top
@@ -37,6 +43,8 @@
   Duration retry_window{};
   // Processor time that the instance grants, in cores.
   double cores = 1;
+  // Memory of the instance, in bytes.
+  std::size_t memory_limit = 256 << 20;
   // File descriptors that the process may use.
   int max_descriptors = 1024;
 };
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -23,6 +23,8 @@
   bool is_draining = false;
   // Start of the target's process, Unix milliseconds; 0 if not stated.
   std::int64_t started_unix_ms = 0;
+  // How much longer it is cold, as of the read of the row.
+  Duration cold_left{};
   // Number of reports that the target has written to the store since its start;
   // a lower one shows that it restarted.
   std::int64_t reports = 0;
@@ -73,9 +75,14 @@
   auto RecordDeparture(const TargetId& id, std::int64_t started_unix_ms)
       -> void;
 
+  // The data centres whose targets get no new requests.
+  auto SetEvacuated(std::set<DataCenterId> data_centers) -> void;
+
   // Targets of a pool that take new requests.
   auto Serving(const PoolId& pool) const -> const std::vector<TargetRow>&;
   auto Find(const TargetId& id) const -> const TargetRow*;
+  // The targets of the data centre, also those that take no requests.
+  auto IdsIn(const DataCenterId& data_center) const -> std::vector<TargetId>;
   // Whether the update takes the target out of service, and it is out of
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
@@ -101,7 +108,9 @@
   std::set<std::pair<TargetId, std::int64_t>> drained_;
   // Newest process of a target that said that it leaves, by its start.
   std::map<TargetId, std::int64_t> departed_;
-  // Exactly the targets that are not draining and have not departed.
+  std::set<DataCenterId> evacuated_;
+  // Exactly the targets that are not draining, have not departed, and are in no
+  // evacuated data centre.
   std::map<PoolId, std::vector<TargetRow>> serving_by_pool_;
   // Version of the newest list.
   std::uint64_t list_version_ = 0;
