Gateway, relay: what the review of cold targets and of the memory budget found

An owner that did not know that a target is cold granted every permit: requests for permits now carry the sender's evidence, and in a mesh every router refreshes it. Old rows could end a cold state, nearly simultaneous or older-process evidence was lost, both sides of a partition together exceeded the bound, permits survived the change to cold. Relief of one port's memory dropped the counts of another's: each port has a budget of its own. Answers that a caller had not read yet could be cut to make room. A list of several pages now counts as old as its first page. Small requests keep a reserve while complete bodies fill the budget.

--- a/admission/cold_targets.cpp
+++ b/admission/cold_targets.cpp
@@ -80,21 +80,21 @@
   const auto& known = entry.state;
   if (process < known.process) return false;
   const auto is_newer_process = process > known.process;
+  if (!is_newer_process && reports < entry.reports) return false;
   // A process whose row hasn't changed says nothing new.
   const auto is_same_row = !is_newer_process && entry.reports == reports &&
                            entry.stated_left == cold_left;
   if (is_same_row) return false;
   // The row of a process that goes on may be older than the cause of a
   // presumption.
-  if (!is_cold && !is_newer_process && known.cause != ColdCause::kStated) {
-    return false;
-  }
+  const auto is_presumed = known.cause == ColdCause::kUnreachable ||
+                           known.cause == ColdCause::kReturned;
+  if (!is_cold && !is_newer_process && is_presumed) return false;
   if (!is_cold && known.cold_until <= now && !is_newer_process) return false;
   entry.reports = reports;
   entry.stated_left = cold_left;
   // Neither does it shorten one.
-  if (!is_newer_process && known.cause != ColdCause::kStated &&
-      now + cold_left <= known.cold_until) {
+  if (!is_newer_process && is_presumed && now + cold_left <= known.cold_until) {
     return false;
   }
   Apply(entry, target, {process, ColdCause::kStated, now, now + cold_left},
@@ -127,17 +127,26 @@
   }
   auto& entry = found->second;
   const auto& known = entry.state;
-  if (state.process < known.process) return false;
-  const auto is_news =
+  // A row of an earlier process is outdated. Other evidence may come from a
+  // router that has not read of the newest process yet.
+  if (state.process < known.process && state.cause == ColdCause::kStated) {
+    return false;
+  }
+  const auto is_newer =
       state.process > known.process ||
       state.evidence_at > known.evidence_at + kEvidenceTolerance;
-  if (!is_news) return false;
+  const auto is_longer =
+      state.evidence_at + kEvidenceTolerance > known.evidence_at &&
+      state.cold_until > known.cold_until + kEvidenceTolerance;
+  if (!is_newer && !is_longer) return false;
   // No other router's row shortens a presumption for the same process either.
   if (state.process == known.process && known.cause != ColdCause::kStated &&
       state.cold_until <= known.cold_until) {
     return false;
   }
-  Apply(entry, target, state, true, now);
+  auto merged = state;
+  merged.process = std::max(state.process, known.process);
+  Apply(entry, target, merged, true, now);
   return true;
 }
 
--- a/admission/memory_budget.cpp
+++ b/admission/memory_budget.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kStopped = milliseconds(700);
 // The limit no longer binds if nothing was given up for this long.
 constexpr Duration kBindingTime = seconds(2);
+// What an ordinary request holds at most.
+constexpr std::size_t kSmallRequest = 65536;
 // Bytes of the key that a caller names; longer ones share an owner.
 constexpr std::size_t kMaxOwnerBytes = 64;
 
@@ -45,6 +47,11 @@
   const auto [entry, is_new] = holders_.try_emplace(holder);
   auto& known = entry->second;
   if (is_new) known.owner = owner.substr(0, kMaxOwnerBytes);
+  // The key stands in the head, which may come in pieces.
+  if (known.owner.empty() && !owner.empty()) {
+    Remove(holder);
+    return Update(holder, owner, bytes, now);
+  }
   auto& of_owner = held_by_owner_[known.owner];
   of_owner += bytes - known.bytes;
   Add(HeldKind::kUnfinishedRequest, bytes - known.bytes);
@@ -65,6 +72,9 @@
 
 auto MemoryBudget::ChooseVictim(Time now) -> std::optional<HolderId> {
   if (held_ <= limit_ || holders_.empty()) return std::nullopt;
+  // Small requests of ordinary callers don't make room for what is complete.
+  const auto complete = held_ - held(HeldKind::kUnfinishedRequest);
+  const auto spares_small = complete > limit_ && held_ <= limit_ + reserve();
   const auto rank = [this, now](const auto& entry) {
     const auto& holder = entry.second;
     return std::make_tuple(now - holder.received_at > kStopped,
@@ -73,6 +83,9 @@
   const auto victim = std::max_element(
       holders_.begin(), holders_.end(),
       [&rank](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  if (spares_small && victim->second.bytes <= kSmallRequest) {
+    return std::nullopt;
+  }
   ++given_up_;
   bound_at_ = now;
   if (!is_binding_) {
@@ -82,6 +95,11 @@
   return victim->first;
 }
 
+auto MemoryBudget::FitsRequest(std::size_t bytes) const -> bool {
+  const auto limit = bytes <= kSmallRequest ? limit_ + reserve() : limit_;
+  return held_ <= limit;
+}
+
 auto MemoryBudget::Tick(Time now) -> void {
   if (!is_binding_ || now - bound_at_ < kBindingTime) return;
   is_binding_ = false;
--- a/admission/memory_budget.h
+++ b/admission/memory_budget.h
@@ -60,12 +60,17 @@
   // if there is none. Those that have stopped come first. Among them the owner
   // that holds most loses its largest one, so that ordinary callers come last.
   auto ChooseVictim(Time now) -> std::optional<HolderId>;
+  // Whether a complete request that holds so many bytes, which are counted
+  // already, may stay. Small ones may use the reserve as well.
+  auto FitsRequest(std::size_t bytes) const -> bool;
   // Whether so many more bytes fit.
   auto Fits(std::size_t bytes) const -> bool {
     return held() + bytes <= limit_;
   }
 
   auto limit() const -> std::size_t { return limit_; }
+  // Beyond the limit, for small requests only.
+  auto reserve() const -> std::size_t { return limit_ / 4; }
   auto held() const -> std::size_t { return held_; }
   auto held(HeldKind kind) const -> std::size_t {
     return held_by_kind_[static_cast<std::size_t>(kind)];
--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -141,7 +141,7 @@
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
   CheckRange("retry_window_seconds", FLAGS_retry_window_seconds, 1, 3600,
              errors);
-  CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 32, 1 << 20, errors);
+  CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 16, 1 << 20, errors);
   CheckRange("cold_overshoot", FLAGS_cold_overshoot, 0, 1000, errors);
   CheckRange("cold_slack", FLAGS_cold_slack, 0, 100000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -27,6 +27,9 @@
 auto GatewayCore::SetTargets(std::vector<TargetRow> rows,
                              std::uint64_t store_version, Time now)
     -> DirectoryChange {
+  if (!options_.cold.is_set()) {
+    for (auto& row : rows) row.cold_left = {};
+  }
   auto change = directory_.Apply(
       TargetList{std::move(rows), store_version, IsStoreRecovering(now)});
   for (const auto& update : change.updates) target_news_.AddRead(update, now);
@@ -147,7 +150,11 @@
   for (const auto& update : updates) {
     const auto change = directory_.Apply(update);
     ApplyChange(change, now);
-    if (!update.is_gone) target_guard_.RecordRow(update.row, false, now);
+    const auto* row = directory_.Find(update.row.id);
+    const auto is_newest = row != nullptr && !update.is_gone &&
+                           row->reports == update.row.reports &&
+                           row->started_unix_ms == update.row.started_unix_ms;
+    if (is_newest) target_guard_.RecordRow(*row, false, now);
     // A departure is news to other routers also if this one has never known
     // the target or has read of it itself.
     const auto is_news = !change.left.empty() || !change.restarted.empty() ||
@@ -342,8 +349,8 @@
   const auto region = FindRegion(near);
   const auto is_foreign = [this, &region, host](const ServingRouter& router) {
     const auto other = FindRegion(router.data_center);
-    return other != region &&
-           (table_ == nullptr || !table_->IsHomeOfHost(host, other));
+    return other != region && table_ != nullptr &&
+           !table_->IsHomeOfHost(host, other);
   };
   const auto is_near_served = std::any_of(
       serving.begin(), serving.end(), [this, &region](const auto& router) {
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -274,6 +274,7 @@
 // encoded in milliseconds.
 constexpr double kRateSteps = 1000;
 constexpr std::size_t kRecordMembers = 5;
+constexpr std::size_t kColdMembers = 5;
 
 auto AppendLimitRecord(Json& to, const TargetLimitRecord& record) -> void {
   to.push_back(record.target);
@@ -318,6 +319,27 @@
   return records;
 }
 
+auto AppendColdRecord(Json& to, const ColdRecord& record) -> void {
+  to.push_back(record.target);
+  to.push_back(record.process.value());
+  to.push_back(static_cast<int>(record.cause));
+  to.push_back(WriteDuration(record.age));
+  to.push_back(WriteDuration(record.left));
+}
+
+// Nothing for a cause that a later version may know.
+auto ReadColdRecord(const Json& json, std::size_t at)
+    -> std::optional<ColdRecord> {
+  constexpr auto kLastCause = static_cast<int>(ColdCause::kReturned);
+  const auto cause = ReadNumber<int>(json.at(at + 2));
+  if (cause < 0 || cause > kLastCause) return std::nullopt;
+  return ColdRecord{ReadNumber<std::uint32_t>(json.at(at)),
+                    ProcessStart(ReadNumber<std::int64_t>(json.at(at + 1))),
+                    static_cast<ColdCause>(cause),
+                    ReadDuration(json.at(at + 3)),
+                    ReadDuration(json.at(at + 4))};
+}
+
 auto ToJson(const StatementReport& report) -> Json {
   auto limits = Json::array();
   for (const auto& record : report.limits) AppendLimitRecord(limits, record);
@@ -333,13 +355,7 @@
     pauses.push_back(WriteDuration(record.left));
   }
   auto cold = Json::array();
-  for (const auto& record : report.cold) {
-    cold.push_back(record.target);
-    cold.push_back(record.process.value());
-    cold.push_back(static_cast<int>(record.cause));
-    cold.push_back(WriteDuration(record.age));
-    cold.push_back(WriteDuration(record.left));
-  }
+  for (const auto& record : report.cold) AppendColdRecord(cold, record);
   // Earlier versions read the first elements only.
   return {kStatementReport,      std::move(limits),
           std::move(departures), std::move(pauses),
@@ -347,18 +363,9 @@
 }
 
 auto DecodeCold(const Json& json) -> std::vector<ColdRecord> {
-  constexpr std::size_t kMembers = 5;
-  constexpr auto kLastCause = static_cast<int>(ColdCause::kReturned);
   std::vector<ColdRecord> records;
-  for (std::size_t i = 0; i + kMembers <= json.size(); i += kMembers) {
-    const auto cause = ReadNumber<int>(json[i + 2]);
-    if (cause < 0 || cause > kLastCause) {
-      throw Json::other_error::create(0, "an unknown cause", &json);
-    }
-    records.push_back({ReadNumber<std::uint32_t>(json[i]),
-                       ProcessStart(ReadNumber<std::int64_t>(json[i + 1])),
-                       static_cast<ColdCause>(cause), ReadDuration(json[i + 3]),
-                       ReadDuration(json[i + 4])});
+  for (std::size_t i = 0; i + kColdMembers <= json.size(); i += kColdMembers) {
+    if (auto record = ReadColdRecord(json, i)) records.push_back(*record);
   }
   return records;
 }
@@ -397,15 +404,20 @@
   Json body = {kPermitRequest, request.sender, request.nonce.value(),
                request.permit_class == PermitClass::kOverShare};
   AppendLimitRecord(body, request.record);
+  // Earlier versions read the first elements only.
+  if (request.cold) AppendColdRecord(body, *request.cold);
   return body;
 }
 
 auto DecodePermitRequest(const Json& body) -> PermitRequest {
+  constexpr std::size_t kCold = 4 + kRecordMembers;
+  std::optional<ColdRecord> cold;
+  if (body.size() >= kCold + kColdMembers) cold = ReadColdRecord(body, kCold);
   return {body.at(1).get<std::string>(),
           PermitNonce(ReadNumber<std::uint32_t>(body.at(2))),
           body.at(3).get<bool>() ? PermitClass::kOverShare
                                  : PermitClass::kWithinShare,
-          ReadLimitRecord(body, 4)};
+          ReadLimitRecord(body, 4), cold};
 }
 
 auto ToJson(const PermitGrant& grant) -> Json {
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -128,6 +128,9 @@
   PermitNonce nonce;
   PermitClass permit_class = PermitClass::kWithinShare;
   TargetLimitRecord record;
+  // What the sender knows of whether the target is cold. An owner that does not
+  // know it yet would grant every request.
+  std::optional<ColdRecord> cold{};
 };
 
 // Reply to a request for a permit.
--- a/gateway/target_guard.cpp
+++ b/gateway/target_guard.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kPauseTolerance = milliseconds(250);
 // A refused request is never sent away for longer than this.
 constexpr Duration kLongestPromise = seconds(4);
+// Share of the known routers that count as all of them: a few may have ended.
+constexpr double kWholeFleetShare = 0.9;
 
 }  // namespace
 
@@ -61,16 +63,21 @@
   const auto limit = limits_.Find(target);
   if (!cold_.IsCold(target, now)) return limit;
   const auto cold = cold_rate_(target);
-  if (!limit || !cold) return limit ? limit : cold;
-  return limit->per_second < cold->per_second ? limit : cold;
+  if (!cold) return limit;
+  auto rate = *cold;
+  rate.per_second *= cold_share_;
+  if (!limit) return rate;
+  return RequestRate{std::min(limit->per_second, rate.per_second),
+                     std::min(limit->burst_seconds, rate.burst_seconds)};
 }
 
 auto TargetGuard::RecordRow(const TargetRow& row, bool passes_on, Time now)
     -> void {
   if (!cold_rate_(row.id)) return;
   const ProcessStart process(row.started_unix_ms);
+  const auto before = FindRate(row.id, now);
   if (cold_.RecordRow(row.id, process, row.reports, row.cold_left, now)) {
-    OnColdNews(row.id, passes_on, now);
+    OnColdNews(row.id, before, passes_on, now);
   }
 }
 
@@ -78,8 +85,9 @@
                               Duration time, Time now) -> void {
   if (!cold_rate_(target.id)) return;
   const ProcessStart process(target.started_unix_ms);
+  const auto before = FindRate(target.id, now);
   if (cold_.Presume(target.id, process, cause, time, now)) {
-    OnColdNews(target.id, true, now);
+    OnColdNews(target.id, before, true, now);
   }
 }
 
@@ -88,16 +96,32 @@
   if (!cold_rate_(target)) return;
   const ColdState state{record.process, record.cause, now - record.age,
                         now + record.left};
-  if (cold_.Merge(target, state, now)) OnColdNews(target, passes_on, now);
+  const auto before = FindRate(target, now);
+  if (cold_.Merge(target, state, now)) {
+    OnColdNews(target, before, passes_on, now);
+  }
 }
 
-auto TargetGuard::OnColdNews(const TargetId& target, bool passes_on, Time now)
-    -> void {
+auto TargetGuard::OnColdNews(const TargetId& target,
+                             const std::optional<RequestRate>& before,
+                             bool passes_on, Time now) -> void {
   auto& spread = cold_spread_[target];
   if (passes_on) spread.repeats_left = kChangeRepeats;
+  const auto rate = FindRate(target, now);
+  if (rate && (!before || rate->per_second < before->per_second)) {
+    // Permits were handed out at the former rate.
+    wallet_.Drop(target);
+    issuer_.Disown(target);
+  }
   UpdateOwnership(target, now);
 }
 
+auto TargetGuard::FindColdRecord(const TargetId& target, Time now) const
+    -> std::optional<ColdRecord> {
+  if (!cold_.IsCold(target, now)) return std::nullopt;
+  return ToColdRecord(target, now);
+}
+
 auto TargetGuard::ToColdRecord(const TargetId& target, Time now) const
     -> ColdRecord {
   ColdRecord record;
@@ -239,7 +263,8 @@
   ++counters_.requested;
   requests_.emplace_back(
       Owner(target),
-      PermitRequest{self_address_, nonce, permit_class, ToRecord(target, now)});
+      PermitRequest{self_address_, nonce, permit_class, ToRecord(target, now),
+                    FindColdRecord(target, now)});
   return nonce;
 }
 
@@ -252,6 +277,7 @@
                                 const PermitRequest& request, Time now)
     -> PermitGrant {
   Merge(target, request.record, false, now);
+  if (request.cold) MergeCold(target, *request.cold, false, now);
   PermitGrant grant;
   grant.nonce = request.nonce;
   grant.record = ToRecord(target, now);
@@ -315,8 +341,10 @@
   std::erase_if(spread_, [this](const auto& entry) {
     return limits_.FindNews(entry.first) == nullptr;
   });
-  std::erase_if(cold_spread_, [this](const auto& entry) {
-    return cold_.Find(entry.first) == nullptr;
+  std::erase_if(cold_spread_, [this, now](const auto& entry) {
+    if (cold_.Find(entry.first) != nullptr) return false;
+    UpdateOwnership(entry.first, now);
+    return true;
   });
   if (!is_any_limited() && leaving_.empty()) return;
   auto issuers = peers.LiveIssuers(now);
@@ -333,6 +361,10 @@
   const auto known = static_cast<double>(peers.size() + 1);
   const auto side = 2 * live > known ? 1 : live / known;
   issuer_.SetShare(side * static_cast<double>(issuers.count + 1) / live);
+  // Beyond the bound a cold target crashes, so that here the larger side also
+  // leaves the rest to the other one.
+  const auto part = live / known;
+  cold_share_ = part >= kWholeFleetShare ? 1 : part / side;
 }
 
 auto TargetGuard::RecordPause(Time now) -> void {
@@ -381,7 +413,9 @@
     -> std::vector<TargetId> {
   std::vector<TargetId> due;
   for (const auto& target : cold_.Cold(now)) {
-    if (passes_on || (!is_member && IsOwn(target))) due.push_back(target);
+    // In a mesh everyone tells, as an owner that has just started knows
+    // nothing.
+    if (passes_on || !is_member) due.push_back(target);
   }
   return TakeTurn(std::move(due));
 }
--- a/gateway/target_guard.h
+++ b/gateway/target_guard.h
@@ -177,7 +177,13 @@
   auto OnChange(const TargetId& target, bool passes_on, Time now) -> void;
   // The rate of the target may have changed.
   auto UpdateOwnership(const TargetId& target, Time now) -> void;
-  auto OnColdNews(const TargetId& target, bool passes_on, Time now) -> void;
+  // There is news of whether the target is cold; `before` was its rate.
+  auto OnColdNews(const TargetId& target,
+                  const std::optional<RequestRate>& before, bool passes_on,
+                  Time now) -> void;
+  // Nothing if the target is not cold.
+  auto FindColdRecord(const TargetId& target, Time now) const
+      -> std::optional<ColdRecord>;
   auto ToColdRecord(const TargetId& target, Time now) const -> ColdRecord;
   auto ColdToRefresh(bool passes_on, bool is_member, Time now)
       -> std::vector<TargetId>;
@@ -197,6 +203,8 @@
   ColdRateHook cold_rate_;
   TargetLimits limits_;
   ColdTargets cold_;
+  // The part of the rates of cold targets that this side of a partition uses.
+  double cold_share_ = 1;
   // Sendings left of news of cold targets; an entry for each target of `cold_`.
   std::unordered_map<TargetId, Spread> cold_spread_;
   PermitIssuer issuer_;
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -87,6 +87,8 @@
   }
   backoff_ = {};
   ApplyRows(*rows);
+  // Rows may change between two pages: the list is as old as its first one.
+  if (!after) list_version_ = rows->version;
   for (const auto& row : rows->rows) {
     const auto data_center = FindEvacuated(row);
     if (!data_center || row.is_removed) continue;
@@ -94,8 +96,8 @@
     listed_evacuations_.push_back({*data_center, version, true});
   }
   if (rows->next_after) return ReadStore(rows->next_after);
-  core_.SetEvacuated(listed_evacuations_, rows->version, MonotonicClock::now());
-  ConfirmRows(*rows, list_sent_at_);
+  core_.SetEvacuated(listed_evacuations_, list_version_, MonotonicClock::now());
+  ConfirmRows(list_version_, list_sent_at_);
 }
 
 auto ConfigurationReader::HandleWatchReply(const Outcome<HttpReply>& reply,
@@ -115,12 +117,12 @@
     core_.SetEvacuation({*data_center, version, !row.is_removed},
                         MonotonicClock::now());
   }
-  ConfirmRows(*rows, sent_at);
+  ConfirmRows(rows->version, sent_at);
 }
 
-auto ConfigurationReader::ConfirmRows(const StoreRows& rows, Time sent_at)
+auto ConfigurationReader::ConfirmRows(std::uint64_t version, Time sent_at)
     -> void {
-  store_version_ = std::max(store_version_, rows.version);
+  store_version_ = std::max(store_version_, version);
   if (core_.table() != nullptr) core_.ConfirmConfiguration(sent_at);
   ScheduleNext();
 }
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -53,8 +53,9 @@
   auto HandleListReply(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
   auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
-  // The configuration in the rows was the newest one at `sent_at`.
-  auto ConfirmRows(const StoreRows& rows, Time sent_at) -> void;
+  // Rows up to the version were read; the configuration in them was the newest
+  // one at `sent_at`.
+  auto ConfirmRows(std::uint64_t version, Time sent_at) -> void;
   auto ReadPeer(const std::string& address) -> void;
   auto HandlePeerReply(const std::string& address,
                        const Outcome<HttpReply>& reply) -> void;
@@ -82,6 +83,7 @@
   // When the first page of the list that is being read was asked for, and the
   // evacuated data centres in its pages so far.
   Time list_sent_at_{};
+  std::uint64_t list_version_ = 0;
   std::vector<EvacuationRecord> listed_evacuations_;
   Duration backoff_{};
   Time store_failed_at_{};
--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -62,7 +62,8 @@
   const auto held = body_.capacity() + in_.capacity();
   Count(HeldKind::kPipelined, counted_pipelined_,
         is_answering_ ? in_.capacity() : 0);
-  if (is_answering_ || is_closing_ || held <= kUncountedBytes) {
+  const auto is_reading = reader_.has_value() || !in_.empty();
+  if (is_answering_ || is_closing_ || !is_reading || held <= kUncountedBytes) {
     return budget_.Remove(holder());
   }
   const auto has_head = reader_ && reader_->is_header_done();
@@ -79,7 +80,11 @@
   body_ = std::string();
   in_ = std::string();
   const auto has_head = reader_ && reader_->is_header_done();
-  if (!has_head) return Close();
+  if (!has_head) {
+    // An earlier answer may not be sent yet.
+    is_closing_ = true;
+    return out_.empty() ? Close() : void();
+  }
   constexpr int kUnavailable = 503;
   is_answering_ = true;
   is_last_answer_ = true;
@@ -214,6 +219,7 @@
   is_answering_ = true;
   has_served_ = true;
   budget_.Remove(holder());
+  if (in_.empty()) in_ = std::string();
   on_request_(shared_from_this(), std::move(request));
 }
 
@@ -284,6 +290,7 @@
   if (in_.empty()) return;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->HandleInput();
+    self->UpdateHeld(MonotonicClock::now());
     self->WaitReadable();
   });
 }
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -87,6 +87,8 @@
     return caller_.address().to_string();
   }
   auto is_answering() const -> bool { return is_answering_; }
+  // The last answer is complete, and nothing more is read.
+  auto is_closing() const -> bool { return is_closing_; }
   // Whether it has carried a complete request.
   auto has_served() const -> bool { return has_served_; }
   // When bytes arrived last, or an answer ended.
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -72,6 +72,9 @@
   // the number of connections that arrive in one round of the event loop under
   // overload, since connections that stay in the backlog are answered late.
   constexpr int kMaxAccepts = 256;
+  // Each looks at all connections.
+  constexpr int kMaxDisplacements = 16;
+  auto displacements = 0;
   for (int i = 0; i < kMaxAccepts; ++i) {
     tcp::socket socket(io_);
     tcp::endpoint caller;
@@ -79,7 +82,8 @@
     acceptor_.accept(socket, caller, error);
     if (error) return;
     if (connections_.size() >= max_connections_ &&
-        !Displace(MonotonicClock::now())) {
+        (++displacements > kMaxDisplacements ||
+         !Displace(MonotonicClock::now()))) {
       ++refused_;
       continue;
     }
@@ -96,10 +100,9 @@
 auto HttpServer::RelieveMemory() -> void {
   while (const auto victim = budget_.ChooseVictim(MonotonicClock::now())) {
     budget_.Remove(*victim);
-    const auto found = std::find_if(connections_.begin(), connections_.end(),
-                                    [&victim](const auto& entry) {
-                                      return entry.second->holder() == *victim;
-                                    });
+    // Holders are named by their addresses.
+    const auto found = connections_.find(
+        reinterpret_cast<const HttpConnection*>(victim->value()));
     if (found == connections_.end()) continue;
     const auto connection = found->second;
     connection->GiveUp();
@@ -109,7 +112,8 @@
 auto HttpServer::Displace(Time now) -> bool {
   std::shared_ptr<HttpConnection> chosen;
   for (const auto& [key, connection] : connections_) {
-    if (connection->is_answering() ||
+    if (connection->is_answering() || connection->is_closing() ||
+        connection->unsent_bytes() > 0 ||
         now - connection->last_activity() < kLeastSilence) {
       continue;
     }
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <deque>
 
 #include "relay/configuration_reader.h"
 #include "relay/http_server.h"
@@ -47,6 +48,9 @@
 // rest is for the process itself, its connections, the configuration, and what
 // the allocator loses.
 constexpr double kBudgetShare = 0.35;
+// Part of that, one over this, for what the clients of each other port make the
+// router hold: their requests are short.
+constexpr std::size_t kInfoBudgetParts = 32;
 
 auto UnixMilliseconds() -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -150,13 +154,15 @@
                                const std::shared_ptr<HttpConnection>&,
                                const HttpServerRequest&);
 
+  // Each has a small budget of its own: what one of them is sent must not give
+  // up requests of callers.
   auto MakeInfoServer(InfoHandler answer) -> std::unique_ptr<HttpServer> {
     return std::make_unique<HttpServer>(
         io_, [] { return CallerLimits{}; },
         [this, answer](const auto& caller, const auto& request) {
           answer(info_sources_, caller, request);
         },
-        budget_);
+        info_budgets_.emplace_back(budget_.limit() / kInfoBudgetParts));
   }
   auto StoreCalls() const -> std::uint64_t {
     return configuration_reader_.calls() + registry_reader_.calls() +
@@ -185,6 +191,7 @@
   std::function<std::string()> on_reload_;
   // Before `io_`, whose handlers own connections that count in it.
   MemoryBudget budget_;
+  std::deque<MemoryBudget> info_budgets_;
   asio::io_context io_;
   EventLog log_;
   GatewayCore core_;
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -52,7 +52,7 @@
 
 auto RelayedRequest::Start() -> void {
   // What was passed on stays, so that there may be no room for this one.
-  if (counted_body_ > 0 && !context_.budget.Fits(0)) {
+  if (counted_body_ > 0 && !context_.budget.FitsRequest(counted_body_)) {
     return Refuse(Refusal{RefusalReason::kRouterMemory, kMemoryRetryAfter});
   }
   RequestFacts facts;
--- a/routing/evacuations.cpp
+++ b/routing/evacuations.cpp
@@ -13,6 +13,8 @@
     found->second = record;
     return is_change;
   }
+  // A list that is newer did not name it.
+  if (record.version <= list_version_) return false;
   if (records_.size() >= kMaxRecords) {
     const auto spare = std::find_if(
         records_.begin(), records_.end(),
@@ -33,6 +35,7 @@
     listed.insert(record.data_center);
     if (Merge(record)) changes.push_back(record);
   }
+  list_version_ = std::max(list_version_, version);
   for (const auto& known : Records()) {
     if (listed.count(known.data_center) != 0) continue;
     const EvacuationRecord returned{known.data_center, version, false};
--- a/routing/evacuations.h
+++ b/routing/evacuations.h
@@ -43,6 +43,8 @@
   static constexpr std::size_t kMaxRecords = 256;
 
   std::map<DataCenterId, EvacuationRecord> records_;
+  // Of the newest list.
+  std::uint64_t list_version_ = 0;
 };
 
 }  // namespace papayaplank
--- a/tests/admission/test_cold_targets.cpp
+++ b/tests/admission/test_cold_targets.cpp
@@ -54,6 +54,35 @@
   EXPECT_FALSE(cold.Merge(kTarget, late, kStart + milliseconds(50)));
 }
 
+// Two routers see different causes at nearly the same time.
+TEST(ColdTargetsTest, TheLongerOfTwoNearlySimultaneousEvidencesHolds) {
+  ColdTargets cold;
+  cold.RecordRow(kTarget, kProcess, 4, seconds(3), kStart);
+  EXPECT_TRUE(cold.Merge(kTarget,
+                         {kProcess, ColdCause::kUnreachable,
+                          kStart + milliseconds(100), kStart + seconds(8)},
+                         kStart + milliseconds(100)));
+  EXPECT_TRUE(cold.IsCold(kTarget, kStart + seconds(7)));
+}
+
+// A router that has not read of the newest process finds it unreachable.
+TEST(ColdTargetsTest, EvidenceUnderAnOlderProcessCounts) {
+  ColdTargets cold;
+  cold.RecordRow(kTarget, kNextProcess, 4, seconds(1), kStart);
+  EXPECT_TRUE(cold.Merge(kTarget,
+                         {kProcess, ColdCause::kUnreachable,
+                          kStart + seconds(3), kStart + seconds(8)},
+                         kStart + seconds(3)));
+  EXPECT_TRUE(cold.IsCold(kTarget, kStart + seconds(7)));
+}
+
+TEST(ColdTargetsTest, ALateRowOfTheSameProcessEndsNothing) {
+  ColdTargets cold;
+  cold.RecordRow(kTarget, kProcess, 7, seconds(5), kStart);
+  EXPECT_FALSE(cold.RecordRow(kTarget, kProcess, 5, {}, kStart + seconds(1)));
+  EXPECT_TRUE(cold.IsCold(kTarget, kStart + seconds(4)));
+}
+
 // In any second, the permits that a bucket hands out keep the bound even if
 // those of a whole lifetime are used at once.
 TEST(ColdBoundTest, PermitsOfALifetimeKeepTheBound) {
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -142,6 +142,8 @@
   };
   auto TakeTraffic() -> Traffic { return std::exchange(traffic_, {}); }
 
+  // Between two reads of the list of targets in the whole fleet.
+  static constexpr Duration kListPeriod = milliseconds(200);
   // The bound within which routers know of a change.
   static constexpr Duration kContact = seconds(3);
   // After this, no request may reach a target that said it leaves.
--- a/tests/gateway/test_cold_targets.cpp
+++ b/tests/gateway/test_cold_targets.cpp
@@ -15,12 +15,12 @@
 
 class ColdTargetsTest : public testing::TestWithParam<int> {
  protected:
-  // Each target gets twice as much as it tolerates while it is cold.
+  // Each target gets nearly three times what it tolerates while it is cold.
   static auto Options(int routers) -> LimitFleetOptions {
     LimitFleetOptions options;
     options.routers = routers;
     options.targets = 12;
-    options.requests_per_second = 30 * 12;
+    options.requests_per_second = 40 * 12;
     options.cold_per_second = kTolerated;
     options.seed = static_cast<std::uint64_t>(GetParam());
     return options;
@@ -93,6 +93,11 @@
         fleet.Restart(target);
         break;
       }
+      case 3:
+        fleet.FreezeRouter(router);
+        fleet.Run(milliseconds(700));
+        fleet.WakeRouter(router);
+        break;
       default:
         break;
     }
@@ -101,6 +106,35 @@
   ExpectBound(fleet);
 }
 
+// Half of the routers are cut off from the others, while targets return.
+TEST_P(ColdTargetsTest, BothSidesOfAPartitionKeepTheBound) {
+  LimitFleet fleet(Options(20));
+  fleet.Run(seconds(6));
+  for (int i = 0; i < 20; ++i) {
+    if (i % 5 < 2) fleet.CutRouter(i, true);
+  }
+  fleet.Run(seconds(3));
+  CrashAndReturn(fleet, seconds(2));
+  ExpectBound(fleet);
+}
+
+// The routers that own the targets restart, one after the other, while these
+// are cold: they know nothing of it.
+TEST_P(ColdTargetsTest, OwnersThatRestartKeepTheBound) {
+  LimitFleet fleet(Options(8));
+  fleet.Run(seconds(6));
+  for (int i = 0; i < 4; ++i) fleet.Crash(i * 3);
+  fleet.Run(seconds(2));
+  for (int i = 0; i < 4; ++i) fleet.Restart(i * 3);
+  for (int i = 0; i < 8; ++i) {
+    fleet.KillRouter(i);
+    fleet.StartRouter(i);
+    fleet.Run(milliseconds(300));
+  }
+  fleet.Run(seconds(4));
+  ExpectBound(fleet);
+}
+
 INSTANTIATE_TEST_SUITE_P(, ColdTargetsTest, testing::Range(1, 5));
 
 }  // namespace
