Admission: pace of targets that start or recover

A target that comes back was given all that the routers held, or was left idle until each of them had seen answers. Not connected yet.

--- a/admission/admission.h
+++ b/admission/admission.h
@@ -18,6 +18,7 @@
 #include "admission/router_load.h"
 #include "admission/target_limits.h"
 #include "admission/target_outcomes.h"
+#include "admission/target_pace.h"
 #include "admission/target_pauses.h"
 #include "admission/target_statement.h"
 
