--- a/tests/admission/test_target_pace.cpp
+++ b/tests/admission/test_target_pace.cpp
@@ -306,8 +306,8 @@
   TargetPace pace;
   pace.Begin(kTarget, kStart);
   pace.RecordAnswers(kTarget, {0, 0, 10, 20}, kStart + milliseconds(200));
-  pace.Tick(kStart + milliseconds(900));
-  EXPECT_EQ(pace.Find(kTarget, kStart + milliseconds(900))->per_second,
+  pace.RecordAnswers(kTarget, {2, 0, 0, 0}, kStart + milliseconds(1000));
+  EXPECT_EQ(pace.Find(kTarget, kStart + milliseconds(1000))->per_second,
             TargetPace::kStartRate);
 }
 
