--- a/tests/admission/test_target_pace.cpp
+++ b/tests/admission/test_target_pace.cpp
@@ -276,6 +276,19 @@
   }
 }
 
+// Load pattern: a crowd while half of all reports arrive twice. Guards against
+// trials of a higher rate that follow each other at once.
+TEST(TargetPaceTest, ManyCopiedReportsLetTheQueueGrowSlowly) {
+  for (const auto delay : {200, 2000}) {
+    Model model(200);
+    model.report_delay = milliseconds(delay);
+    model.copied_one_in = 2;
+    model.pace.Begin(kTarget, model.now());
+    model.Run(seconds(25));
+    EXPECT_LE(model.most_waiting(), 180) << delay;
+  }
+}
+
 // Load pattern: forecasts of a target of another speed are wrong, so that all
 // its answers seem late.
 TEST(TargetPaceTest, AWrongForecastHoldsATargetBackForAShortTime) {
