Transport: papayaplank_router limits callers' bodies and connections

Each body was held whole until its request ended, and nothing limited the sum, so callers that stopped one byte short of the end took the process to any size.

HeldBodies counts allocated bytes of bodies with the MemoryBudget of the edge. Complete bodies may have been passed on and are never dropped. A body above max_body_bytes now frees its allocation too. Metric held_bytes.

A case is added: callers that finish late run once or get 503.

--- a/apps/router_flags.cpp
+++ b/apps/router_flags.cpp
@@ -35,6 +35,12 @@
              "Time without a byte from a target after which an attempt ends.");
 DEFINE_int32(address_lifetime_seconds, 10,
              "How long callers may cache the answer of /v1/addresses.");
+DEFINE_double(memory_limit_mb, 512,
+              "Memory of the instance in MB. Bodies of callers' requests may "
+              "take 35 % of it; further ones are refused with 503.");
+DEFINE_int32(max_connections, 8192,
+             "Callers' connections that are open at one time. Near the limit "
+             "those that have been silent for longest are closed.");
 DEFINE_string(sharing, "fleet",
               "How routers share slots: fleet; as baselines for measurements, "
               "local (no sharing, fair in each router) or fifo (no sharing, "
@@ -128,6 +134,8 @@
                        600000);
   validator.CheckRange("address_lifetime_seconds",
                        FLAGS_address_lifetime_seconds, 1, 3600);
+  validator.CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 64, 1 << 20);
+  validator.CheckRange("max_connections", FLAGS_max_connections, 16, 1000000);
   if (!ParseSharingMode(FLAGS_sharing)) {
     validator.AddError("sharing", "is '" + FLAGS_sharing +
                                       "'; allowed are fleet, local and fifo");
@@ -165,6 +173,9 @@
   settings.stop_limit = SecondsToDuration(FLAGS_stop_limit_seconds);
   settings.progress_timeout = milliseconds(FLAGS_progress_timeout_ms);
   settings.address_lifetime = seconds(FLAGS_address_lifetime_seconds);
+  settings.memory_limit =
+      static_cast<std::size_t>(FLAGS_memory_limit_mb * (1 << 20));
+  settings.max_connections = static_cast<unsigned>(FLAGS_max_connections);
   settings.router.mode = *ParseSharingMode(FLAGS_sharing);
   return settings;
 }
--- a/tasks/router_process.cpp
+++ b/tasks/router_process.cpp
@@ -31,11 +31,20 @@
 constexpr std::size_t kPrefixBytes = 256;
 constexpr Duration kStopPollPeriod = milliseconds(50);
 constexpr Duration kPeerTimeout = seconds(5);
+// Share of the instance's memory for request bodies. The rest is for the
+// process itself, its connections and answers, and what the allocator loses.
+constexpr double kBodiesShare = 0.35;
 
 auto Seconds(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
 }
 
+auto LogBudgetChange(const BudgetChange& change) -> void {
+  LOG(WARNING) << "event=body_limit state="
+               << (change.is_binding ? "binding" : "kept")
+               << " held=" << change.held << " limit=" << change.limit;
+}
+
 auto AnswerWithError(AnswerBuffer& answer, int status, const std::string& type,
                      const std::string& message) -> void {
   AnswerHead head;
@@ -52,7 +61,12 @@
 // arrives while the other tasks stop.
 class RouterProcess::Tasks {
  public:
-  explicit Tasks(const RouterSettings& settings) : settings_(settings) {}
+  explicit Tasks(const RouterSettings& settings)
+      : settings_(settings),
+        held_bodies_(std::make_shared<HeldBodies>(
+            static_cast<std::size_t>(
+                static_cast<double>(settings.memory_limit) * kBodiesShare),
+            LogBudgetChange)) {}
 
   ~Tasks() {
     if (!core_task_) return;
@@ -284,6 +298,13 @@
     set("slot_updates_sent_total",
         static_cast<double>(counters.slot_updates_sent));
     set("pauses_total", static_cast<double>(counters.pauses));
+    set("requests_given_up_total",
+        static_cast<double>(held_bodies_->given_up()));
+    for (const auto kind : {HeldKind::kUnfinishedRequest, HeldKind::kBody}) {
+      metrics_.SetValue("papayaplank_held_bytes",
+                        {{"kind", std::string(HeldKindName(kind))}},
+                        static_cast<double>(held_bodies_->held(kind)));
+    }
     RefreshPoolMetrics();
   }
 
@@ -320,6 +341,8 @@
     };
     CallerServerOptions options;
     options.address = settings_.caller_address;
+    options.max_connections = settings_.max_connections;
+    options.held_bodies = held_bodies_;
     auto opened = CallerServer::Open(options, std::move(hooks));
     if (!IsOk(opened)) return ErrorOf(opened);
     caller_server_ = std::move(ValueOf(opened));
@@ -403,6 +426,7 @@
   }
 
   const RouterSettings settings_;
+  const std::shared_ptr<HeldBodies> held_bodies_;
   MetricRegistry metrics_;
   std::atomic<bool> is_ready_ = true;
   std::atomic<bool> has_instance_list_ = false;
--- a/tasks/router_process.h
+++ b/tasks/router_process.h
@@ -36,6 +36,10 @@
   Duration progress_timeout = seconds(10);
   // How long callers may cache the answer of /v1/addresses.
   seconds address_lifetime = seconds(10);
+  // Memory of the instance; a share of it is for request bodies.
+  std::size_t memory_limit = 512UL << 20;
+  // Callers' connections that are open at one time.
+  unsigned max_connections = 8192;
   RouterOptions router;
 };
 
--- a/tests/process/test_router_memory_limits.py
+++ b/tests/process/test_router_memory_limits.py
@@ -154,6 +154,26 @@
                    b"x" * (BODY_LIMIT - 1))
         self.check()
 
+    # A request that was given up must not run, nor be lost without an answer.
+    def test_callers_that_finish_late_run_once_or_get_503(self):
+        crowd = self.gather(CROWD)
+        crowd.send(head(f"Content-Length: {BODY_LIMIT}") +
+                   b"x" * (BODY_LIMIT - 1))
+        crowd.send(b"x")
+        answers = [raw.receive(caller) for caller in crowd.sockets]
+        ran = [request.id for request in self.target.requests
+               if len(request.body) == BODY_LIMIT]
+        self.assertEqual(len(ran), len(set(ran)))
+        for answer in answers:
+            self.assertIn(answer.status, (200, 503), answer)
+            has_run = answer.headers["x-request-id"] in ran
+            self.assertEqual(has_run, answer.status == 200, answer)
+            if answer.status == 503:
+                self.assertEqual(answer.ran, "no")
+        self.assertIn(503, {answer.status for answer in answers})
+        self.assertIn(200, {answer.status for answer in answers})
+        self.check()
+
     def test_legal_bodies_piece_by_piece(self):
         crowd = self.gather(CROWD)
         crowd.send(head(f"Content-Length: {BODY_LIMIT}"))
--- a/transport/caller_server.cpp
+++ b/transport/caller_server.cpp
@@ -2,17 +2,18 @@
 #include "transport/caller_server.h"
 
 #include <microhttpd.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <atomic>
-#include <cctype>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
+#include "transport/caller_connections.h"
+#include "transport/caller_headers.h"
 #include "transport/socket_address.h"
 
 namespace papayaplank {
@@ -23,44 +24,12 @@
 constexpr int kBadRequest = 400;
 // Not a standard status; nginx uses it for a caller that closed its connection.
 constexpr int kClientClosed = 499;
-constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kResponseBlockBytes = 16384;
 constexpr std::size_t kConnectionMemoryBytes = 24576;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr Duration kSocketCheckPeriod = milliseconds(500);
-constexpr char kTransferEncoding[] = "transfer-encoding";
-
-auto ToLower(std::string text) -> std::string {
-  for (auto& c : text) {
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  }
-  return text;
-}
-
-// Whether a caller's header is not forwarded to targets.
-auto IsHiddenFromTargets(const std::string& lower_name) -> bool {
-  static const std::vector<std::string> kHiddenHeaders = {
-      "authorization",
-      "connection",
-      "keep-alive",
-      "transfer-encoding",
-      "te",
-      "trailer",
-      "upgrade",
-      "proxy-connection",
-      "content-length",
-      "host",
-      "expect",
-      "x-request-id",
-      "x-papayaplank-ran",
-      "x-papayaplank-class",
-      "accept-encoding",
-      "x-resume-after-tokens"};
-  return std::find(kHiddenHeaders.begin(), kHiddenHeaders.end(), lower_name) !=
-         kHiddenHeaders.end();
-}
 
 // One request on a connection.
 struct Call {
@@ -74,7 +43,10 @@
   bool is_http_1_0 = false;
   // Whether the request was passed to `on_request`.
   bool is_passed_on = false;
-  int socket = -1;
+  // Null if libmicrohttpd has not reported the connection.
+  CallerConnection* connection = nullptr;
+  // Names the body while it is unfinished.
+  HolderId holder;
 };
 
 auto AddHeader(void* user, MHD_ValueKind /*kind*/, const char* name,
@@ -101,32 +73,6 @@
   return MHD_YES;
 }
 
-// The status for a request whose body has other transfer codings than chunks;
-// 0 if it has none.
-auto RefuseCoding(const Call& call) -> int {
-  const auto found = call.http.headers.find(kTransferEncoding);
-  if (found == call.http.headers.end()) return 0;
-  const auto codings = ToLower(found->second);
-  if (codings == "chunked") return call.is_http_1_0 ? kBadRequest : 0;
-  // Unless chunks come last, the end of the body can't be told.
-  constexpr std::string_view kChunksLast = ", chunked";
-  const auto can_be_read = codings.size() > kChunksLast.size() &&
-                           codings.compare(codings.size() - kChunksLast.size(),
-                                           std::string::npos, kChunksLast) == 0;
-  return can_be_read ? kNotImplemented : kBadRequest;
-}
-
-auto ParseBearerKey(const HttpCall& call) -> std::string {
-  const auto found = call.headers.find("authorization");
-  if (found == call.headers.end()) return "";
-  constexpr std::string_view kScheme = "Bearer ";
-  const auto& value = found->second;
-  if (strncasecmp(value.c_str(), kScheme.data(), kScheme.size()) != 0) {
-    return "";
-  }
-  return value.substr(kScheme.size());
-}
-
 }  // namespace
 
 auto FormatErrorBody(const RequestId& id, const std::string& type,
@@ -146,7 +92,9 @@
 class CallerServer::Server {
  public:
   Server(CallerServerOptions options, CallerServerHooks hooks)
-      : options_(std::move(options)), hooks_(std::move(hooks)) {}
+      : options_(std::move(options)),
+        hooks_(std::move(hooks)),
+        connections_(options_.max_connections) {}
 
   ~Server() {
     is_stopping_ = true;
@@ -168,6 +116,7 @@
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
         MHD_OPTION_NOTIFY_COMPLETED, &Server::OnCompleted, this,
         MHD_OPTION_URI_LOG_CALLBACK, &Server::OnUri, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &Server::OnConnection, this,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (daemon_ == nullptr) {
       return Error{ErrorCode::kUnavailable,
@@ -195,14 +144,37 @@
     bool is_cancelled = false;
   };
 
+  static auto OnConnection(void* user, MHD_Connection* connection,
+                           void** context, MHD_ConnectionNotificationCode code)
+      -> void {
+    auto& connections = static_cast<Server*>(user)->connections_;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      const auto* info = MHD_get_connection_info(
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      *context = connections.Add(info->connect_fd);
+    } else if (*context != nullptr) {
+      connections.Remove(static_cast<CallerConnection*>(*context));
+      *context = nullptr;
+    }
+  }
+
   // Keeps the path with its query as the caller sent it.
-  static auto OnUri(void* /*user*/, const char* uri,
-                    MHD_Connection* /*connection*/) -> void* {
+  static auto OnUri(void* user, const char* uri, MHD_Connection* connection)
+      -> void* {
     auto* call = new Call();
     call->request.path = uri;
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    call->connection = static_cast<CallerConnection*>(info->socket_context);
+    static_cast<Server*>(user)->NoteActivity(*call, false);
     return call;
   }
 
+  auto NoteActivity(const Call& call, bool is_answering) -> void {
+    if (call.connection == nullptr) return;
+    connections_.NoteActivity(*call.connection, is_answering);
+  }
+
   static auto OnAccess(void* user, MHD_Connection* connection, const char* url,
                        const char* method, const char* version,
                        const char* upload, std::size_t* upload_size,
@@ -231,7 +203,8 @@
     MHD_get_connection_values(connection, MHD_HEADER_KIND, AddHeader, &call);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, AddArgument,
                               &call);
-    if (const auto status = RefuseCoding(call); status != 0) {
+    if (const auto status = RefuseCoding(call.http, call.is_http_1_0);
+        status != 0) {
       return QueueCompleteAnswer(
           connection, call, status, "application/json",
           FormatErrorBody(call.id, "bad_request",
@@ -260,11 +233,35 @@
   }
 
   auto AppendUpload(Call& call, const char* upload, std::size_t size) -> void {
+    NoteActivity(call, false);
+    if (call.refusal_status != 0) return;
     if (call.body.size() + size > options_.max_body_bytes) {
-      call.refusal_status = kTooLarge;
-      call.body.clear();
+      return DropBody(call, kTooLarge);
+    }
+    call.body.append(upload, size);
+    if (call.holder.is_empty()) {
+      call.holder = HolderId(++last_holder_);
+      unfinished_[call.holder] = &call;
     }
-    if (call.refusal_status == 0) call.body.append(upload, size);
+    for (const auto victim : options_.held_bodies->Update(
+             call.holder, call.request.customer->id.value(),
+             call.body.capacity())) {
+      DropBody(*unfinished_.at(victim), kUnavailable);
+    }
+  }
+
+  // Refuses a request with `status`. What it still sends is read and discarded,
+  // because libmicrohttpd answers only after the body.
+  auto DropBody(Call& call, int status) -> void {
+    call.refusal_status = status;
+    // An assignment of an empty string would keep the allocated bytes.
+    std::string().swap(call.body);
+    ForgetUnfinished(call);
+  }
+
+  auto ForgetUnfinished(const Call& call) -> void {
+    options_.held_bodies->Remove(call.holder);
+    unfinished_.erase(call.holder);
   }
 
   auto FinishUpload(Call& call, MHD_Connection* connection) -> MHD_Result {
@@ -281,6 +278,14 @@
                               " bytes",
                           "no"));
     }
+    if (call.refusal_status == kUnavailable) {
+      return QueueCompleteAnswer(
+          connection, call, kUnavailable, "application/json",
+          FormatErrorBody(call.id, "overloaded",
+                          "the router holds too many request bodies; send the "
+                          "request again later",
+                          "no"));
+    }
     if (call.request.idempotency_key.size() > kMaxIdempotencyKeyBytes) {
       return QueueCompleteAnswer(
           connection, call, kBadRequest, "application/json",
@@ -300,7 +305,10 @@
     request.method = call.http.method;
     const auto found = call.http.headers.find("x-papayaplank-class");
     if (found != call.http.headers.end()) request.class_header = found->second;
-    request.body = std::make_shared<const std::string>(std::move(call.body));
+    request.body =
+        options_.held_bodies->Complete(call.holder, std::move(call.body));
+    unfinished_.erase(call.holder);
+    NoteActivity(call, true);
     request.answer = std::make_shared<AnswerBuffer>(
         call.id, !request.idempotency_key.empty());
     request.answer->SetOnReadable(
@@ -339,12 +347,16 @@
   auto QueueCompleteAnswer(MHD_Connection* connection, const Call& call,
                            int status, const std::string& content_type,
                            const std::string& body) -> MHD_Result {
+    NoteActivity(call, true);
     auto* response = MHD_create_response_from_buffer(
         body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, "Content-Type", content_type.c_str());
     if (status >= kBadRequest) {
       MHD_add_response_header(response, "X-Papayaplank-Ran", "no");
     }
+    if (call.refusal_status == kUnavailable) {
+      MHD_add_response_header(response, "Retry-After", "1");
+    }
     AddCommonHeaders(response, call);
     const auto result =
         MHD_queue_response(connection, static_cast<unsigned>(status), response);
@@ -421,6 +433,8 @@
     *state = nullptr;
     if (call == nullptr) return;
     if (call->is_passed_on) server->EndCall(*call, code);
+    server->ForgetUnfinished(*call);
+    server->NoteActivity(*call, false);
     delete call;
   }
 
@@ -445,6 +459,8 @@
   auto CheckSockets() -> void {
     while (!is_stopping_) {
       std::this_thread::sleep_for(kSocketCheckPeriod);
+      connections_.MakeRoom();
+      options_.held_bodies->Tick();
       std::vector<RequestId> gone;
       {
         const std::lock_guard lock(mutex_);
@@ -474,6 +490,10 @@
 
   const CallerServerOptions options_;
   const CallerServerHooks hooks_;
+  CallerConnections connections_;
+  // Calls by the holder of their unfinished body; used on the daemon's thread.
+  std::unordered_map<HolderId, Call*> unfinished_;
+  std::uint64_t last_holder_ = 0;
   MHD_Daemon* daemon_ = nullptr;
   std::atomic<bool> is_stopping_ = false;
   std::atomic<bool> should_close_after_answers_ = false;
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -10,6 +10,7 @@
 
 #include "config/config.h"
 #include "transport/answer_buffer.h"
+#include "transport/held_bodies.h"
 #include "transport/http_service.h"
 
 namespace papayaplank {
@@ -37,6 +38,8 @@
   // side.
   unsigned idle_seconds = 120;
   unsigned max_connections = 8192;
+  // Counts the bodies of callers; required.
+  std::shared_ptr<HeldBodies> held_bodies;
 };
 
 // Callbacks of the server, called on its threads.
