--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -77,8 +77,9 @@
 auto HttpConnection::GiveUp() -> void {
   if (is_answering_ || is_closing_ || !is_open()) return;
   budget_.Remove(holder());
-  body_ = std::string();
-  in_ = std::string();
+  // Assigning an empty text would keep the memory.
+  std::string().swap(body_);
+  std::string().swap(in_);
   const auto has_head = reader_ && reader_->is_header_done();
   if (!has_head) {
     // An earlier answer may not be sent yet.
@@ -219,7 +220,7 @@
   is_answering_ = true;
   has_served_ = true;
   budget_.Remove(holder());
-  if (in_.empty()) in_ = std::string();
+  if (in_.empty()) std::string().swap(in_);
   on_request_(shared_from_this(), std::move(request));
 }
 
--- a/relay/http_server.cpp
+++ b/relay/http_server.cpp
@@ -91,18 +91,16 @@
         std::move(socket), caller, limits_(), on_request_, budget_);
     connection->SetHeldHook([this] { RelieveMemory(); });
     if (is_stopping_ || is_nearly_full()) connection->CloseAfterAnswer();
-    connections_[connection.get()] = connection;
+    connections_[connection->holder()] = connection;
     connection->Start(
-        [this, key = connection.get()] { connections_.erase(key); });
+        [this, key = connection->holder()] { connections_.erase(key); });
   }
 }
 
 auto HttpServer::RelieveMemory() -> void {
   while (const auto victim = budget_.ChooseVictim(MonotonicClock::now())) {
     budget_.Remove(*victim);
-    // Holders are named by their addresses.
-    const auto found = connections_.find(
-        reinterpret_cast<const HttpConnection*>(victim->value()));
+    const auto found = connections_.find(*victim);
     if (found == connections_.end()) continue;
     const auto connection = found->second;
     connection->GiveUp();
--- a/relay/http_server.h
+++ b/relay/http_server.h
@@ -65,8 +65,7 @@
   HttpConnection::RequestHook on_request_;
   MemoryBudget& budget_;
   // Exactly the open connections; each removes itself when it closes.
-  std::unordered_map<const HttpConnection*, std::shared_ptr<HttpConnection>>
-      connections_;
+  std::unordered_map<HolderId, std::shared_ptr<HttpConnection>> connections_;
   std::size_t max_connections_ = 3000;
   std::uint64_t refused_ = 0;
   std::uint64_t displaced_ = 0;
