--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,6 +7,7 @@
 
 import os
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -75,7 +76,7 @@
         left = stopped_at + GRACE_SECONDS - time.monotonic()
         try:
             router.process.wait(left)
-        except Exception:  # The platform kills it then.
+        except subprocess.TimeoutExpired:  # The platform kills it then.
             router.process.kill()
         record.say(f"the process ended "
                    f"{time.monotonic() - stopped_at:.2f} s after SIGTERM")
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -27,7 +27,8 @@
 HOST = "ficu95.example"
 KEY = "asnmgkcuyj8pjbvk9m68"
 TENANT = "hule930"
-START_SECONDS = 15  # Longest wait for a router; no bound of a rule.
+START_SECONDS = 15     # Longest wait for a router; no bound of a rule.
+LONGEST_SECONDS = 110  # Of a whole case.
 
 
 class CannotRun(Exception):
@@ -177,15 +178,13 @@
                        os.environ}
         environment["PAPAYAPLANK_BOOT"] = self.settings
 
-        def limit_descriptors():
-            # The machine's `max-fds` bounds each process.
-            resource.setrlimit(resource.RLIMIT_NOFILE,
-                               (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
-
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 self.run, cwd=ROOT, env=environment, stdout=log,
-                stderr=subprocess.STDOUT, preexec_fn=limit_descriptors)
+                stderr=subprocess.STDOUT)
+        # The machine's `max-fds` bounds each process.
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE,
+                         (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
 
     def log_lines(self, event):
         with open(self.log, encoding="utf-8", errors="replace") as file:
@@ -539,9 +538,21 @@
 
 
 def run_case(folder, case):
-    """Runs `case(record, temporary folder)`; exits with its result."""
+    """Runs `case` and exits with its result.
+
+    It gets the record, a temporary folder, and a list to which it adds all that
+    has to be ended; the case is stopped after LONGEST_SECONDS or by a signal.
+    """
     record = Record(folder)
     routers = []
+    status = NOT_RUN
+
+    def stop(number, frame):
+        raise CannotRun(f"stopped by signal {number}")
+
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+    signal.alarm(LONGEST_SECONDS)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             status = case(record, temporary, routers)
