--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,11 +15,11 @@
 sys.path.insert(0, os.path.join(FOLDER, "../lib-2"))
 import fleet  # noqa: E402
 
-RUNNERS = 24
-REPLACED = 10          # A share of 0.42, one at a time.
+RUNNERS = 32
+REPLACED = 14          # A share of 0.44, one at a time.
 DRAIN_SECONDS = 2.3   # `drain-ms` and a little longer.
 RELEASE_GAP_SECONDS = 3
-CALLERS = 48
+CALLERS = 64
 STREAM_SECONDS = (7.0, 11.0)
 EVENTS = 64
 DEADLINE_MS = 15000
