--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -183,7 +183,11 @@
                 self.run, cwd=ROOT, env=environment, stdout=log,
                 stderr=subprocess.STDOUT)
         # The machine's `max-fds` bounds each process.
-        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE,
+        pid = self.process.pid
+        most = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
+        if most != resource.RLIM_INFINITY and most < MAX_DESCRIPTORS:
+            raise CannotRun(f"a process may have {most} descriptors only")
+        resource.prlimit(pid, resource.RLIMIT_NOFILE,
                          (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
 
     def log_lines(self, event):
