Review cases: each names its record.txt, and case 6 uses requests that run once

The record was written by the shared module alone, so that no case folder named it. Case 6 measured requests that a client may abandon while they are unread; payments may not be.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,8 @@
 """A runner that sends the body of one stream without end, in small chunks.
 
 The body is one event that never ends: short lines without an empty line. A
-second service, whose runners are sound, serves ordinary requests meanwhile.
+second service, whose runners are sound, serves ordinary requests meanwhile. They
+may run once only, so that no client abandons them while they are unread.
 """
 
 import os
@@ -61,8 +62,9 @@
         [{"name": "report", "prefix": "/report/", "route-kind": "streaming",
           "timeout-ms": 15000, "service": "pool", "resumable": False,
           "sticky": True, "gap-goal-ms": 400},
-         {"name": "lookup", "prefix": "/lookup/", "route-kind": "idempotent",
-          "timeout-ms": TIMEOUT_MS, "service": "desk"}],
+         {"name": "payment", "prefix": "/payment/",
+          "route-kind": "non_idempotent", "timeout-ms": TIMEOUT_MS,
+          "service": "desk"}],
         [{"name": "pool"}, {"name": "desk"}]))
     pool = fleet.Runner(store, record, "i-pool", "pool")
     pool.answer = troubled(pool) if fleet.has_trouble() else sound(pool)
@@ -79,12 +81,12 @@
         caller = None
         number = 0
         while time.monotonic() < until:
-            attempt = f"lookup-{client}-{number}"
+            attempt = f"payment-{client}-{number}"
             number += 1
             sent_at = time.monotonic() - began
             try:
                 caller = caller or fleet.Caller(routers[0].front)
-                caller.send("GET", "/lookup/1", attempt, 1500)
+                caller.send("POST", "/payment/1", attempt, 1500, b"p" * 600)
                 answer = caller.read(1.5)
             except OSError as error:
                 answer = fleet.Answer()
@@ -124,4 +126,4 @@
     return fleet.BROKEN if is_broken else fleet.HELD
 
 
-fleet.run_case(FOLDER, case)
+fleet.run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -90,4 +90,4 @@
     return fleet.BROKEN if len(closed) > MOST_CLOSED else fleet.HELD
 
 
-fleet.run_case(FOLDER, case)
+fleet.run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -36,11 +36,10 @@
 
 
 class Record:
-    """The file record.txt beside the script: one line for each event."""
+    """The record of a case: one line for each event."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w",
-                         encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.lock = threading.Lock()
         self.began = time.monotonic()
 
@@ -541,13 +540,13 @@
             "tenants": [{"name": TENANT, "api-keys": [KEY], "priority": 1}]}
 
 
-def run_case(folder, case):
-    """Runs `case` and exits with its result.
+def run_case(record_path, case):
+    """Runs `case`, writes its record to `record_path`, exits with its result.
 
-    It gets the record, a temporary folder, and a list to which it adds all that
-    has to be ended; the case is stopped after LONGEST_SECONDS or by a signal.
+    The case gets the record, a temporary folder, and a list to which it adds all
+    that has to be ended; it is stopped after LONGEST_SECONDS or by a signal.
     """
-    record = Record(folder)
+    record = Record(record_path)
     routers = []
     status = NOT_RUN
 
