Relay: a long event in small chunks takes linear time

Callers saw: one stream of short lines in chunks of two bytes, without an empty line, took a router's processor for longer than its timeout of 15 s.

Cause: EventSplitter joined each piece of the body with the unfinished event and searched and copied all of it again. The body came in one piece a chunk.

Ruled out: the parser of chunks (the reader alone: 2,000 chunks in under 1 ms), and the write to the caller for each piece (others were served beside comments in small chunks).

--- a/relay/event_splitter.cpp
+++ b/relay/event_splitter.cpp
@@ -16,10 +16,14 @@
   kNoEvent,  // Has no field that an event can have.
 };
 
-// Position after the empty line that ends the first event; 0 if none is
-// complete. Lines end with LF or CR LF.
-auto FindEventEnd(std::string_view bytes) -> std::size_t {
-  for (auto at = bytes.find('\n'); at != std::string_view::npos;
+// The start of an empty line that ends an event may be followed by this many
+// bytes without the line being complete: LF, CR.
+constexpr std::size_t kOpenEndBytes = 2;
+
+// Position after the first empty line, looked for from `from` on; 0 if there is
+// none. Lines end with LF or CR LF.
+auto FindEventEnd(std::string_view bytes, std::size_t from) -> std::size_t {
+  for (auto at = bytes.find('\n', from); at != std::string_view::npos;
        at = bytes.find('\n', at + 1)) {
     const auto next = bytes.substr(at + 1, 2);
     if (!next.empty() && next[0] == '\n') return at + 2;
@@ -68,18 +72,18 @@
 
 auto EventSplitter::Append(std::string_view bytes, const EventHook& on_event)
     -> void {
-  std::string joined;
-  if (!partial_event_.empty()) {
-    joined = std::move(partial_event_);
-    joined.append(bytes);
-    partial_event_.clear();
-    bytes = joined;
-  }
-  for (auto end = FindEventEnd(bytes); end != 0; end = FindEventEnd(bytes)) {
-    HandleEvent(bytes.substr(0, end), on_event);
-    bytes.remove_prefix(end);
+  // Only new bytes are searched, as an event may come in many small pieces.
+  const auto searched =
+      partial_event_.size() - std::min(partial_event_.size(), kOpenEndBytes);
+  partial_event_.append(bytes);
+  const std::string_view text = partial_event_;
+  std::size_t start = 0;
+  for (auto end = FindEventEnd(text, searched); end != 0;
+       end = FindEventEnd(text, start)) {
+    HandleEvent(text.substr(start, end - start), on_event);
+    start = end;
   }
-  partial_event_.assign(bytes);
+  partial_event_.erase(0, start);
 }
 
 auto EventSplitter::HandleEvent(std::string_view event,
--- a/relay/message_reader.cpp
+++ b/relay/message_reader.cpp
@@ -38,6 +38,13 @@
 
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::Read(std::string& bytes) -> Progress {
+  const auto progress = Parse(bytes);
+  if (!read_body_.empty()) on_body_(std::exchange(read_body_, std::string()));
+  return progress;
+}
+
+template <bool kIsRequest>
+auto MessageReader<kIsRequest>::Parse(std::string& bytes) -> Progress {
   while (!this->is_done() && !bytes.empty()) {
     ParseError error;
     const auto taken =
@@ -128,7 +135,7 @@
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::on_body_impl(Text body, ParseError&)
     -> std::size_t {
-  on_body_(std::string_view(body.data(), body.size()));
+  read_body_.append(body.data(), body.size());
   return body.size();
 }
 
@@ -139,7 +146,7 @@
 template <bool kIsRequest>
 auto MessageReader<kIsRequest>::on_chunk_body_impl(std::uint64_t, Text body,
                                                    ParseError&) -> std::size_t {
-  on_body_(std::string_view(body.data(), body.size()));
+  read_body_.append(body.data(), body.size());
   return body.size();
 }
 
--- a/relay/message_reader.h
+++ b/relay/message_reader.h
@@ -36,7 +36,9 @@
     kHeaderTooLarge,
     kBodyTooLarge,
   };
-  // Parses the front of `bytes` and removes what was parsed.
+  // Parses the front of `bytes` and removes what was parsed. The body hook is
+  // called at most once, with all body bytes of this read, as a sender may use
+  // many small chunks.
   auto Read(std::string& bytes) -> Progress;
   // Call when the sender has closed the connection. Returns whether that
   // completes the message, as for an answer without a length.
@@ -75,9 +77,12 @@
   // Checks that the transfer codings of the body are none or chunks alone.
   // Anything else has no length that the reader could know.
   auto CheckTransferCodings(ParseError& error) -> void;
+  auto Parse(std::string& bytes) -> Progress;
 
   std::size_t header_limit_;
   BodyHook on_body_;
+  // Body bytes of the current read; empty between reads.
+  std::string read_body_;
   HttpFields fields_;
   std::string method_;
   std::string request_target_;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -252,6 +252,8 @@
         "endless_503"    the body of a 503 to a request that has run
         "endless_429"    the same of a 429
         "endless_event"  one event of a stream
+        "endless_lines"  one event of short lines, each in a chunk of its own
+        "endless_comments"  comments of a stream, each in a chunk of its own
         "endless_chunk"  the extension of a chunk
         "endless_trailer"  fields behind a chunked body
         "trickle"        a byte of a header line every 50 ms
@@ -356,6 +358,8 @@
             "endless_429": (self.response_head(headers, 429) + b"\r\n",
                             filler),
             "endless_event": (signed_stream, b"10000\r\n" + filler + b"\r\n"),
+            "endless_lines": (signed_stream, b"2\r\na\n\r\n" * 8192),
+            "endless_comments": (signed_stream, b"3\r\n:\n\n\r\n" * 8192),
             "endless_trailer": (signed_stream + b"0\r\n",
                                 b"Name: value\r\n" * 4096),
             "endless_chunk": (signed_stream + b"5;", filler),
--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -27,6 +27,8 @@
 MANY_REQUESTS = 400
 # An answer long before the deadline of the request, which is 6 s.
 PROMPT_SECONDS = 2.5
+# The longest that a request to /short/ may take: its route's timeout, and 0.5 s.
+SHORT_SECONDS = 1.1
 
 
 class EndlessBytesTest(unittest.TestCase):
@@ -121,6 +123,39 @@
     def test_an_event_without_end(self):
         self.check_target("endless_event", "/stream/once/1", {502})
 
+    # Each piece of an event was searched again with all pieces before it, so that
+    # one stream took the processor for longer than its timeout.
+    def test_an_event_without_end_in_small_chunks(self):
+        self.check_target("endless_lines", "/stream/once/1", {502})
+
+    def check_others(self, fault):
+        """Others are served while a target sends without end."""
+        for target in self.targets:
+            target.faults = [fault]
+        stream = threading.Thread(target=self.ask_stream)
+        stream.start()
+        wait_for(lambda: sum(t.endless_bytes for t in self.targets) > 0,
+                 "the stream has begun")
+        for target in self.targets:
+            target.faults = []
+        for _ in range(10):
+            began = time.monotonic()
+            self.assertEqual(self.ask("/short/1", wait_ms=2000)[0], 200, fault)
+            self.assertLess(time.monotonic() - began, SHORT_SECONDS, fault)
+        stream.join()
+
+    def ask_stream(self):
+        try:
+            self.ask("/stream/once/1", wait_ms=4000)
+        except (http.client.HTTPException, OSError):
+            pass  # It is cut at its deadline, or by the end of the test.
+
+    def test_others_are_served_beside_an_event_without_end(self):
+        self.check_others("endless_lines")
+
+    def test_others_are_served_beside_comments_without_end(self):
+        self.check_others("endless_comments")
+
     def test_a_chunk_extension_without_end(self):
         self.check_target("endless_chunk", "/stream/once/1", {502})
 
--- a/tests/process/test_router_endless_bytes.py
+++ b/tests/process/test_router_endless_bytes.py
@@ -27,7 +27,8 @@
         self.ended = threading.Event()
         self.target = raw.RawTarget(count=2)
         self.target.serve = self.serve
-        self.fleet = raw.RawFleet(BUILD, service=self.target)
+        self.engine = raw.RawTarget(self.serve, count=2)
+        self.fleet = raw.RawFleet(BUILD, self.engine, self.target)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.ask()
@@ -63,6 +64,9 @@
         began = time.monotonic()
         answer = self.ask()
         self.assertEqual(answer.status, 502, answer)
+        self.check_ended(began)
+
+    def check_ended(self, began):
         self.assertLess(time.monotonic() - began, ANSWER_SECONDS)
         self.assertTrue(self.ended.wait(ANSWER_SECONDS),
                         "the connection to the target stays open")
@@ -88,6 +92,16 @@
         self.check(lambda request: (
             raw.head(request, 200, raw.CHUNKED) + b"5;", FILLER))
 
+    # The head of a stream is passed on before its first event.
+    def test_an_event_without_end_in_small_chunks(self):
+        self.endless = lambda request: (raw.stream_head(request),
+                                        raw.chunk(b":\n") * 8192)
+        began = time.monotonic()
+        answer = raw.ask(self.fleet.routers[0])
+        self.assertEqual((answer.status, answer.body, answer.is_whole),
+                         (200, b"", False))
+        self.check_ended(began)
+
     def test_the_body_of_another_request(self):
         self.check(lambda request: (
             b"HTTP/1.1 200 X\r\nX-Request-Id: other\r\n\r\n", FILLER))
--- a/tests/relay/test_relay.cpp
+++ b/tests/relay/test_relay.cpp
@@ -1,7 +1,10 @@
 // Parsing of HTTP messages and server-sent events.
 #include <gtest/gtest.h>
 
+#include <ctime>
+
 #include "relay/event_splitter.h"
+#include "relay/loop_watch.h"
 #include "relay/message_reader.h"
 
 namespace papayaplank {
@@ -76,6 +79,35 @@
   EXPECT_FALSE(reader.FinishAtEndOfStream());
 }
 
+// A target that sends chunks of one byte made the router handle each of them on
+// its own, with a write to the caller for each (CONFIG).
+TEST(MessageReaderTest, ManyChunksOfOneReadAreHandledAtOnce) {
+  constexpr int kChunks = 2000;
+  std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < kChunks; ++i) bytes += "1\r\na\r\n";
+  std::string body;
+  int calls = 0;
+  ResponseReader reader(kHeaderLimit, kChunks, [&](std::string_view part) {
+    body.append(part);
+    ++calls;
+  });
+  EXPECT_EQ(reader.Read(bytes), ResponseReader::Progress::kHeader);
+  EXPECT_EQ(body, std::string(kChunks, 'a'));
+  EXPECT_EQ(calls, 1);
+}
+
+TEST(MessageReaderTest, BytesBeforeAnInvalidChunkAreHandled) {
+  std::string bytes =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\na\r\n1\r\nb\r\nx";
+  bytes += "\r\n";
+  std::string body;
+  ResponseReader reader(kHeaderLimit, kBodyLimit,
+                        [&body](std::string_view part) { body.append(part); });
+  EXPECT_EQ(reader.Read(bytes), ResponseReader::Progress::kInvalid);
+  EXPECT_EQ(body, "ab");
+}
+
 auto Split(EventSplitter& splitter, std::string_view bytes) -> std::string {
   std::string events;
   splitter.Append(bytes,
@@ -93,6 +125,21 @@
   EXPECT_EQ(splitter.last_event_id(), 2);
 }
 
+// An event that arrives in many small pieces took the processor for seconds, as
+// each piece was joined with all earlier ones and searched again (CONFIG).
+TEST(EventSplitterTest, ALongEventInSmallPiecesTakesLittleTime) {
+  constexpr int kPieces = 131072;
+  EventSplitter splitter;
+  const auto began = std::clock();
+  for (int i = 0; i < kPieces; ++i) EXPECT_EQ(Split(splitter, ":\n"), "");
+  const auto seconds =
+      static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+  // The event loop would count as standing still.
+  EXPECT_LT(std::chrono::duration<double>(seconds), kLeastRestartTime);
+  EXPECT_EQ(splitter.partial_event_bytes(), 2U * kPieces);
+  EXPECT_EQ(Split(splitter, "\n").size(), 2U * kPieces + 1);
+}
+
 TEST(EventSplitterTest, DropsEventsRepeatedByAnotherTarget) {
   EventSplitter splitter;
   Split(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
