Relay: a planned exit of a target doesn't cut its last answer

Callers saw: targets that left as planned ended their last stream, which had neither a length nor chunks, and exited at once. A plain answer ended as 502 in the same way.

Cause: the connections of a killed process end like those of one that exits, so an answer whose target's process ended with it counted as broken, whatever the target had announced.

Ruled out by the new log field `target_process`: answers that broke off in the same moment, and an end that was handled late. That an announcement alone is not enough is shown by the tests of targets that are killed while they drain.

Seen failing on (without the two new flags): four cases of test_exiting_targets, the last stream and the last plain answer of a target that drains, a row that is removed before the drain time, and a store that answers late.

The end of such an answer is held back while the router reads the target's row: the platform removes it when the target has left, and keeps it for three missing reports after a crash.

--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -48,6 +48,10 @@
 DEFINE_double(cold_slack, 0,
               "Requests that may reach a cold target in a second beyond "
               "cold_overshoot.");
+DEFINE_double(target_report_ms, 1200,
+              "Interval of a target's reports to the store.");
+DEFINE_double(target_drain_ms, 2000,
+              "Time for which a target that leaves serves on.");
 DEFINE_double(
     memory_limit_mb, 256,
     "Memory of the instance, in MB. Callers may make the router hold a "
@@ -143,6 +147,8 @@
              errors);
   CheckRange("memory_limit_mb", FLAGS_memory_limit_mb, 16, 1 << 20, errors);
   CheckRange("cold_overshoot", FLAGS_cold_overshoot, 0, 1000, errors);
+  CheckRange("target_report_ms", FLAGS_target_report_ms, 100, 60000, errors);
+  CheckRange("target_drain_ms", FLAGS_target_drain_ms, 0, 600000, errors);
   CheckRange("cold_slack", FLAGS_cold_slack, 0, 100000, errors);
   CheckRange("cores", FLAGS_cores, 0.01, 1024, errors);
   CheckRange("max_descriptors", FLAGS_max_descriptors, 64, 1000000, errors);
@@ -174,6 +180,8 @@
   settings.memory_limit =
       static_cast<std::size_t>(FLAGS_memory_limit_mb * (1 << 20));
   settings.cold = ColdBound{FLAGS_cold_overshoot, FLAGS_cold_slack};
+  settings.exits = ExitTimes{SecondsToDuration(FLAGS_target_report_ms / 1000),
+                             SecondsToDuration(FLAGS_target_drain_ms / 1000)};
   settings.cores = FLAGS_cores;
   settings.max_descriptors = static_cast<int>(FLAGS_max_descriptors);
   return settings;
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -60,6 +60,7 @@
       random_(options_.seed),
       keys_(options_.revocation_bound, kRevocationMargin),
       watch_(options_.router),
+      target_exits_(options_.exits),
       peers_(options_.peer_address),
       retry_budget_(options_.retries),
       crash_guard_(StableHash("crash guard", options_.seed)),
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -44,6 +44,8 @@
   RetryBound retries;
   // Bound on the requests to a cold target.
   ColdBound cold;
+  // What the platform guarantees of targets that leave.
+  ExitTimes exits;
   // Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   std::uint64_t seed = 0;
@@ -110,6 +112,12 @@
   // Applies a complete target list that was read from the store.
   auto SetTargets(std::vector<TargetRow> rows, std::uint64_t store_version,
                   Time now) -> DirectoryChange;
+  // Whether a process of the target that has ended may have exited as planned.
+  auto MayHaveExited(const TargetRow& target) const -> bool;
+  // Judges how a process of the target ended at `ended_at`, by its row in the
+  // store as read since.
+  auto JudgeExit(const TargetRow& target, Time ended_at, ExitRow row,
+                 Time now) const -> ExitVerdict;
   // A call to the store succeeded.
   auto RecordStoreSuccess(Time now) -> void;
   // A call to the store failed.
@@ -370,6 +378,7 @@
   KeyValidity keys_;
   ConfigWatch watch_;
   TargetDirectory directory_;
+  TargetExits target_exits_;
   PeerTable peers_;
   CachedPrefixes cached_prefixes_;
   FairShare shares_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -45,6 +45,7 @@
 auto GatewayCore::ApplyChange(const DirectoryChange& change, Time now) -> void {
   for (const auto& target : change.joined) {
     target_of_hash_[TargetHash(target)] = target;
+    target_exits_.RecordReturn(target);
   }
   for (const auto& target : change.restarted) {
     crash_guard_.RecordUnreachable(target, now);
@@ -52,10 +53,26 @@
     PresumeCold(target, ColdCause::kRestarted, now);
   }
   for (const auto& target : change.left) {
-    if (directory_.Find(target) == nullptr) ResetTarget(target);
+    if (directory_.Find(target) != nullptr) continue;
+    target_exits_.RecordRemoval(target, now);
+    ResetTarget(target);
   }
 }
 
+auto GatewayCore::MayHaveExited(const TargetRow& target) const -> bool {
+  return directory_.HasAnnouncedExit(target) ||
+         target_exits_.IsRemoved(target.id);
+}
+
+auto GatewayCore::JudgeExit(const TargetRow& target, Time ended_at, ExitRow row,
+                            Time now) const -> ExitVerdict {
+  // Rows expire while the store is away.
+  const auto is_incomplete = row == ExitRow::kAbsent && IsStoreRecovering(now);
+  return target_exits_.Judge(target.id, directory_.HasAnnouncedExit(target),
+                             ended_at, is_incomplete ? ExitRow::kUnknown : row,
+                             now);
+}
+
 auto GatewayCore::SetEvacuated(const std::vector<EvacuationRecord>& evacuated,
                                std::uint64_t version, Time now) -> void {
   ApplyEvacuations(evacuation_news_.RecordList(evacuated, version, now), now);
--- a/relay/process_sentinel.cpp
+++ b/relay/process_sentinel.cpp
@@ -3,6 +3,20 @@
 
 namespace papayaplank {
 
+auto ProcessStateName(ProcessState state) -> std::string_view {
+  switch (state) {
+    case ProcessState::kAlive:
+      return "alive";
+    case ProcessState::kEnded:
+      return "ended";
+    case ProcessState::kCrashed:
+      return "crashed";
+    case ProcessState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 ProcessSentinel::ProcessSentinel(asio::io_context& io)
     : connection_(std::make_shared<TargetConnection>(io)) {}
 
--- a/relay/process_sentinel.h
+++ b/relay/process_sentinel.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "relay/target_connection.h"
 
@@ -15,6 +16,18 @@
 // listener may be the last.
 inline constexpr Duration kProcessEndTime = milliseconds(20);
 
+// What is known of a target's process after an answer has ended with its
+// connection.
+enum class ProcessState {
+  kAlive,
+  kEnded,
+  kCrashed,  // Other answers of it have broken off at the same time.
+  kUnknown,  // A later process may listen at the address.
+};
+
+// Name of a state, as it stands in logs.
+auto ProcessStateName(ProcessState state) -> std::string_view;
+
 // Holds one connection until it is destroyed.
 class ProcessSentinel : public std::enable_shared_from_this<ProcessSentinel> {
  public:
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -10,6 +10,7 @@
 #include "relay/permit_waits.h"
 #include "relay/request_metrics.h"
 #include "relay/target_connection_pool.h"
+#include "relay/target_exit_check.h"
 
 namespace papayaplank {
 
@@ -26,6 +27,8 @@
   // Whether the event loop stood still, so that what it handles now may have
   // arrived long ago.
   std::function<bool(Time since)> has_stood_still;
+  // How targets ended whose last answers ended with them.
+  TargetExitCheck& exit_check;
   // What the router holds for others.
   MemoryBudget& budget;
   // Number of requests whose answer has not ended.
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -84,6 +84,7 @@
   options.cores = settings.cores;
   options.revocation_bound = settings.revocation_bound;
   options.cold = settings.cold;
+  options.exits = settings.exits;
   options.stop_grace = settings.stop_grace;
   options.retries = RetryBound{settings.retry_ratio, settings.retry_slack,
                                settings.retry_window};
@@ -103,6 +104,8 @@
         log_(STDOUT_FILENO, settings.name),
         core_(CoreOptions(settings)),
         target_connections_(io_),
+        store_health_(core_, log_),
+        exit_check_(io_, settings.store_address, core_, store_health_),
         context_{io_,
                  core_,
                  log_,
@@ -114,6 +117,7 @@
                    return loop_watch_.MayBeLate(since, MonotonicClock::now(),
                                                 BootTime());
                  },
+                 exit_check_,
                  budget_},
         caller_server_(
             io_, [this] { return Limits(); },
@@ -131,7 +135,6 @@
                registry_reader_.ApplyTargetChange(change, "peer");
              },
              [this](PermitNonce nonce) { permit_waits_.Resume(nonce); }}),
-        store_health_(core_, log_),
         configuration_reader_(io_, settings.store_address, settings.name, core_,
                               store_health_, log_),
         registry_reader_(
@@ -166,7 +169,7 @@
   }
   auto StoreCalls() const -> std::uint64_t {
     return configuration_reader_.calls() + registry_reader_.calls() +
-           quarantine_store_.calls();
+           quarantine_store_.calls() + exit_check_.calls();
   }
   auto Limits() const -> CallerLimits {
     return core_.table() == nullptr ? CallerLimits{} : core_.table()->limits();
@@ -198,6 +201,8 @@
   TargetConnectionPool target_connections_;
   RequestMetrics request_metrics_;
   PermitWaits permit_waits_;
+  StoreHealth store_health_;
+  TargetExitCheck exit_check_;
   RelayContext context_;
   InfoSources info_sources_{context_, [this] { return StoreCalls(); }};
   HttpServer caller_server_;
@@ -206,7 +211,6 @@
   std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<HttpServer> snapshot_server_;
   PeerLink peer_link_;
-  StoreHealth store_health_;
   ConfigurationReader configuration_reader_;
   ServiceRegistryReader registry_reader_;
   QuarantineStore quarantine_store_;
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -10,6 +10,7 @@
 
 #include "admission/admission.h"
 #include "base/base.h"
+#include "routing/routing.h"
 
 namespace papayaplank {
 
@@ -34,6 +35,8 @@
   Duration revocation_bound{};
   // Bound on the requests to a cold target.
   ColdBound cold;
+  // What the platform guarantees of targets that leave.
+  ExitTimes exits;
   // Time from the stop signal until the process is killed.
   Duration stop_grace{};
   // Retry budget of the fleet: retries per request, and retries allowed on top
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -155,6 +155,7 @@
   answer_ = {};
   sentinel_.reset();
   transfer_end_.reset();
+  process_state_.reset();
   is_success_from_target_ = false;
   has_attempt_events_ = false;
   DropHeldAnswer();
@@ -332,6 +333,8 @@
        {"sends", static_cast<std::int64_t>(accepted_request_.attempts)},
        {"target_status", static_cast<std::int64_t>(answer_.status)},
        {"answer_end", transfer_end_ ? TransferEndName(*transfer_end_) : ""},
+       {"target_process",
+        process_state_ ? ProcessStateName(*process_state_) : ""},
        {"events", relayed_events_},
        {"resumed_after", request_.last_event_id.value_or(0)},
        {"last_event", event_splitter_.last_event_id().value_or(0)},
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -48,6 +48,10 @@
   // Ends an answer that ended with its connection: as broken if the target
   // doesn't live on, or if the end may be too old to tell.
   auto ConfirmEnd(AttemptOutcome outcome, bool may_be_late) -> void;
+  // Ends an answer with which the target's process ended, as far as is known:
+  // as broken, unless the process exited as planned.
+  auto ConfirmExit(AttemptOutcome outcome, ProcessState state, Time ended_at)
+      -> void;
   auto EndAnswer(AttemptOutcome outcome) -> void;
   // Whether the answer was produced by the target for this request, not by a
   // proxy in between.
@@ -131,6 +135,9 @@
   // How the latest transfer ended; nothing while it goes on, or if the router
   // ended it.
   std::optional<TransferEnd> transfer_end_;
+  // What the latest answer, if it ended with its connection, showed of the
+  // target's process.
+  std::optional<ProcessState> process_state_;
   // Whether that head has a 2xx status and comes from the target itself.
   bool is_success_from_target_ = false;
   // Whether the latest attempt brought an event that the caller didn't have.
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -237,16 +237,34 @@
 auto RelayedRequest::ConfirmEnd(AttemptOutcome outcome, bool may_be_late)
     -> void {
   // The connections of a killed process end like such an answer.
-  context_.target_connections.ConfirmAlive(
-      placement_.target, std::exchange(sentinel_, nullptr),
-      MonotonicClock::now(),
+  const auto ended_at = MonotonicClock::now();
+  context_.target_connections.CheckProcess(
+      placement_.target, std::exchange(sentinel_, nullptr), ended_at,
       [&context = context_, may_be_late, since = attempt_started_at_] {
         return may_be_late || context.has_stood_still(since);
       },
-      [self = shared_from_this(), outcome](bool is_alive) {
+      [self = shared_from_this(), outcome, ended_at](ProcessState state) {
         // The caller has left, or the deadline has passed.
         if (!self->has_open_attempt_) return;
-        self->EndAnswer(is_alive ? outcome : AttemptOutcome::kBroken);
+        self->process_state_ = state;
+        if (state == ProcessState::kAlive) return self->EndAnswer(outcome);
+        self->ConfirmExit(outcome, state, ended_at);
+      });
+}
+
+auto RelayedRequest::ConfirmExit(AttemptOutcome outcome, ProcessState state,
+                                 Time ended_at) -> void {
+  // Another target answers a repeatable request sooner than the store tells how
+  // the process ended.
+  if (state != ProcessState::kEnded || IsRepeatable(*accepted_request_.route) ||
+      !context_.core.MayHaveExited(placement_.target)) {
+    return EndAnswer(AttemptOutcome::kBroken);
+  }
+  context_.exit_check.Start(
+      placement_.target, ended_at,
+      [self = shared_from_this(), outcome](bool is_planned) {
+        if (!self->has_open_attempt_) return;
+        self->EndAnswer(is_planned ? outcome : AttemptOutcome::kBroken);
       });
 }
 
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -121,10 +121,10 @@
   return sentinel;
 }
 
-auto TargetConnectionPool::ConfirmAlive(
+auto TargetConnectionPool::CheckProcess(
     const TargetRow& target, std::shared_ptr<ProcessSentinel> sentinel,
     Time now, std::function<bool()> is_late,
-    std::function<void(bool)> on_result) -> void {
+    std::function<void(ProcessState)> on_result) -> void {
   using Finding = ProcessSentinel::Finding;
   const auto timer = std::make_shared<asio::steady_timer>(io_);
   timer->expires_after(kProcessEndTime);
@@ -136,14 +136,16 @@
     const auto broken = broken_at_.find(id);
     const auto has_broken =
         broken != broken_at_.end() && broken->second >= now - kProcessEndTime;
-    if (error || !endpoint || has_broken) return on_result(false);
+    if (error || !endpoint) return on_result(ProcessState::kUnknown);
+    if (has_broken) return on_result(ProcessState::kCrashed);
     const auto finding =
         sentinel == nullptr ? Finding::kUnknown : sentinel->Examine(now);
-    if (finding != Finding::kUnknown) {
-      return on_result(finding == Finding::kAlive);
-    }
-    if (is_late()) return on_result(false);
-    Probe(*endpoint, on_result);
+    if (finding == Finding::kAlive) return on_result(ProcessState::kAlive);
+    if (is_late()) return on_result(ProcessState::kUnknown);
+    if (finding == Finding::kEnded) return on_result(ProcessState::kEnded);
+    Probe(*endpoint, [on_result](bool is_reachable) {
+      on_result(is_reachable ? ProcessState::kAlive : ProcessState::kEnded);
+    });
   });
 }
 
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -49,10 +49,10 @@
   // its sentinel, which may be null, is still open. If the sentinel doesn't
   // tell, the target must accept a connection and the end must not be older
   // than it seems (`is_late`). `on_result` is called once.
-  auto ConfirmAlive(const TargetRow& target,
+  auto CheckProcess(const TargetRow& target,
                     std::shared_ptr<ProcessSentinel> sentinel, Time now,
                     std::function<bool()> is_late,
-                    std::function<void(bool)> on_result) -> void;
+                    std::function<void(ProcessState)> on_result) -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
   // Closes idle connections that can't be reused any more.
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -8,5 +8,6 @@
 #include "routing/routing_table.h"
 #include "routing/store_continuity.h"
 #include "routing/target_directory.h"
+#include "routing/target_exits.h"
 
 #endif  // ROUTING_ROUTING_H_
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -140,6 +140,11 @@
   return found != departed_.end() && row.started_unix_ms <= found->second;
 }
 
+auto TargetDirectory::HasAnnouncedExit(const TargetRow& row) const -> bool {
+  return HasDeparted(row) ||
+         drained_.count(std::make_pair(row.id, row.started_unix_ms)) != 0;
+}
+
 auto TargetDirectory::departed_count() const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(departed_.begin(), departed_.end(), [this](const auto& e) {
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -87,6 +87,9 @@
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
   auto size() const -> std::size_t { return targets_.size(); }
+  // Whether the target's process has announced its exit, by its row or itself;
+  // known also after the row has been removed.
+  auto HasAnnouncedExit(const TargetRow& row) const -> bool;
   // Number of known targets that said themselves that they leave.
   auto departed_count() const -> std::size_t;
   // All targets as updates, for the snapshot to another router.
--- a/tests/process/killable_target.py
+++ b/tests/process/killable_target.py
@@ -7,6 +7,8 @@
     "unframed"  answers end with their connection, without length or chunks
     "kill_at"   the process kills itself after it has sent this event, or after
                 half of a plain answer
+    "exits"     the process exits as soon as it has ended an answer
+    "event_gap" seconds from one event to the next
 Each run is one line "REQUEST FIRST_EVENT" on standard output.
 """
 
@@ -58,6 +60,13 @@
                 request, first_event = line.split()
                 self.runs.append((request, int(first_event)))
 
+    def drain(self):
+        self.row = {**self.row, "state": "draining", "seq": 2}
+        self.store.put("servers", self.name, self.row)
+
+    def remove(self):
+        self.store.remove("servers", self.name)
+
     def restart(self, **plan):
         self.stop()
         self.start(**plan)
@@ -99,11 +108,14 @@
         for number, piece in enumerate(pieces, 1):
             connection.sendall(piece if is_unframed
                                else b"%x\r\n%s\r\n" % (len(piece), piece))
-            time.sleep(EVENT_GAP)
+            time.sleep(self.plan.get("event_gap", EVENT_GAP))
             if number == kill_after:
                 os.kill(os.getpid(), signal.SIGKILL)
         if not is_unframed:
             connection.sendall(b"0\r\n\r\n")
+        if self.plan.get("exits", False):
+            connection.shutdown(socket.SHUT_WR)
+            os._exit(0)
         return not is_unframed
 
 
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -165,7 +165,8 @@
                 time.monotonic())
             with self.changed:
                 rows = [row for row in self.select_rows(query["table"])
-                        if row["key"] >= query.get("from", "")]
+                        if row["key"] >= query.get("from", "") and
+                        ("to" not in query or row["key"] < query["to"])]
                 page = self.first_page(query["table"], rows)
                 return self.reply(connection, 200, {
                     "rows": page,
