Relay: a caller or target that reads nothing for seconds keeps its connection

Towards targets the same: a target that read a request of 60 KB late ran it, and the caller got 502.

Cause: TCP_USER_TIMEOUT. It was taken for the time without an acknowledgement; Linux also ends connections by it whose other end keeps its window closed, though that end answers each probe.

Evidence: a socket of Python alone with the option of 3 s ends with ETIMEDOUT after 3.0 s beside a reader that doesn't read, 1.4 s after its last answered probe (TCP_INFO); without the option it stays for the 14 s of the trial. Ruled out: the router's own time limits, and the memory budget (eight connections, 23 KB each).

Seen failing on: four of five cases of test_slow_readers (a stream, a stream to a caller of HTTP/1.0, the last answer of a connection, a target that reads late).

Keep-alive probes detect a lost end as before, in three seconds, while no sent bytes are under way. While some are, DeliveryWatch looks each 500 ms whether bytes or probes were sent again without any answer for 3 s.

--- a/relay/http_connection.cpp
+++ b/relay/http_connection.cpp
@@ -26,8 +26,28 @@
   return false;
 }
 
+auto ToCallerEnd(const error_code& error) -> CallerEnd {
+  if (error == asio::error::eof) return CallerEnd::kClosed;
+  if (error == asio::error::timed_out) return CallerEnd::kLost;
+  return CallerEnd::kReset;
+}
+
 }  // namespace
 
+auto CallerEndName(CallerEnd end) -> std::string_view {
+  switch (end) {
+    case CallerEnd::kNone:
+      return "";
+    case CallerEnd::kClosed:
+      return "closed";
+    case CallerEnd::kReset:
+      return "reset";
+    case CallerEnd::kLost:
+      return "lost";
+  }
+  return "";
+}
+
 HttpConnection::HttpConnection(tcp::socket socket, const tcp::endpoint& caller,
                                CallerLimits limits, RequestHook on_request,
                                MemoryBudget& budget)
@@ -143,7 +163,10 @@
   error_code error;
   const auto count = socket_.read_some(asio::buffer(buffer), error);
   if (error == asio::error::would_block) return WaitReadable();
-  if (error) return Close();
+  if (error) {
+    caller_end_ = ToCallerEnd(error);
+    return Close();
+  }
   last_activity_ = MonotonicClock::now();
   // What follows the last answer is read only so that closing resets nothing.
   if (!is_closing_) in_.append(buffer.data(), count);
@@ -201,7 +224,11 @@
   auto& buffer = SharedReadBuffer();
   error_code error;
   const auto count = socket_.read_some(asio::buffer(buffer), error);
-  if (error) return error != asio::error::would_block;
+  if (error == asio::error::would_block) return false;
+  if (error) {
+    caller_end_ = ToCallerEnd(error);
+    return true;
+  }
   in_.append(buffer.data(), count);
   return false;
 }
@@ -348,7 +375,17 @@
   if (on_all_sent) on_all_sent();
 }
 
+auto HttpConnection::IsCallerLost(Time now) -> bool {
+  if (!socket_.is_open() || (!is_answering_ && out_.empty())) return false;
+  const auto state = ReadDeliveryState(socket_);
+  return state && delivery_watch_.IsLost(*state, now);
+}
+
 auto HttpConnection::CheckTimeouts(Time now) -> void {
+  if (IsCallerLost(now)) {
+    caller_end_ = CallerEnd::kLost;
+    return Close();
+  }
   const auto inactive_for = now - last_activity_;
   if (is_answering_) return;
   constexpr int kRequestTimeout = 408;
--- a/relay/http_connection.h
+++ b/relay/http_connection.h
@@ -11,6 +11,7 @@
 
 #include "admission/admission.h"
 #include "relay/asio.h"
+#include "relay/delivery_watch.h"
 #include "relay/message_reader.h"
 #include "routing/routing.h"
 
@@ -24,6 +25,17 @@
   std::string body;
 };
 
+// How a caller left, as far as its connection tells.
+enum class CallerEnd {
+  kNone,  // It has not left, or the router closed the connection.
+  kClosed,
+  kReset,
+  kLost,  // It answers nothing any more.
+};
+
+// Name of an end, as it stands in logs.
+auto CallerEndName(CallerEnd end) -> std::string_view;
+
 // Calls `on_request` with each request; each gets exactly one answer through
 // the methods below.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -98,6 +110,7 @@
     return HolderId(reinterpret_cast<std::uintptr_t>(this));
   }
   // Bytes of answers that the socket has not taken yet.
+  auto caller_end() const -> CallerEnd { return caller_end_; }
   auto unsent_bytes() const -> std::size_t { return out_.size(); }
 
  private:
@@ -107,6 +120,8 @@
   auto Count(HeldKind kind, std::size_t& counted, std::size_t bytes) -> void;
   // Bytes that may be buffered while an answer is written.
   auto MaxPipelinedBytes() const -> std::size_t;
+  // Whether the caller answers nothing though bytes are under way to it.
+  auto IsCallerLost(Time now) -> bool;
   auto WaitReadable() -> void;
   auto OnReadable() -> void;
   auto HandleInput() -> void;
@@ -139,6 +154,8 @@
   std::size_t counted_unsent_ = 0;
   // The part of `in_` that the budget counts while an answer is written.
   std::size_t counted_pipelined_ = 0;
+  DeliveryWatch delivery_watch_;
+  CallerEnd caller_end_ = CallerEnd::kNone;
   Time last_activity_{};
   // Arrival of the first byte of the request that is being read.
   Time request_began_at_{};
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -425,6 +425,7 @@
   discovery_server_->CheckTimeouts(now);
   metrics_server_->CheckTimeouts(now);
   snapshot_server_->CheckTimeouts(now);
+  target_connections_.CheckDeliveries(now);
   target_connections_.CloseExpired(now);
   LogLimitShares(now);
   log_.Write(
--- a/relay/socket_options.cpp
+++ b/relay/socket_options.cpp
@@ -1,4 +1,4 @@
-// TCP keep-alive and user timeout, and parsing of addresses.
+// TCP keep-alive, state of deliveries, and parsing of addresses.
 #include "relay/socket_options.h"
 
 #include <netinet/in.h>
@@ -10,9 +10,8 @@
 namespace papayaplank {
 namespace {
 
-// If no sent data is acknowledged for this long, the connection counts as lost.
-constexpr int kUserTimeoutMs = 3000;
-constexpr int kKeepAliveIdleSeconds = 2;
+// A lost end of an idle connection is noticed after three seconds.
+constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
@@ -43,13 +42,23 @@
 auto SetLongLivedOptions(tcp::socket& socket) -> void {
   const auto handle = socket.native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
   SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+auto ReadDeliveryState(tcp::socket& socket) -> std::optional<DeliveryState> {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) !=
+      0) {
+    return std::nullopt;
+  }
+  return DeliveryState{info.tcpi_retransmits > 0 || info.tcpi_probes > 0,
+                       milliseconds(info.tcpi_last_ack_recv)};
+}
+
 auto SharedReadBuffer() -> std::array<char, 16384>& {
   static std::array<char, 16384> buffer;
   return buffer;
--- a/relay/socket_options.h
+++ b/relay/socket_options.h
@@ -6,15 +6,28 @@
 #include <optional>
 #include <string>
 
+#include "base/base.h"
 #include "relay/asio.h"
 
 namespace papayaplank {
 
 // For a connection that waits for its other end: small writes are sent at once,
-// and a lost other end is detected within seconds. A caller's connection whose
-// requests are answered at once skips these six system calls.
+// and a lost other end is detected within seconds as long as no sent bytes are
+// under way; see `DeliveryWatch` for those. A caller's connection whose
+// requests are answered at once skips these system calls.
 auto SetLongLivedOptions(tcp::socket& socket) -> void;
 
+// What the system knows of the delivery of sent bytes.
+struct DeliveryState {
+  // Bytes, or probes of a closed window, were sent again and not answered yet.
+  bool is_unanswered = false;
+  // Since the other end acknowledged anything.
+  Duration since_answer{};
+};
+
+// Nothing if the system doesn't tell.
+auto ReadDeliveryState(tcp::socket& socket) -> std::optional<DeliveryState>;
+
 // Buffer for one read; the bytes are copied out before the next read. All
 // connections share it, since one thread reads them all.
 auto SharedReadBuffer() -> std::array<char, 16384>&;
--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -256,6 +256,12 @@
   if (hooks.on_end) hooks.on_end(end);
 }
 
+auto TargetConnection::CheckDelivery(Time now) -> void {
+  if (!is_busy_ || !is_connected_) return;
+  const auto state = ReadDeliveryState(socket_);
+  if (state && delivery_watch_.IsLost(*state, now)) End(TransferEnd::kBroken);
+}
+
 auto TargetConnection::MarkIdle(std::function<void()> on_lost) -> void {
   on_lost_ = std::move(on_lost);
   in_ = std::string();
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "relay/asio.h"
+#include "relay/delivery_watch.h"
 #include "relay/message_reader.h"
 
 namespace papayaplank {
@@ -66,6 +67,8 @@
   auto Send(std::string head, std::shared_ptr<const std::string> body,
             bool is_head_request, TransferHooks hooks) -> void;
   auto Close() -> void;
+  // Breaks the transfer off if the other end is lost; called periodically.
+  auto CheckDelivery(Time now) -> void;
 
   // Flow control: reading pauses while the caller is slow.
   auto PauseReading() -> void;
@@ -93,6 +96,7 @@
   auto past_refusals() const -> PastRefusals { return past_refusals_; }
 
   auto is_open() const -> bool { return socket_.is_open(); }
+  auto is_busy() const -> bool { return is_busy_; }
   // Whether only the end of the connection ends the answer whose head arrived.
   auto is_answer_unframed() const -> bool {
     return reader_ && reader_->is_header_done() && reader_->need_eof();
@@ -131,6 +135,7 @@
   std::string head_;
   std::shared_ptr<const std::string> body_;
   std::size_t written_ = 0;
+  DeliveryWatch delivery_watch_;
   bool is_connected_ = false;
   // A write has failed, so the connection can't end in an orderly way.
   bool is_reset_ = false;
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -55,6 +55,14 @@
 auto TargetConnectionPool::Acquire(const TargetRow& target, bool is_repeatable,
                                    Time now)
     -> std::shared_ptr<TargetConnection> {
+  auto connection = FindOrConnect(target, is_repeatable, now);
+  if (connection != nullptr) in_use_.insert(connection);
+  return connection;
+}
+
+auto TargetConnectionPool::FindOrConnect(const TargetRow& target,
+                                         bool is_repeatable, Time now)
+    -> std::shared_ptr<TargetConnection> {
   auto& entry = targets_[target.id];
   if (entry.address != target.address) {
     CloseTarget(target.id);
@@ -167,6 +175,16 @@
   targets_.erase(entry);
 }
 
+auto TargetConnectionPool::CheckDeliveries(Time now) -> void {
+  // A transfer that breaks off may be followed by one on another connection.
+  for (const auto& entry : std::exchange(in_use_, {})) {
+    const auto connection = entry.lock();
+    if (connection == nullptr || !connection->is_busy()) continue;
+    in_use_.insert(entry);
+    connection->CheckDelivery(now);
+  }
+}
+
 auto TargetConnectionPool::CloseExpired(Time now) -> void {
   std::erase_if(broken_at_, [now](const auto& entry) {
     return entry.second < now - 2 * kProcessEndTime;
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -55,6 +55,8 @@
                     std::function<void(ProcessState)> on_result) -> void;
   // Closes the idle connections of a target that has left or restarted.
   auto CloseTarget(const TargetId& target) -> void;
+  // Breaks off transfers whose targets are lost; called periodically.
+  auto CheckDeliveries(Time now) -> void;
   // Closes idle connections that can't be reused any more.
   auto CloseExpired(Time now) -> void;
 
@@ -73,6 +75,8 @@
     std::list<IdleConnection> idle;
   };
 
+  auto FindOrConnect(const TargetRow& target, bool is_repeatable, Time now)
+      -> std::shared_ptr<TargetConnection>;
   // Connects to the target; calls `on_result` once with whether it accepted.
   auto Probe(const tcp::endpoint& endpoint, std::function<void(bool)> on_result)
       -> void;
@@ -87,6 +91,8 @@
 
   asio::io_context& io_;
   std::unordered_map<TargetId, TargetEntry> targets_;
+  // Those that carry a request, and some that no longer do.
+  std::set<std::weak_ptr<TargetConnection>, std::owner_less<>> in_use_;
   // When an answer of each target broke off last; entries are dropped when they
   // can't matter any more.
   std::unordered_map<TargetId, Time> broken_at_;
