Relay, transport: an answer whose status HTTP doesn't know is no answer

Cause: any three digits were a status, below 200 an interim one. A status is 100 to 599.

Seen failing before: 10 cases of papayaplank_edge and 2 of papayaplank_router in test_odd_answers. Ruled out by its other cases, which passed before: a part of an answer without a length is taken for whole if the target resets the connection while the request is being written (502 in papayaplank_edge, cut in papayaplank_router).

Such a head now breaks the transfer off at once.

--- a/relay/target_connection.cpp
+++ b/relay/target_connection.cpp
@@ -18,7 +18,9 @@
 constexpr int kMaxSkippedAnswers = 16;
 constexpr std::size_t kMaxSkippedBytes = 262144;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstSuccess = 200;
+constexpr int kLastStatus = 599;
 
 }  // namespace
 
@@ -228,8 +230,9 @@
   if (is_head_handled_) return;
   is_head_handled_ = true;
   const auto status = reader_->status();
-  if (status == kSwitchingProtocols) {
-    // The router never asks for another protocol.
+  if (status == kSwitchingProtocols || status < kFirstStatus ||
+      status > kLastStatus) {
+    // The router never asks for another protocol; other numbers are no status.
     head_action_ = HeadAction::kBreak;
   } else if (status < kFirstSuccess) {
     head_action_ = HeadAction::kSkip;  // An interim answer.
--- a/transport/target_transfer.cpp
+++ b/transport/target_transfer.cpp
@@ -14,6 +14,7 @@
 constexpr int kServiceUnavailable = 503;
 // Lower statuses (1xx) are interim.
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -240,7 +241,7 @@
 
 auto TargetTransfer::IsUnusable() const -> bool {
   if (is_abandoned_ || is_crossed_ || has_unknown_coding_ ||
-      CannotContinueAnswer()) {
+      head_.status > kLastStatus || CannotContinueAnswer()) {
     return true;
   }
   return IsTokenStream() &&
