Soak: chunks of a byte or two, callers that read nothing for 4.5 s, planned exits

Targets that leave exit with their last answer, at the latest after 2 s, and their rows are removed after a planned exit only.

--- a/tests/process/stream_callers.py
+++ b/tests/process/stream_callers.py
@@ -17,6 +17,7 @@
 # Statuses which promise that the request has not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 KEEP_SHARE = 0.7  # Of the callers' requests, over a kept connection.
+LONG_STALL = 4.5  # Seconds; longer than a lost caller stays unnoticed.
 STALL_SHARE = 0.05  # Of the callers' requests, whose answers wait to be read.
 
 
@@ -293,6 +294,8 @@
             stall = 0
             if self.random.random() < STALL_SHARE:
                 stall = self.random.uniform(0.3, 1.5)
+                if stall > 1.4:
+                    stall = LONG_STALL
             answer = self.exchange(stream, attempt, most,
                                    functools.partial(time.sleep, stall))
             if answer is None:
--- a/tests/process/stream_fleet.py
+++ b/tests/process/stream_fleet.py
@@ -17,6 +17,7 @@
 import stream_callers
 from edge_process import Edge, configuration, wait_for
 from loopback_ports import claim_port
+from stream_target import EXIT_PLANNED
 
 TARGETS = 4
 DOWN_SECONDS = (0.3, 0.6, 1)  # From the end of a target to its next start.
@@ -70,6 +71,8 @@
         if self.ended_at is None:
             self.ended_at = now
             self.ends[self.process.pid] = time.time()
+            if self.process.returncode == EXIT_PLANNED:
+                self.store.remove("servers", self.name)
         if now > self.ended_at + pause:
             self.start()
 
--- a/tests/process/stream_target.py
+++ b/tests/process/stream_target.py
@@ -23,6 +23,7 @@
     leaves    closes the connection after a whole answer
 """
 
+import contextlib
 import json
 import os
 import random
@@ -33,7 +34,9 @@
 import threading
 import time
 
-LEAVE_SECONDS = 1  # From SIGTERM to the end of the process.
+LEAVE_SECONDS = 1  # From SIGTERM until the process exits with its last answer,
+LATEST_EXIT_SECONDS = 2  # and until it exits whatever it is sending.
+EXIT_PLANNED, EXIT_FORCED = 0, 3
 MAX_SEGMENTS = 60
 TEXTS = {"plain": b"upstream failed, try again later\n",
          "block": b"internal error: worker lost\n\n",
@@ -117,7 +120,8 @@
         if headers.get("expect-runner") != self.target.name:
             self.send_answer(421, b"", self.head_lines(signed=False))
             return True
-        self.answer(line.split()[1].decode(), headers)
+        with self.target.answering():
+            self.answer(line.split()[1].decode(), headers)
         return self.is_open
 
     def head_lines(self, signed=True, with_id=True):
@@ -214,7 +218,7 @@
     def frame(body, generator):
         """Cuts a body into chunks, wherever its events end."""
         framed = []
-        largest = generator.choice((20, 300, 5000, 100000))
+        largest = generator.choice((2, 300, 5000, 100000))
         while body:
             size = generator.randint(1, largest) if len(body) < 20000 else 16384
             framed.append(b"%x\r\n%s\r\n" % (len(body[:size]), body[:size]))
@@ -245,12 +249,34 @@
         self.name = name
         self.records = records
         self.is_leaving = False
+        self.may_exit = False
+        self.answers = 0  # In progress.
+        self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
         signal.signal(signal.SIGTERM, self.leave)
 
     def leave(self, *_):
         self.is_leaving = True
-        threading.Timer(LEAVE_SECONDS, os._exit, (0,)).start()
+        threading.Timer(LEAVE_SECONDS, self.exit_when_idle).start()
+        threading.Timer(LATEST_EXIT_SECONDS, os._exit, (EXIT_FORCED,)).start()
+
+    def exit_when_idle(self):
+        with self.lock:
+            self.may_exit = True
+            if self.answers == 0:
+                os._exit(EXIT_PLANNED)
+
+    @contextlib.contextmanager
+    def answering(self):
+        with self.lock:
+            self.answers += 1
+        try:
+            yield
+        finally:
+            with self.lock:
+                self.answers -= 1
+                if self.may_exit and self.answers == 0:
+                    os._exit(EXIT_PLANNED)
 
     def record_path(self, path):
         return os.path.join(self.records, path.replace("/", "_"))
