Gateway: a router that was paused for long reads the target list

In virtual time, 6 of 58 routers of 195 that had been frozen for 11 s still used, 3 s after they ran again, a target that had drained meanwhile (DRAIN).

Cause: a departure is told for 6 s after it was read. A router that was paused longer has missed that for good, and waited for its own turn, up to 45 s. It noticed only if the summaries of its hubs had not arrived yet at its first tick. Reads that took turns are not enough for a router that does not hear the others.

Ruled out: that the paused router's turn was moved; it came when it was due.

Change: after a pause of 4 s or more the list is read within 0.8 s, as by a router whose hubs are all new. A shorter pause misses no departure.

--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -11,6 +11,9 @@
 // sending of a request to its arrival here, and a read of the configuration
 // that is in progress.
 constexpr Duration kRevocationMargin = milliseconds(400);
+// Departures are repeated for 6 s (`TargetNews`), so a shorter pause of this
+// process misses none.
+constexpr Duration kLongestPauseWithNews = seconds(4);
 // Includes attempts that a target refused; a route may allow more. After an
 // attempt that may have run, `Route::max_attempts` is the only bound.
 constexpr int kMaxAttemptsPerRequest = 3;
@@ -80,10 +83,11 @@
   keys_.Confirm(sent_at);
 }
 
-auto GatewayCore::RecordPause(Time now) -> void {
+auto GatewayCore::RecordPause(Duration length, Time now) -> void {
   keys_.Invalidate();
   crash_guard_.RecordPause();
   target_guard_.RecordPause(now);
+  if (length >= kLongestPauseWithNews) DemandMissedNews();
 }
 
 auto GatewayCore::BeginStop(Time now) -> void {
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -158,9 +158,10 @@
   auto RecordLateness(Duration lateness, Time now) -> void {
     load_.RecordLateness(lateness, now);
   }
-  // The process was paused for a while. Keys may have been revoked meanwhile,
-  // so the confirmation of the configuration is void.
-  auto RecordPause(Time now) -> void;
+  // The process was paused for that long. Keys may have been revoked meanwhile,
+  // so the confirmation of the configuration is void. After a long pause the
+  // news of peers may have been missed, and the target list is read.
+  auto RecordPause(Duration length, Time now) -> void;
   // Starts the stop: from now on this router is leaving. Reports announce it,
   // and requests that could not end in time are refused.
   auto BeginStop(Time now) -> void;
@@ -367,6 +368,8 @@
   // Whether target rows may be missing because of a store outage.
   auto IsStoreRecovering(Time now) const -> bool;
   auto TargetListReaders(Time now) const -> ListReaders;
+  // Other routers may have told of changes that this one has missed.
+  auto DemandMissedNews() -> void;
 
   GatewayOptions options_;
   Random random_;
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -18,9 +18,10 @@
 constexpr Duration kHubReadTime = milliseconds(800);
 // Peers that get a freshness query at a time.
 constexpr std::size_t kQueriedPeers = 2;
-// Members whose hubs are all new read the target list at random times within
-// this one, so that the store gets few calls at a time.
-constexpr Duration kGapReadTime = milliseconds(800);
+// Routers that have missed news, such as members whose hubs are all new, read
+// the target list at random times within this one, so that the store gets few
+// calls at a time.
+constexpr Duration kMissedNewsReadTime = milliseconds(800);
 
 }  // namespace
 
@@ -248,6 +249,13 @@
                       evacuations().Records()};
 }
 
+auto GatewayCore::DemandMissedNews() -> void {
+  const auto delay = exchange_.role() == ExchangeRole::kHub
+                         ? Duration{}
+                         : Scale(kMissedNewsReadTime, random_.Uniform());
+  list_read_demand_ = ListReadDemand{ListReadReason::kMissedNews, delay};
+}
+
 auto GatewayCore::TargetListReaders(Time now) const -> ListReaders {
   return ListReaders{exchange_.CountReaders(now), exchange_.is_informed(now),
                      IsStoreRecovering(now)};
@@ -314,14 +322,8 @@
   exchange_.Tick(MakeState(now), now);
   if (exchange_.TakeHubChange()) target_news_.RepeatDepartures(now);
   const auto due = list_schedule_.Tick(TargetListReaders(now), random_, now);
-  if (exchange_.TakeGap()) {
-    const auto delay = exchange_.role() == ExchangeRole::kHub
-                           ? Duration{}
-                           : Scale(kGapReadTime, random_.Uniform());
-    list_read_demand_ = ListReadDemand{ListReadReason::kMissedNews, delay};
-  } else if (due) {
-    list_read_demand_ = due;
-  }
+  if (exchange_.TakeGap()) DemandMissedNews();
+  if (!list_read_demand_) list_read_demand_ = due;
   UpdateOtherLoads();
   crash_guard_.Tick(now);
   target_guard_.Tick(peers_, is_leaving_, now);
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -288,7 +288,7 @@
   if (suspended < kMinReportedPause && late < kMinReportedPause) return;
   last_boot_offset_ = boot_offset;
   last_tick_ = now;
-  core_.RecordPause(now);
+  core_.RecordPause(std::max<Duration>(suspended, late), now);
   log_.Write(LogClass::kState, "process_stood_still",
              {{"suspended_ms", suspended.count() / 1000},
               {"late_ms", late.count() / 1000}});
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -126,13 +126,15 @@
 
 auto DepartureFleet::Freeze(int index) -> void {
   routers_.at(index).is_frozen = true;
+  routers_.at(index).frozen_at = now_;
 }
 
 auto DepartureFleet::Thaw(int index) -> void {
   const auto found = routers_.find(index);
   if (found == routers_.end()) return;
-  found->second.is_frozen = false;
-  found->second.core->RecordPause(now_);
+  auto& router = found->second;
+  router.is_frozen = false;
+  router.core->RecordPause(now_ - router.frozen_at, now_);
 }
 
 auto DepartureFleet::RecordRead() -> void {
--- a/tests/gateway/departure_fleet.h
+++ b/tests/gateway/departure_fleet.h
@@ -82,6 +82,7 @@
     bool is_cut = false;
     bool is_cut_from_store = false;
     bool is_frozen = false;
+    Time frozen_at{};
     Time routers_read_at{};
     Time operator_rows_read_at{};
     int incarnation = 0;
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -153,6 +153,7 @@
 
 auto LimitFleet::FreezeRouter(int index) -> void {
   routers_.at(index).is_frozen = true;
+  routers_.at(index).frozen_at = now_;
 }
 
 auto LimitFleet::WakeRouter(int index) -> void {
@@ -160,7 +161,7 @@
   router.is_frozen = false;
   router.disturbed_at = now_;
   if (router.core == nullptr) return;
-  router.core->RecordPause(now_);
+  router.core->RecordPause(now_ - router.frozen_at, now_);
   router.core->ConfirmConfiguration(now_);
   for (const auto& action : std::exchange(router.postponed, {})) action();
 }
--- a/tests/gateway/limit_fleet.h
+++ b/tests/gateway/limit_fleet.h
@@ -165,6 +165,7 @@
     bool is_old = false;
     bool is_cut = false;
     bool is_frozen = false;
+    Time frozen_at{};
     // Newest start, cut, end of a cut, or wake.
     Time disturbed_at{};
     int incarnation = 0;
--- a/tests/gateway/test_aligned_readers.cpp
+++ b/tests/gateway/test_aligned_readers.cpp
@@ -142,5 +142,32 @@
                                             ::testing::Range(1,
                                                              1 + SeedCount())));
 
+class PausedReadersTest : public AlignedReadersTest {};
+
+// A router that had been frozen went on with a target that had left meanwhile:
+// the others no longer told of it, and its own turn came late (DRAIN).
+TEST_P(PausedReadersTest, TargetsLeaveWhileRoutersAreFrozen) {
+  ExpectTurnsAfter([](DepartureFleet& fleet) {
+    const auto frozen = PickSome(fleet, 0.3);
+    for (const auto router : frozen) fleet.Freeze(router);
+    fleet.Run(seconds(1));
+    constexpr int kDrained = DepartureFleet::kTargets - 1;
+    fleet.Drain(kDrained);
+    fleet.Run(seconds(10));
+    for (const auto router : frozen) fleet.Thaw(router);
+    fleet.Run(seconds(3));
+    EXPECT_EQ(fleet.Unaware(kDrained), std::vector<int>{}) << "frozen ones";
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, PausedReadersTest,
+                         ::testing::Combine(::testing::ValuesIn(kFleets),
+                                            ::testing::Range(1,
+                                                             1 + SeedCount())));
+INSTANTIATE_TEST_SUITE_P(LargeFleet, PausedReadersTest,
+                         ::testing::Combine(::testing::Values(kLargeFleet),
+                                            ::testing::Range(1,
+                                                             2 + SeedCount())));
+
 }  // namespace
 }  // namespace papayaplank
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -33,11 +33,24 @@
 
 TEST_F(GatewayCoreTest, AfterAPauseKeysAreConfirmedFirst) {
   Serve(1);
-  core_.RecordPause(kStart);
+  core_.RecordPause(seconds(1), kStart);
   EXPECT_EQ(Reason(core_.Accept(Facts("/chat/1", "key-a"), kStart)),
             RefusalReason::kKeyUnconfirmed);
 }
 
+// Other routers repeat the news of a departure for 6 s only (DRAIN).
+TEST_F(GatewayCoreTest, AfterALongPauseTheTargetListIsRead) {
+  Serve(1);
+  core_.MakePeerMessages(kStart);
+  core_.TakeListReadDemand();
+  core_.RecordPause(seconds(5), kStart);
+  core_.MakePeerMessages(kStart);
+  const auto demand = core_.TakeListReadDemand();
+  ASSERT_TRUE(demand);
+  EXPECT_EQ(demand->reason, ListReadReason::kMissedNews);
+  EXPECT_LE(demand->delay, milliseconds(800));
+}
+
 TEST_F(GatewayCoreTest, AnOlderConfigurationNeverReplacesANewerOne) {
   EXPECT_TRUE(core_.SetTable(MakeTable(5)));
   EXPECT_FALSE(core_.SetTable(MakeTable(4)));
