Tasks: routers take turns to poll for configuration changes

A change that reached the table service, but that its own router could not tell of as it died, would be in force up to 19 s late in a fleet of 390; 11 s are allowed.

Cause: the routers share the polls of the table service, 20 a second in all, and each polled again a fixed time after its last poll (19 s at 390). Those that had started together stayed in step for good, and nobody polled in between. The same class as the reads of the target list: a shared duty, planned from one's own last turn.

Ruled out: the poll of the instance list, which each router does for itself every second, the probes of members (in random order, each period) and the retries of claims (random delays).

Change: StaggeredTurns decides, as for the reads of the target list. The number of routers is looked at every second, so that the pace follows losses.

Test: test_configuration_polls failed before ("nobody polled for 19018 ms of 22001") and passes now.

--- a/tasks/configuration_task.cpp
+++ b/tasks/configuration_task.cpp
@@ -11,15 +11,19 @@
 
 constexpr std::size_t kChangesPerRead = 200;
 constexpr Duration kMinPollPeriod = seconds(1);
+// How often the routers are counted.
+constexpr Duration kCountPeriod = seconds(1);
 // Approximate maximum rate of the fleet's polls of the head row, per second.
 constexpr std::size_t kFleetPollsPerSecond = 20;
 
 }  // namespace
 
 ConfigurationTask::ConfigurationTask(ConfigurationStore store,
-                                     ConfigurationTaskHooks hooks)
+                                     ConfigurationTaskHooks hooks,
+                                     std::uint64_t seed)
     : store_(std::move(store)),
       hooks_(std::move(hooks)),
+      random_(seed),
       current_(std::make_shared<const Configuration>()),
       confirmed_at_(MonotonicClock::now().time_since_epoch().count()),
       thread_([this] { Run(); }) {}
@@ -65,22 +69,33 @@
 }
 
 auto ConfigurationTask::Run() -> void {
-  auto next_poll = MonotonicClock::now();
+  Poll();
   while (!is_stopping_) {
     for (const auto& message : mailbox_.ReceiveAll(milliseconds(100))) {
       std::visit([this](const auto& each) { Handle(each); }, message);
     }
-    if (MonotonicClock::now() < next_poll) continue;
-    const auto is_up = CatchUpFromStore();
-    if (is_up != is_store_up_) {
-      LOG(WARNING) << "event=table_service state=" << (is_up ? "up" : "down");
-    }
-    is_store_up_ = is_up;
-    const auto period_factor =
-        std::max<std::size_t>(1, hooks_.router_count() / kFleetPollsPerSecond);
-    next_poll = MonotonicClock::now() +
-                kMinPollPeriod * static_cast<int>(period_factor);
+    const auto now = MonotonicClock::now();
+    if (polls_.Advance(PollPeriod(now), random_, now)) Poll();
+  }
+}
+
+auto ConfigurationTask::Poll() -> void {
+  const auto is_up = CatchUpFromStore();
+  if (is_up != is_store_up_) {
+    LOG(WARNING) << "event=table_service state=" << (is_up ? "up" : "down");
+  }
+  is_store_up_ = is_up;
+}
+
+auto ConfigurationTask::PollPeriod(Time now) -> Duration {
+  if (counted_at_ != Time{} && now - counted_at_ < kCountPeriod) {
+    return poll_period_;
   }
+  counted_at_ = now;
+  const auto factor =
+      std::max<std::size_t>(1, hooks_.router_count() / kFleetPollsPerSecond);
+  poll_period_ = kMinPollPeriod * static_cast<int>(factor);
+  return poll_period_;
 }
 
 auto ConfigurationTask::Handle(const FetchMessage& message) -> void {
--- a/tasks/configuration_task.h
+++ b/tasks/configuration_task.h
@@ -30,15 +30,17 @@
   // Fetches a complete snapshot from a peer's address.
   std::function<Outcome<std::string>(const std::string& peer_address)>
       fetch_from_peer;
-  // Number of live routers. The more there are, the less often each polls the
-  // table service.
+  // Number of live routers. They share the polls of the table service: the more
+  // there are, the less often each polls.
   std::function<std::size_t()> router_count;
 };
 
 // Owns the configuration.
 class ConfigurationTask {
  public:
-  ConfigurationTask(ConfigurationStore store, ConfigurationTaskHooks hooks);
+  // `seed` differs between routers.
+  ConfigurationTask(ConfigurationStore store, ConfigurationTaskHooks hooks,
+                    std::uint64_t seed);
   ~ConfigurationTask();
   ConfigurationTask(const ConfigurationTask&) = delete;
   auto operator=(const ConfigurationTask&) -> ConfigurationTask& = delete;
@@ -82,6 +84,10 @@
   using Message = std::variant<FetchMessage, SubmitMessage, HistoryMessage>;
 
   auto Run() -> void;
+  // Polls the table service, and logs whether it answers.
+  auto Poll() -> void;
+  // Average time between two polls of this router.
+  auto PollPeriod(Time now) -> Duration;
   auto Handle(const FetchMessage& message) -> void;
   auto Handle(const SubmitMessage& message) -> void;
   auto Handle(const HistoryMessage& message) -> void;
@@ -96,6 +102,11 @@
 
   ConfigurationStore store_;
   ConfigurationTaskHooks hooks_;
+  Random random_;
+  StaggeredTurns polls_;
+  // Of the newest look at the number of routers.
+  Duration poll_period_{};
+  Time counted_at_{};
   Mailbox<Message> mailbox_;
   mutable std::mutex mutex_;
   // Guarded by `mutex_`. Its version never decreases.
--- a/tasks/router_process.cpp
+++ b/tasks/router_process.cpp
@@ -101,7 +101,7 @@
     // The seeds can be contacted before the instance list is available. Posted
     // before the list can arrive, since the list replaces this one.
     core_task_->Post(CoreInput(InstanceListReceived{{}, settings_.seeds}));
-    StartPlatformTasks();
+    StartPlatformTasks(random_seed);
     core_task_->Start();
     auto operators = OpenOperatorService();
     if (!IsOk(operators)) return operators;
@@ -213,7 +213,7 @@
 
   // Starts the tasks that use the table service, the object store or the
   // instance list.
-  auto StartPlatformTasks() -> void {
+  auto StartPlatformTasks(std::uint64_t seed) -> void {
     ConfigurationTaskHooks hooks;
     hooks.on_version_applied = [this](ConfigVersion version) {
       core_task_->Post(CoreInput(ConfigApplied{version}));
@@ -233,7 +233,7 @@
         ConfigurationStore(
             TableClient(settings_.table_address, MakeHttpFetch()),
             ObjectClient(settings_.object_address, MakeHttpFetch())),
-        std::move(hooks));
+        std::move(hooks), seed);
     claim_task_ = std::make_unique<ClaimTask>(
         ClaimStore(TableClient(settings_.table_address, MakeHttpFetch())),
         [this](const ClaimResolved& resolved) {
--- a/tasks/tasks.h
+++ b/tasks/tasks.h
@@ -4,6 +4,7 @@
 #ifndef TASKS_TASKS_H_
 #define TASKS_TASKS_H_
 
+#include "tasks/configuration_task.h"
 #include "tasks/router_process.h"
 
 #endif  // TASKS_TASKS_H_
