Routing: a target that a list lacked is gone when another router says so

What callers saw: requests reached targets up to 4.4 s after the store had acknowledged that their entries were removed (DRAIN; 3 s are allowed), after half of 59 routers had been killed and were back.

Cause: some targets never report that they drain, their entry is just removed. A missing entry counts only if a router knows that the store had no outage lately. That is known by the two routers that watch the store. When both are killed, nobody knows it for two seconds, and all who read the list keep the target. The first to know tells the others that the target is gone as of the version it has read. A router that had read the same version changed nothing, as the news was not newer than its list, and kept the target until its own turn, up to 18 s later with 59 routers and 45 s with 195.

Change: the directory knows which targets the newest list lacked, and what version last named them. News that such a target is gone counts if it is newer than that. A router that still keeps one when the store is known to be sound reads the list within 0.8 s, and no longer at its turn only.

The simulated fleet took every router for one that calls the store all the time, which is why no test had shown this; now only reads and watchers count.

--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -258,7 +258,7 @@
 
 auto GatewayCore::TargetListReaders(Time now) const -> ListReaders {
   return ListReaders{exchange_.CountReaders(now), exchange_.is_informed(now),
-                     IsStoreRecovering(now)};
+                     IsStoreRecovering(now), directory_.has_missing_targets()};
 }
 
 auto GatewayCore::RouterListPeriod(Time now) const -> Duration {
--- a/gateway/target_list_schedule.cpp
+++ b/gateway/target_list_schedule.cpp
@@ -2,6 +2,7 @@
 #include "gateway/target_list_schedule.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -19,9 +20,9 @@
 constexpr Duration kUninformedPeriod = milliseconds(800);
 // Longest time between two turns, in average periods.
 constexpr double kLongestTurn = 1.5;
-// Routers that lose the same readers read at random times within this one, so
-// that the store gets few calls at a time.
-constexpr Duration kReadersLostTime = milliseconds(800);
+// Routers that lose the same readers, or wait for the same rows, read at random
+// times within this one, so that the store gets few calls at a time.
+constexpr Duration kReadTime = milliseconds(800);
 
 }  // namespace
 
@@ -31,6 +32,8 @@
       return "turn";
     case ListReadReason::kReadersLost:
       return "readers_lost";
+    case ListReadReason::kMissingTargets:
+      return "missing_targets";
     case ListReadReason::kMissedNews:
       return "missed_news";
   }
@@ -53,9 +56,13 @@
     return ListReadDemand{ListReadReason::kTurn, Duration{}};
   }
   if (read_at_ == Time{}) read_at_ = now;
+  if (readers.has_missing_targets && !readers.is_store_recovering &&
+      !std::exchange(checks_missing_targets_, true)) {
+    return ListReadDemand{ListReadReason::kMissingTargets,
+                          Scale(kReadTime, random.Uniform())};
+  }
   if (now - read_at_ <= Scale(period, kLongestTurn)) return std::nullopt;
-  const auto delay =
-      Scale(std::min(kReadersLostTime, period / 2), random.Uniform());
+  const auto delay = Scale(std::min(kReadTime, period / 2), random.Uniform());
   read_at_ = now + delay;
   return ListReadDemand{ListReadReason::kReadersLost, delay};
 }
--- a/gateway/target_list_schedule.h
+++ b/gateway/target_list_schedule.h
@@ -19,6 +19,8 @@
   bool is_informed = true;
   // Rows of targets may be missing after a store outage.
   bool is_store_recovering = false;
+  // This router keeps targets that the newest list lacked.
+  bool has_missing_targets = false;
 };
 
 enum class ListReadReason {
@@ -26,6 +28,9 @@
   kTurn,
   // So many readers were lost that this router's newest list is too old.
   kReadersLost,
+  // Targets that were missing in the list were kept while rows could return;
+  // now they can't.
+  kMissingTargets,
   // This router may have missed news of the others.
   kMissedNews,
 };
@@ -43,7 +48,10 @@
 class TargetListSchedule {
  public:
   // A list was read.
-  auto RecordRead(Time now) -> void { read_at_ = now; }
+  auto RecordRead(Time now) -> void {
+    read_at_ = now;
+    checks_missing_targets_ = false;
+  }
   // The read that is due, if any. Called once per tick.
   auto Tick(const ListReaders& readers, Random& random, Time now)
       -> std::optional<ListReadDemand>;
@@ -55,6 +63,8 @@
   StaggeredTurns turns_;
   // When the list was last read, or was last to be read if that is later.
   Time read_at_{};
+  // A read for missing targets was called for since the last one.
+  bool checks_missing_targets_ = false;
 };
 
 }  // namespace papayaplank
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -2,6 +2,7 @@
 #include "routing/target_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -59,20 +60,25 @@
 
 auto TargetDirectory::Remove(const TargetId& id, DirectoryChange& change)
     -> void {
+  missing_.erase(id);
   if (targets_.erase(id) != 0) change.left.push_back(id);
 }
 
 auto TargetDirectory::Apply(const TargetList& list) -> DirectoryChange {
   DirectoryChange change;
   if (list.version < list_version_) return change;
-  list_version_ = list.version;
-  std::erase_if(newer_updates_, [&list](const auto& entry) {
-    return entry.second.version <= list.version;
+  const auto last_named = std::exchange(list_version_, list.version);
+  std::map<TargetId, std::uint64_t> named_by_updates;
+  std::erase_if(newer_updates_, [&](const auto& entry) {
+    if (entry.second.version > list.version) return false;
+    named_by_updates.emplace(entry.first, entry.second.version);
+    return true;
   });
   std::set<TargetId> present;
   for (const auto& row : list.rows) {
     present.insert(row.id);
     if (newer_updates_.count(row.id) != 0) continue;
+    missing_.erase(row.id);
     if (IsChanged(row)) {
       change.updates.push_back(TargetUpdate{list.version, false, row});
     }
@@ -84,13 +90,17 @@
       missing.push_back(id);
     }
   }
-  if (!list.is_store_recovering) {
-    for (const auto& id : missing) {
-      TargetUpdate update{list.version, true, {}};
-      update.row.id = id;
-      change.updates.push_back(std::move(update));
-      Remove(id, change);
+  for (const auto& id : missing) {
+    if (list.is_store_recovering) {
+      const auto update = named_by_updates.find(id);
+      missing_.try_emplace(
+          id, update == named_by_updates.end() ? last_named : update->second);
+      continue;
     }
+    TargetUpdate update{list.version, true, {}};
+    update.row.id = id;
+    change.updates.push_back(std::move(update));
+    Remove(id, change);
   }
   RebuildPools();
   return change;
@@ -99,6 +109,11 @@
 auto TargetDirectory::Apply(const TargetUpdate& update) -> DirectoryChange {
   DirectoryChange change;
   const auto& id = update.row.id;
+  if (ConfirmsMissing(update)) {
+    Remove(id, change);
+    RebuildPools();
+    return change;
+  }
   if (update.version <= list_version_) return change;
   const auto known = newer_updates_.find(id);
   if (known != newer_updates_.end() &&
@@ -106,6 +121,7 @@
     return change;
   }
   newer_updates_[id] = update;
+  missing_.erase(id);
   if (update.is_gone) {
     Remove(id, change);
   } else {
@@ -115,6 +131,13 @@
   return change;
 }
 
+auto TargetDirectory::ConfirmsMissing(const TargetUpdate& update) const
+    -> bool {
+  if (!update.is_gone || update.version > list_version_) return false;
+  const auto missing = missing_.find(update.row.id);
+  return missing != missing_.end() && update.version > missing->second;
+}
+
 auto TargetDirectory::ConfirmsDeparture(const TargetUpdate& update) const
     -> bool {
   if (!update.is_gone && !update.row.is_draining) return false;
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -67,7 +67,8 @@
   // nothing.
   auto Apply(const TargetList& list) -> DirectoryChange;
   // Applies a change that another router has read. One that is not newer than
-  // the newest list or the newest update of the target changes nothing.
+  // the newest list or the newest update of the target changes nothing, but for
+  // the removal of a target that the newest list lacks, too.
   auto Apply(const TargetUpdate& update) -> DirectoryChange;
 
   // The process said itself that it leaves: neither it nor an earlier one gets
@@ -87,6 +88,8 @@
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
   auto size() const -> std::size_t { return targets_.size(); }
+  // Whether there are targets that the newest list lacks.
+  auto has_missing_targets() const -> bool { return !missing_.empty(); }
   // Whether the target's process has announced its exit, by its row or itself;
   // known also after the row has been removed.
   auto HasAnnouncedExit(const TargetRow& row) const -> bool;
@@ -99,6 +102,9 @@
   // Adds or replaces the row and notes the change.
   auto Upsert(TargetRow row, DirectoryChange& change) -> void;
   auto Remove(const TargetId& id, DirectoryChange& change) -> void;
+  // Whether the update tells that a target, which is missing in the newest
+  // list, is gone, and is newer than what last named the target.
+  auto ConfirmsMissing(const TargetUpdate& update) const -> bool;
   // Whether other routers need an update for the row.
   auto IsChanged(const TargetRow& row) const -> bool;
   // Whether the target's process said itself that it leaves.
@@ -119,6 +125,9 @@
   std::uint64_t list_version_ = 0;
   // The newest update of each target, if it is newer than the newest list.
   std::map<TargetId, TargetUpdate> newer_updates_;
+  // Targets that are kept though the newest list lacks them, as their rows may
+  // return, by the version of what last named them.
+  std::map<TargetId, std::uint64_t> missing_;
 };
 
 }  // namespace papayaplank
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -161,7 +161,6 @@
   }
   router.core->ConfirmConfiguration(now_);
   if (!router.is_cut && !router.is_cut_from_store) {
-    router.core->RecordStoreSuccess(now_);
     const auto period = router.core->RouterListPeriod(now_);
     if (now_ - router.routers_read_at > period) ReadRouters(index);
     if (router.core->is_watcher(now_)) ReadOperatorRows(index);
@@ -248,6 +247,7 @@
     if (found == routers_.end() || found->second.incarnation != incarnation) {
       return;
     }
+    found->second.core->RecordStoreSuccess(now_);
     found->second.core->SetEvacuated(rows, version, now_);
   });
 }
@@ -325,6 +325,14 @@
   return running;
 }
 
+auto DepartureFleet::Watchers() const -> std::vector<int> {
+  std::vector<int> watchers;
+  for (const auto& [index, router] : routers_) {
+    if (router.core->is_watcher(now_)) watchers.push_back(index);
+  }
+  return watchers;
+}
+
 auto DepartureFleet::Hubs() const -> std::vector<int> {
   std::vector<int> hubs;
   for (const auto& [index, router] : routers_) {
--- a/tests/gateway/departure_fleet.h
+++ b/tests/gateway/departure_fleet.h
@@ -59,6 +59,8 @@
   auto Unaware(int target) const -> std::vector<int>;
   auto Running() const -> std::vector<int>;
   auto Hubs() const -> std::vector<int>;
+  // Routers that call the store all the time.
+  auto Watchers() const -> std::vector<int>;
   // Reads of the target list and bytes of messages since the last call.
   struct Cost {
     int list_reads = 0;
--- a/tests/gateway/test_missed_departures.cpp
+++ b/tests/gateway/test_missed_departures.cpp
@@ -119,6 +119,40 @@
   EXPECT_EQ(fleet.Unaware(0), std::vector<int>{});
 }
 
+// With the watchers, all that know that the store had no outage are lost for
+// seconds. Routers that read meanwhile that a row was missing kept the target,
+// and didn't believe others that had the news of the same list (review/8).
+TEST_P(MissedDepartureTest, WatchersAreKilledAsATargetGoes) {
+  for (const auto routers : {59, 70}) {
+    DepartureFleet fleet(routers, Seed());
+    fleet.Run(seconds(20));
+    auto killed = fleet.Watchers();
+    for (const auto router : fleet.Running()) {
+      const auto is_watcher =
+          std::find(killed.begin(), killed.end(), router) != killed.end();
+      if (!is_watcher && fleet.random().Uniform() < 0.5) {
+        killed.push_back(router);
+      }
+    }
+    for (const auto router : killed) fleet.Kill(router);
+    fleet.Run(milliseconds(500));
+    for (const auto router : killed) fleet.Start(router);
+    fleet.Run(Scale(seconds(1), fleet.random().Uniform()));
+    fleet.Remove(0);
+    const auto removed_at = fleet.now();
+    fleet.Run(kDrainBound);
+    // Nothing binds routers within 4 s of their start.
+    for (const auto router : fleet.Unaware(0)) {
+      EXPECT_NE(std::find(killed.begin(), killed.end(), router), killed.end())
+          << "router " << router << " of " << routers;
+    }
+    fleet.Run(milliseconds(1500));
+    EXPECT_EQ(fleet.Unaware(0), std::vector<int>{})
+        << routers << " routers, " << (fleet.now() - removed_at).count() / 1000
+        << " ms after";
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, MissedDepartureTest,
                          ::testing::Range(1, 1 + SeedCount()));
 
--- a/tests/gateway/test_target_list_schedule.cpp
+++ b/tests/gateway/test_target_list_schedule.cpp
@@ -111,6 +111,26 @@
   }
 }
 
+// Targets that were missing in a list were kept until this router's own turn.
+TEST(TargetListScheduleTest, MissingTargetsAreLookedForOnceRowsCantReturn) {
+  Random random(1);
+  TargetListSchedule schedule;
+  auto readers = Readers(194);
+  readers.has_missing_targets = true;
+  readers.is_store_recovering = true;
+  const auto waiting = schedule.Tick(readers, random, kStart);
+  EXPECT_FALSE(waiting);
+  readers.is_store_recovering = false;
+  for (int read = 0; read < 2; ++read) {
+    const auto demand = schedule.Tick(readers, random, kStart);
+    ASSERT_TRUE(demand);
+    EXPECT_EQ(demand->reason, ListReadReason::kMissingTargets);
+    EXPECT_LE(demand->delay, milliseconds(800));
+    EXPECT_FALSE(schedule.Tick(readers, random, kStart));
+    schedule.RecordRead(kStart);
+  }
+}
+
 TEST(TargetListScheduleTest, AnUninformedRouterReadsTheListItself) {
   Random random(1);
   auto readers = Readers(100);
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -151,6 +151,37 @@
   EXPECT_EQ(directory.Serving(PoolId("pool")).size(), 1U);
 }
 
+// Routers that had read the same list kept the target, as the news was not
+// newer than their list (DRAIN, review/8).
+TEST(TargetDirectoryTest, NewsOfAMissingTargetCount) {
+  const auto gone = [](std::uint64_t version) {
+    TargetUpdate update{version, true, {}};
+    update.row.id = TargetId("a");
+    return update;
+  };
+  for (const std::uint64_t news : {2, 3, 4, 5}) {
+    TargetDirectory directory;
+    directory.Apply(TargetList{{MakeRow("a"), MakeRow("b")}, 2, false});
+    directory.Apply(TargetList{{MakeRow("b")}, 4, true});
+    EXPECT_TRUE(directory.has_missing_targets());
+    const auto change = directory.Apply(gone(news));
+    // The list of version 2 still had the row.
+    const auto is_gone = news > 2;
+    EXPECT_EQ(change.left.size(), is_gone ? 1U : 0U) << news;
+    EXPECT_EQ(directory.has_missing_targets(), !is_gone) << news;
+  }
+  // News of before the row returned.
+  TargetDirectory directory;
+  directory.Apply(TargetList{{MakeRow("a")}, 2, false});
+  directory.Apply(TargetList{{}, 4, true});
+  directory.Apply(TargetList{{MakeRow("a")}, 6, true});
+  EXPECT_FALSE(directory.has_missing_targets());
+  EXPECT_TRUE(directory.Apply(gone(5)).left.empty());
+  directory.Apply(TargetList{{}, 8, true});
+  EXPECT_TRUE(directory.Apply(gone(5)).left.empty());
+  EXPECT_EQ(directory.Apply(gone(7)).left.size(), 1U);
+}
+
 TEST(TargetDirectoryTest, AnUpdateHoldsUntilANewerList) {
   TargetDirectory directory;
   directory.Apply(MakeList({MakeRow("a")}, 5));
