Tests: a property that doesn't hold fails its test

Four tests ignored what rc::check returned, so a counterexample was printed and the test passed. Seen as test_routing, run by hand with a random seed, printed "Falsifiable after 2 tests" and "[ PASSED ] 27 tests". Now the result counts.

That counterexample was a record of version 0 (EvacuationsTest, TheNewestRecordHoldsInAnyOrder). The store takes its versions from a counter that rises with each transaction, so there is no such record; the property now has versions from 1 on, 256 of them as before.

--- a/tests/admission/test_cold_targets.cpp
+++ b/tests/admission/test_cold_targets.cpp
@@ -86,7 +86,7 @@
 // In any second, the permits that a bucket hands out keep the bound even if
 // those of a whole lifetime are used at once.
 TEST(ColdBoundTest, PermitsOfALifetimeKeepTheBound) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     const auto tolerated = *rc::gen::inRange(1, 400);
     const ColdBound bound{*rc::gen::element(1.0, 1.5, 2.0, 4.0),
                           static_cast<double>(*rc::gen::inRange(0, 20))};
@@ -97,7 +97,7 @@
     const auto most = 1 + rate.per_second * (1 + lifetime + rate.burst_seconds);
     RC_ASSERT(rate.per_second == 0 ||
               most <= tolerated * bound.overshoot + bound.slack);
-  });
+  }));
 }
 
 TEST(ColdBoundTest, ATargetIsUsedAtTheRateThatItTolerates) {
--- a/tests/admission/test_memory_budget.cpp
+++ b/tests/admission/test_memory_budget.cpp
@@ -61,31 +61,32 @@
 
 // Giving up until the limit is kept ends, and leaves exact counts.
 TEST(MemoryBudgetTest, CountsDoNotDrift) {
-  rc::check([](const std::vector<std::pair<std::uint8_t, std::uint16_t>>& in) {
-    MemoryBudget budget(5000);
-    std::map<HolderId, std::size_t> open;
-    auto now = kStart;
-    for (const auto& [id, bytes] : in) {
-      now += milliseconds(id);
-      const HolderId holder(id % 16);
-      if (bytes % 5 == 0) {
-        budget.Remove(holder);
-        open.erase(holder);
-      } else {
-        budget.Update(holder, std::to_string(id % 3), bytes, now);
-        open[holder] = bytes;
-      }
-      while (const auto victim = budget.ChooseVictim(now)) {
-        RC_ASSERT(open.count(*victim) == 1);
-        budget.Remove(*victim);
-        open.erase(*victim);
-      }
-      std::size_t sum = 0;
-      for (const auto& [key, held] : open) sum += held;
-      RC_ASSERT(budget.held() == sum);
-      RC_ASSERT(budget.held() <= budget.limit());
-    }
-  });
+  EXPECT_TRUE(rc::check(
+      [](const std::vector<std::pair<std::uint8_t, std::uint16_t>>& in) {
+        MemoryBudget budget(5000);
+        std::map<HolderId, std::size_t> open;
+        auto now = kStart;
+        for (const auto& [id, bytes] : in) {
+          now += milliseconds(id);
+          const HolderId holder(id % 16);
+          if (bytes % 5 == 0) {
+            budget.Remove(holder);
+            open.erase(holder);
+          } else {
+            budget.Update(holder, std::to_string(id % 3), bytes, now);
+            open[holder] = bytes;
+          }
+          while (const auto victim = budget.ChooseVictim(now)) {
+            RC_ASSERT(open.count(*victim) == 1);
+            budget.Remove(*victim);
+            open.erase(*victim);
+          }
+          std::size_t sum = 0;
+          for (const auto& [key, held] : open) sum += held;
+          RC_ASSERT(budget.held() == sum);
+          RC_ASSERT(budget.held() <= budget.limit());
+        }
+      }));
 }
 
 }  // namespace
--- a/tests/admission/test_target_pace.cpp
+++ b/tests/admission/test_target_pace.cpp
@@ -367,7 +367,7 @@
 
 // Guards against a rate outside its bounds after any order of answers.
 TEST(TargetPaceTest, AnyAnswersKeepTheRateInItsBounds) {
-  rc::check([] {
+  EXPECT_TRUE(rc::check([] {
     TargetPace pace;
     pace.Begin(kTarget, kStart);
     auto now = kStart;
@@ -386,7 +386,7 @@
       last = rate->per_second;
       pace.Tick(now);
     }
-  });
+  }));
 }
 
 }  // namespace
--- a/tests/routing/test_evacuations.cpp
+++ b/tests/routing/test_evacuations.cpp
@@ -32,19 +32,22 @@
 }
 
 TEST(EvacuationsTest, TheNewestRecordHoldsInAnyOrder) {
-  rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& entries) {
-    Evacuations evacuations;
-    std::map<std::uint64_t, bool> first_by_version;
-    for (const auto& [version, is_evacuated] : entries) {
-      first_by_version.try_emplace(version, is_evacuated);
-      evacuations.Merge({kWest, version, first_by_version[version]});
-      // Messages arrive more than once.
-      evacuations.Merge({kWest, version, first_by_version[version]});
-    }
-    const auto is_evacuated =
-        !first_by_version.empty() && first_by_version.rbegin()->second;
-    RC_ASSERT(evacuations.IsEvacuated(kWest) == is_evacuated);
-  });
+  EXPECT_TRUE(
+      rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& entries) {
+        Evacuations evacuations;
+        std::map<std::uint64_t, bool> first_by_version;
+        for (const auto& [number, is_evacuated] : entries) {
+          // The store counts its versions from 1.
+          const std::uint64_t version = number + 1U;
+          first_by_version.try_emplace(version, is_evacuated);
+          evacuations.Merge({kWest, version, first_by_version[version]});
+          // Messages arrive more than once.
+          evacuations.Merge({kWest, version, first_by_version[version]});
+        }
+        const auto is_evacuated =
+            !first_by_version.empty() && first_by_version.rbegin()->second;
+        RC_ASSERT(evacuations.IsEvacuated(kWest) == is_evacuated);
+      }));
 }
 
 TEST(TargetDirectoryTest, TargetsOfAnEvacuatedDataCenterServeNothing) {
