Soak: all routers are killed or paused at the same moment, once a seed

The moment and the kind come from a generator of their own, so the other faults of a seed are what they were.

Both tests that read seeds from the command line share seed_ranges.py.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -24,6 +24,7 @@
 from edge_process import Edge, configuration, route, wait_for  # noqa: E402
 from fault_link import FaultLink  # noqa: E402
 from fragile_target import FATAL_PART, FragileTarget  # noqa: E402
+from seed_ranges import parse_seeds  # noqa: E402
 from soak_callers import CALL_TIMEOUT, Caller, prompt  # noqa: E402
 from stream_callers import NOT_EXECUTED_STATUSES  # noqa: E402
 from stream_callers import Caller as StreamCaller  # noqa: E402
@@ -67,6 +68,7 @@
     def __init__(self, seed, routers, seconds):
         self.seed = seed
         self.random = random.Random(seed)
+        self.together = random.Random(f"together {seed}")
         self.seconds = seconds
         self.is_over = False
         self.version = 1
@@ -142,6 +144,8 @@
 
     def inject(self):
         until = time.monotonic() + self.seconds
+        self.run_later(self.together.uniform(0, 0.8 * self.seconds),
+                       self.disturb_all_routers)
         while time.monotonic() < until:
             # Faults of a series overlap, also those of one router.
             for _ in range(self.random.choice((1, 1, 1, MOST_IN_SERIES))):
@@ -242,6 +246,14 @@
                     edge.start(self.store_links[self.edges.index(edge)])
         threading.Thread(target=start_again, daemon=True).start()
 
+    def disturb_all_routers(self):
+        """At the same moment, as it may align what they do by turns."""
+        kills = self.together.random() < 0.5
+        self.faults.append("kill_all" if kills else "pause_all")
+        for edge in self.edges:
+            (self.restart(edge, signal.SIGKILL) if kills
+             else pause(edge.process, 2))
+
     def kill_router(self):
         self.restart(self.choose_router(), signal.SIGKILL)
 
@@ -460,14 +472,6 @@
     return not violations
 
 
-def parse_seeds(text):
-    seeds = []
-    for part in text.split(","):
-        first, _, last = part.partition("-")
-        seeds.extend(range(int(first), int(last or first) + 1))
-    return seeds
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("build")
--- a/tests/process/test_stream_order.py
+++ b/tests/process/test_stream_order.py
@@ -23,6 +23,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import stream_plans  # noqa: E402
 from edge_process import Edge  # noqa: E402
+from seed_ranges import parse_seeds  # noqa: E402
 from stream_fleet import TARGETS, Fleet  # noqa: E402
 
 # Seeds that failed before, each with its cause; every run repeats them.
@@ -69,14 +70,6 @@
     return not broken
 
 
-def parse_seeds(text):
-    seeds = []
-    for part in text.split(","):
-        first, _, last = part.partition("-")
-        seeds.extend(range(int(first), int(last or first) + 1))
-    return seeds
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("build")
