Tests: the allowed requests of a window are summed without rounding errors

The sum of 40 products of 0.45 was short by 1.4e-14.

The steps' limits are summed now, which is exact here, and multiplied once.

--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -456,6 +456,7 @@
 auto LimitFleet::WorstExcess() const -> double {
   constexpr auto kWindow = seconds(4);
   constexpr auto kStep = milliseconds(100);
+  constexpr auto kStepsPerSecond = 10;
   constexpr double kAllowed = 1.5;
   auto worst = -1e9;
   for (const auto& target : targets_) {
@@ -463,7 +464,9 @@
     const auto first = target.limits.front().at + kContact;
     for (auto end = first + kStep; end <= now_; end += kStep) {
       const auto begin = std::max(first, end - kWindow);
-      double allowed = 0;
+      // Of the steps. Multiplied once at the end, as the rounding errors of 40
+      // products would add up to more than none.
+      double limits = 0;
       auto is_unlimited = false;
       for (auto at = begin; at < end; at += kStep) {
         // A change is in force after the bound.
@@ -480,7 +483,7 @@
                      : std::nullopt;
         }
         if (!most) is_unlimited = true;
-        allowed += kAllowed * most.value_or(0) / 10;
+        limits += most.value_or(0);
       }
       if (is_unlimited) continue;
       const auto count =
@@ -489,6 +492,7 @@
                           return arrival.is_counted && arrival.at > begin &&
                                  arrival.at <= end;
                         });
+      const auto allowed = kAllowed * limits / kStepsPerSecond;
       worst = std::max(worst, static_cast<double>(count) - allowed);
     }
   }
