--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -163,8 +163,8 @@
   if (!router.is_cut && !router.is_cut_from_store) {
     const auto period = router.core->RouterListPeriod(now_);
     if (now_ - router.routers_read_at > period) ReadRouters(index);
-    if (router.core->is_watcher(now_)) ReadOperatorRows(index);
   }
+  if (router.core->is_watcher(now_)) ReadOperatorRows(index);
   for (const auto& [message, recipients] :
        router.core->MakePeerMessages(now_)) {
     const auto bytes = EncodePeerMessage(message);
@@ -236,9 +236,11 @@
 
 auto DepartureFleet::ReadOperatorRows(int index) -> void {
   auto& router = routers_.at(index);
-  if (router.is_cut || router.is_cut_from_store) return;
   if (now_ - router.operator_rows_read_at < kWatchPeriod) return;
   router.operator_rows_read_at = now_;
+  if (router.is_cut || router.is_cut_from_store) {
+    return router.core->RecordStoreFailure();
+  }
   std::vector<EvacuationRecord> rows;
   for (const auto& [data_center, record] : evacuated_) rows.push_back(record);
   At(kReadLatency, [this, index, incarnation = router.incarnation, rows,
