Relay: a refusal without an id is believed only as the first of its connection

Callers of requests that may be repeated could get 503, a promise that the request has not run, while a target ran it.

Cause: on a connection that has carried a refusal, one without an id may be the earlier one, written once more. It was believed all the same for repeatable requests, and the connection was kept for them, to save a connection for each true refusal of targets that send no id.

Ruled out: a 503 after an answer that broke off (may_have_run_ lasts as long as the request); the answer to another attempt (its id would differ).

Evidence, test_stale_refusals on: test_without_an_id_at_both_targets: ('/read/1', 503, 'at_once', True): 503 with 2 runs, the router's lines "not_executed" at t0 and t1; test_refusals_without_an_id_end_their_connections: requests followed on such connections.

Why it works: after an answer without an id a connection carries no other request, so a refusal without an id is the first of its connection, or may be an earlier one and says nothing: the attempt counts as one that may have run. Connections for repeatable requests only are gone from the pool, with their tests.

test_refusals_without_an_id_cost_repeatable_ones_no_connections asked for what makes the false 503 unavoidable: on a kept connection, a true refusal without an id and a repeated one are the same bytes. In its place: such refusals are still passed on as 503, cost one connection each at most, and no request follows one on its connection, whatever its route. In KeptConnectionsTest the two cases of restricted connections are replaced by the bound on idle ones; that a refusal without an id ends its connection is checked in AnswerOriginTest and with real processes.

--- a/admission/target_statement.h
+++ b/admission/target_statement.h
@@ -20,9 +20,9 @@
   bool is_limit_malformed = false;
   bool is_leaving_malformed = false;
   bool is_pause_malformed = false;
-  // It may be an earlier answer, written once more, so that what it does not
-  // name may hold all the same.
-  bool may_be_earlier = false;
+  // Neither its signature nor a refusal before execution shows that the target
+  // wrote it, so a limit that it doesn't name may hold all the same.
+  bool is_unconfirmed = false;
 };
 
 }  // namespace papayaplank
--- a/gateway/target_guard.cpp
+++ b/gateway/target_guard.cpp
@@ -31,8 +31,7 @@
     -> void {
   if (statement.is_limit_malformed) return limits_.RecordMalformed();
   const auto& limit = statement.limit;
-  // An earlier answer ends no limit.
-  if (!limit && statement.may_be_earlier) return;
+  if (!limit && statement.is_unconfirmed) return;
   const auto before = limits_.Find(target.id);
   if (!before && !limit) return;
   limits_.RecordAnswer(target.id, ProcessStart(target.started_unix_ms), limit,
--- a/relay/answer_origin.h
+++ b/relay/answer_origin.h
@@ -20,24 +20,16 @@
 // Whether more than one target may run a request of the route.
 auto IsRepeatable(const Route& route) -> bool;
 
-// `kNone` for an answer that is no refusal.
-auto RefusalKind(const TargetAnswer& answer) -> PastRefusals;
+// Whether the target states that it hasn't run the request.
+auto IsRefusal(const TargetAnswer& answer) -> bool;
 
-// Whether the answer is a refusal that may repeat one of `past_refusals`.
-auto MayBeEarlierRefusal(const TargetAnswer& answer, PastRefusals past_refusals)
-    -> bool;
-
-// Decides by the head of the answer. A refusal that may be an earlier one is
-// taken as the answer to a repeatable request only, which may run again.
+// Decides by the head of the answer. A refusal without an id counts only if the
+// connection has carried no other (`has_carried_refusal`), which it may repeat.
 auto FindAnswerOrigin(const TargetAnswer& answer, std::string_view request_id,
-                      bool is_repeatable, PastRefusals past_refusals)
-    -> AnswerOrigin;
-
-// Whether a connection that has carried these refusals may carry the request.
-auto MayCarry(PastRefusals past_refusals, bool is_repeatable) -> bool;
+                      bool has_carried_refusal) -> AnswerOrigin;
 
 // Whether the connection may carry another request after this answer to the
-// last one.
+// last one. What carries no id can't be told from the next answer.
 auto IsReusableAfter(const TargetAnswer& answer) -> bool;
 
 // Logs an answer that is not taken as the one to `request_id`.
--- a/relay/relayed_request.cpp
+++ b/relay/relayed_request.cpp
@@ -140,8 +140,8 @@
 auto RelayedRequest::SendToTarget() -> void {
   const auto now = MonotonicClock::now();
   attempt_started_at_ = now;
-  target_connection_ = context_.target_connections.Acquire(
-      placement_.target, IsRepeatable(*accepted_request_.route), now);
+  target_connection_ =
+      context_.target_connections.Acquire(placement_.target, now);
   if (target_connection_ == nullptr) {
     EndAttempt(AttemptOutcome::kNotReached);
     return RetryOrFail(AttemptOutcome::kNotReached);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -39,9 +39,8 @@
   auto StopWaitingForPermit() -> void;
   auto SendToTarget() -> void;
   auto OnHead(int status, const HttpFields& fields) -> HeadAction;
-  // Tells the core what the answer says of the target. `may_be_earlier`: it may
-  // be an earlier answer.
-  auto RecordStatement(bool may_be_earlier) -> void;
+  // Tells the core what the answer says of the target.
+  auto RecordStatement() -> void;
   auto OnBody(std::string_view bytes) -> void;
   auto OnTransferEnd(TransferEnd end) -> void;
   auto ClassifyAnswer(TransferEnd end) const -> AttemptOutcome;
--- a/relay/relayed_request_answer.cpp
+++ b/relay/relayed_request_answer.cpp
@@ -41,24 +41,22 @@
 auto RelayedRequest::OnHead(int status, const HttpFields& fields)
     -> HeadAction {
   auto answer = DecodeTargetAnswer(status, fields);
-  const auto past_refusals = target_connection_->past_refusals();
-  const auto is_repeatable = IsRepeatable(*accepted_request_.route);
-  const auto origin = FindAnswerOrigin(answer, request_.request_id,
-                                       is_repeatable, past_refusals);
-  target_connection_->RecordPastRefusal(RefusalKind(answer));
+  const auto origin = FindAnswerOrigin(
+      answer, request_.request_id, target_connection_->has_carried_refusal());
+  if (IsRefusal(answer)) target_connection_->RecordRefusal();
   if (origin != AnswerOrigin::kThisRequest) {
     LogStrayAnswer(context_.log, request_.request_id, placement_.target.id,
                    answer);
     // Unless the answer is a late one, it may be all that the target sends; a
     // repeatable request then gets another sooner elsewhere.
-    const auto may_follow =
-        origin == AnswerOrigin::kOtherRequest &&
-        (!is_repeatable || target_connection_->HasCarried(answer.request_id));
+    const auto may_follow = origin == AnswerOrigin::kOtherRequest &&
+                            (!IsRepeatable(*accepted_request_.route) ||
+                             target_connection_->HasCarried(answer.request_id));
     return may_follow ? HeadAction::kSkip : HeadAction::kBreak;
   }
   answer_ = std::move(answer);
   is_success_from_target_ = IsFromTarget() && IsSuccess(status);
-  RecordStatement(MayBeEarlierRefusal(answer_, past_refusals));
+  RecordStatement();
   // After a pause of the router, the answer may come from a process that has
   // ended since; the sentinel would be accepted by the next one.
   if (IsFromTarget() && target_connection_->is_answer_unframed() &&
@@ -68,14 +66,14 @@
   return HeadAction::kRead;
 }
 
-auto RelayedRequest::RecordStatement(bool may_be_earlier) -> void {
+auto RelayedRequest::RecordStatement() -> void {
   if (answer_.is_wrong_target) return;
   const auto says_so = IsFromTarget() || answer_.is_not_executed;
   // A refusal without signature is believed as far as it asks for less.
   const auto is_unsigned_refusal =
       answer_.statement.pause && answer_.request_id == request_.request_id;
   if (!says_so && !is_unsigned_refusal) return;
-  answer_.statement.may_be_earlier = may_be_earlier || !says_so;
+  answer_.statement.is_unconfirmed = !says_so;
   context_.core.RecordStatement(placement_, answer_.statement,
                                 MonotonicClock::now());
 }
--- a/relay/target_connection.h
+++ b/relay/target_connection.h
@@ -3,7 +3,6 @@
 #ifndef RELAY_TARGET_CONNECTION_H_
 #define RELAY_TARGET_CONNECTION_H_
 
-#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -38,14 +37,6 @@
   kBreak,  // The transfer ends as broken.
 };
 
-// Refusals that a connection has carried, as far as they bear on its next
-// answers.
-enum class PastRefusals {
-  kNone,
-  kWithId,     // A repeated one can be told by its id.
-  kWithoutId,  // A repeated one can't be told from the next answer.
-};
-
 // Callbacks to the owner of a transfer. None is called after `on_end` or after
 // `Close`.
 struct TransferHooks {
@@ -90,10 +81,9 @@
   // Whether the connection has carried the request, as far as is known.
   auto HasCarried(std::string_view request_id) const -> bool;
 
-  auto RecordPastRefusal(PastRefusals refusal) -> void {
-    past_refusals_ = std::max(past_refusals_, refusal);
-  }
-  auto past_refusals() const -> PastRefusals { return past_refusals_; }
+  // Records that an answer was a refusal, which the target may repeat.
+  auto RecordRefusal() -> void { has_carried_refusal_ = true; }
+  auto has_carried_refusal() const -> bool { return has_carried_refusal_; }
 
   auto is_open() const -> bool { return socket_.is_open(); }
   auto is_busy() const -> bool { return is_busy_; }
@@ -153,7 +143,7 @@
   Time paused_at_{};
   Time late_until_{};
   bool is_reusable_ = false;
-  PastRefusals past_refusals_ = PastRefusals::kNone;
+  bool has_carried_refusal_ = false;
   // Hashes of the ids of the latest requests; zero for none.
   std::array<std::uint64_t, kKeptRequestIds> request_ids_{};
   std::size_t next_request_id_ = 0;
--- a/relay/target_connection_pool.cpp
+++ b/relay/target_connection_pool.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "relay/answer_origin.h"
 #include "relay/socket_options.h"
 
 namespace papayaplank {
@@ -16,19 +15,12 @@
 constexpr Duration kDefaultKeepAlive = milliseconds(2000);
 constexpr std::size_t kMaxIdlePerTarget = 16;
 
-// Whether the connection may carry repeatable requests only.
-auto IsRestricted(const TargetConnection& connection) -> bool {
-  return !MayCarry(connection.past_refusals(), false);
-}
-
 }  // namespace
 
-auto TargetConnectionPool::TakeIdle(std::list<IdleConnection>& idle,
-                                    bool is_restricted, Time now)
+auto TargetConnectionPool::TakeIdle(std::list<IdleConnection>& idle, Time now)
     -> std::shared_ptr<TargetConnection> {
   for (auto entry = idle.end(); entry != idle.begin();) {
     --entry;
-    if (IsRestricted(*entry->connection) != is_restricted) continue;
     const auto candidate = *entry;
     entry = idle.erase(entry);
     if (candidate.connection->is_open() && now < candidate.usable_until &&
@@ -40,38 +32,21 @@
   return nullptr;
 }
 
-auto TargetConnectionPool::CloseRestricted(std::list<IdleConnection>& idle)
-    -> bool {
-  const auto oldest =
-      std::find_if(idle.begin(), idle.end(), [](const IdleConnection& entry) {
-        return IsRestricted(*entry.connection);
-      });
-  if (oldest == idle.end()) return false;
-  oldest->connection->Close();
-  idle.erase(oldest);
-  return true;
-}
-
-auto TargetConnectionPool::Acquire(const TargetRow& target, bool is_repeatable,
-                                   Time now)
+auto TargetConnectionPool::Acquire(const TargetRow& target, Time now)
     -> std::shared_ptr<TargetConnection> {
-  auto connection = FindOrConnect(target, is_repeatable, now);
+  auto connection = FindOrConnect(target, now);
   if (connection != nullptr) in_use_.insert(connection);
   return connection;
 }
 
-auto TargetConnectionPool::FindOrConnect(const TargetRow& target,
-                                         bool is_repeatable, Time now)
+auto TargetConnectionPool::FindOrConnect(const TargetRow& target, Time now)
     -> std::shared_ptr<TargetConnection> {
   auto& entry = targets_[target.id];
   if (entry.address != target.address) {
     CloseTarget(target.id);
     targets_[target.id].address = target.address;
   }
-  auto& idle = targets_[target.id].idle;
-  // Leaves the others to requests that need them.
-  auto kept = is_repeatable ? TakeIdle(idle, true, now) : nullptr;
-  if (kept == nullptr) kept = TakeIdle(idle, false, now);
+  auto kept = TakeIdle(targets_[target.id].idle, now);
   if (kept != nullptr) return kept;
   const auto endpoint = ParseTcpEndpoint(target.address);
   if (!endpoint) return nullptr;
@@ -92,10 +67,7 @@
     return connection->Close();
   }
   const auto limit = std::min(max_idle, kMaxIdlePerTarget);
-  if (entry->second.idle.size() >= limit &&
-      (IsRestricted(*connection) || !CloseRestricted(entry->second.idle))) {
-    return connection->Close();
-  }
+  if (entry->second.idle.size() >= limit) return connection->Close();
   const auto stated = keep_alive.value_or(kDefaultKeepAlive);
   const auto usable = Scale(stated, kUsableKeepAliveShare);
   auto& idle = entry->second.idle;
--- a/relay/target_connection_pool.h
+++ b/relay/target_connection_pool.h
@@ -21,13 +21,12 @@
   explicit TargetConnectionPool(asio::io_context& io) : io_(io) {}
 
   // Returns a connection that was idle for less than half of the target's
-  // keep-alive time, received nothing meanwhile and may carry the request, else
-  // opens a new one. Null if the target's address can't be parsed.
-  auto Acquire(const TargetRow& target, bool is_repeatable, Time now)
+  // keep-alive time and received nothing meanwhile, else opens a new one. Null
+  // if the target's address can't be parsed.
+  auto Acquire(const TargetRow& target, Time now)
       -> std::shared_ptr<TargetConnection>;
   // Returns a connection to the pool after a complete answer. Closes it if it
-  // can't be reused or if `max_idle` connections of the target are idle; one
-  // for any request takes the place of one for repeatable requests only.
+  // can't be reused or if `max_idle` connections of the target are idle.
   // `keep_alive` is the idle time that the target stated.
   auto Release(const TargetRow& target,
                const std::shared_ptr<TargetConnection>& connection,
@@ -75,19 +74,14 @@
     std::list<IdleConnection> idle;
   };
 
-  auto FindOrConnect(const TargetRow& target, bool is_repeatable, Time now)
+  auto FindOrConnect(const TargetRow& target, Time now)
       -> std::shared_ptr<TargetConnection>;
   // Connects to the target; calls `on_result` once with whether it accepted.
   auto Probe(const tcp::endpoint& endpoint, std::function<void(bool)> on_result)
       -> void;
-  // Takes the idle connection that was returned last among those for any
-  // request or, if `is_restricted`, those for repeatable ones only; null if
-  // none can be used.
-  static auto TakeIdle(std::list<IdleConnection>& idle, bool is_restricted,
-                       Time now) -> std::shared_ptr<TargetConnection>;
-  // Closes the least recently used one among those for repeatable requests only
-  // and returns whether there is one.
-  static auto CloseRestricted(std::list<IdleConnection>& idle) -> bool;
+  // Takes the idle connection that was returned last; null if none can be used.
+  static auto TakeIdle(std::list<IdleConnection>& idle, Time now)
+      -> std::shared_ptr<TargetConnection>;
 
   asio::io_context& io_;
   std::unordered_map<TargetId, TargetEntry> targets_;
--- a/tests/process/test_stale_refusals.py
+++ b/tests/process/test_stale_refusals.py
@@ -62,6 +62,10 @@
     def __init__(self, store, name, steps):
         self.steps = steps
         self.refusals = {}  # The last refusal of each connection.
+        # Connections that have carried a refusal without an id, and the
+        # requests that came on one of them later.
+        self.unnamed = set()
+        self.later = []
         self.accepted = 0
         self.repeated = 0
         super().__init__(store, name, "s")
@@ -73,9 +77,13 @@
     def serve(self, connection, start, headers, body):
         self.received.append(headers)
         request_id = headers["attempt-id"]
+        if connection in self.unnamed:
+            self.later.append(request_id)
         step = self.steps.pop(0) if self.steps else None
         if step is not None and step[0].startswith("refuse"):
             text = refusal(step[1], request_id if step[2] else None)
+            if not step[2]:
+                self.unnamed.add(connection)
             self.refusals[connection] = (step[1], text)
             connection.sendall(text)
             if step[0] == "refuse_twice":
@@ -250,6 +258,21 @@
     def test_without_its_id_repeatable(self):
         self.assertGreater(self.check_repeats(REPEATABLE, True, False), 0)
 
+    def test_without_an_id_at_both_targets(self):
+        # A refusal that may be an earlier one was believed for requests that
+        # may be repeated: callers got 503 while a target ran their request.
+        for path, status, timing, has_id in itertools.product(
+                AT_MOST_ONCE + REPEATABLE, (503, 429), ("at_once", "pieces"),
+                (True, False)):
+            case = (path, status, timing, has_id)
+            self.refuse_at_both(status, has_id)
+            self.steps[:] = [("repeat", timing, False)] * 2
+            answer, request_id, _ = self.ask(path)
+            self.steps.clear()
+            self.assertFalse(
+                answer in NOT_EXECUTED_STATUSES and self.runs(request_id) > 0,
+                (case, answer, self.runs(request_id), self.lines(request_id)))
+
     def test_after_the_answer_that_it_repeats(self):
         for path, status, has_id in itertools.product(
                 AT_MOST_ONCE + REPEATABLE, (503, 421), (True, False)):
@@ -347,14 +370,17 @@
             self.steps.clear()
         self.assertEqual(self.opened() - before, 0)
 
-    def test_refusals_without_an_id_cost_repeatable_ones_no_connections(self):
-        self.refuse_at_both(has_id=False)
-        before = self.opened()
-        for _ in range(20):
-            self.steps[:] = [("refuse", 503, False)] * 2
-            self.assertEqual(self.ask("/read/1")[0], 503)
-            self.steps.clear()
-        self.assertEqual(self.opened() - before, 0)
+    def test_refusals_without_an_id_end_their_connections(self):
+        for _ in range(10):
+            for path in ("/read/1", "/write/1"):
+                before = self.opened()
+                self.steps[:] = [("refuse", 503, False)] * 2
+                self.assertEqual(self.ask(path)[0], 503)
+                self.steps.clear()
+                self.assertLessEqual(self.opened() - before, 2)
+        for path in AT_MOST_ONCE + REPEATABLE:
+            self.assertTrue(self.is_good(path, self.ask(path)), path)
+        self.assertEqual([target.later for target in self.targets], [[], []])
 
     def test_true_refusals_without_an_id_are_believed(self):
         for _ in range(6):
--- a/tests/relay/test_answer_origin.cpp
+++ b/tests/relay/test_answer_origin.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr char kRequest[] = "a1";
-constexpr PastRefusals kAllPastRefusals[] = {
-    PastRefusals::kNone, PastRefusals::kWithId, PastRefusals::kWithoutId};
 
 auto Refusal(int status, const std::string& request_id) -> TargetAnswer {
   HttpFields fields = {{"Not-Executed", "1"}};
@@ -24,61 +22,57 @@
 
 TEST(AnswerOriginTest, AnIdDecidesWhateverTheStatus) {
   for (const auto status : {200, 400, 404, 421, 429, 500, 503}) {
-    for (const auto past : kAllPastRefusals) {
-      for (const auto is_repeatable : {false, true}) {
-        for (const auto& answer :
-             {Refusal(status, kRequest), SignedAnswer(status, kRequest)}) {
-          EXPECT_EQ(FindAnswerOrigin(answer, kRequest, is_repeatable, past),
-                    AnswerOrigin::kThisRequest);
-          EXPECT_EQ(FindAnswerOrigin(answer, "b2", is_repeatable, past),
-                    AnswerOrigin::kOtherRequest);
-          EXPECT_EQ(FindAnswerOrigin(answer, "", is_repeatable, past),
-                    AnswerOrigin::kOtherRequest);
-        }
+    for (const auto has_carried_refusal : {false, true}) {
+      for (const auto& answer :
+           {Refusal(status, kRequest), SignedAnswer(status, kRequest)}) {
+        EXPECT_EQ(FindAnswerOrigin(answer, kRequest, has_carried_refusal),
+                  AnswerOrigin::kThisRequest);
+        EXPECT_EQ(FindAnswerOrigin(answer, "b2", has_carried_refusal),
+                  AnswerOrigin::kOtherRequest);
+        EXPECT_EQ(FindAnswerOrigin(answer, "", has_carried_refusal),
+                  AnswerOrigin::kOtherRequest);
       }
     }
   }
 }
 
-TEST(AnswerOriginTest, ARefusalThatMayBeAnEarlierOneSaysNothingOfOneRun) {
+// Guards against a 503 for a request that runs.
+TEST(AnswerOriginTest, ARefusalThatMayBeAnEarlierOneSaysNothing) {
   for (const auto status : {400, 421, 429, 503}) {
     const auto refusal = Refusal(status, "");
-    EXPECT_EQ(FindAnswerOrigin(refusal, kRequest, false, PastRefusals::kNone),
+    EXPECT_EQ(FindAnswerOrigin(refusal, kRequest, false),
               AnswerOrigin::kThisRequest);
-    for (const auto past : {PastRefusals::kWithId, PastRefusals::kWithoutId}) {
-      EXPECT_EQ(FindAnswerOrigin(refusal, kRequest, false, past),
-                AnswerOrigin::kUnknown);
-      EXPECT_EQ(FindAnswerOrigin(refusal, "", false, past),
-                AnswerOrigin::kUnknown);
-      EXPECT_EQ(FindAnswerOrigin(refusal, kRequest, true, past),
-                AnswerOrigin::kThisRequest);
-    }
+    EXPECT_EQ(FindAnswerOrigin(refusal, "", false), AnswerOrigin::kThisRequest);
+    EXPECT_EQ(FindAnswerOrigin(refusal, kRequest, true),
+              AnswerOrigin::kUnknown);
+    EXPECT_EQ(FindAnswerOrigin(refusal, "", true), AnswerOrigin::kUnknown);
   }
 }
 
 TEST(AnswerOriginTest, OtherAnswersNeedTheId) {
   for (const auto status : {200, 404, 500}) {
-    for (const auto past : kAllPastRefusals) {
+    for (const auto has_carried_refusal : {false, true}) {
       const auto answer = SignedAnswer(status, "");
-      EXPECT_EQ(FindAnswerOrigin(answer, kRequest, true, past),
+      EXPECT_EQ(FindAnswerOrigin(answer, kRequest, has_carried_refusal),
                 AnswerOrigin::kUnknown);
-      EXPECT_EQ(FindAnswerOrigin(answer, "", false, past),
+      EXPECT_EQ(FindAnswerOrigin(answer, "", has_carried_refusal),
                 AnswerOrigin::kThisRequest);
     }
   }
 }
 
-TEST(AnswerOriginTest, OnlyARefusalWithoutIdRestrictsItsConnection) {
-  EXPECT_TRUE(MayCarry(RefusalKind(SignedAnswer(200, kRequest)), false));
-  EXPECT_TRUE(MayCarry(RefusalKind(Refusal(503, kRequest)), false));
-  EXPECT_FALSE(MayCarry(RefusalKind(Refusal(503, "")), false));
-  EXPECT_TRUE(MayCarry(RefusalKind(Refusal(503, "")), true));
+TEST(AnswerOriginTest, StatementsThatARequestHasNotRunAreRefusals) {
+  EXPECT_TRUE(IsRefusal(Refusal(503, kRequest)));
+  EXPECT_TRUE(IsRefusal(Refusal(400, "")));
+  EXPECT_TRUE(IsRefusal(SignedAnswer(421, kRequest)));
+  EXPECT_FALSE(IsRefusal(SignedAnswer(503, kRequest)));
+  EXPECT_FALSE(IsRefusal(TargetAnswer{}));
 }
 
 TEST(AnswerOriginTest, NoReuseAfterAnAnswerThatCannotBeToldFromTheNext) {
   EXPECT_TRUE(IsReusableAfter(SignedAnswer(200, kRequest)));
   EXPECT_TRUE(IsReusableAfter(Refusal(503, kRequest)));
-  EXPECT_TRUE(IsReusableAfter(Refusal(503, "")));
+  EXPECT_FALSE(IsReusableAfter(Refusal(503, "")));
   EXPECT_FALSE(IsReusableAfter(SignedAnswer(200, "")));
   EXPECT_FALSE(IsReusableAfter(TargetAnswer{}));
   EXPECT_FALSE(IsReusableAfter(Refusal(421, kRequest)));
--- a/tests/relay/test_kept_connections.cpp
+++ b/tests/relay/test_kept_connections.cpp
@@ -70,58 +70,38 @@
 };
 
 TEST_F(KeptConnectionsTest, BytesBeforeTheRequestEndTheReuse) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   auto& server_end = Accept();
   ASSERT_EQ(Exchange(connection, server_end, kAnswer), TransferEnd::kComplete);
   pool_.Release(target_, connection, {}, 8, Time{});
   Write(server_end, kAnswer);
-  EXPECT_NE(pool_.Acquire(target_, true, Time{}), connection);
+  EXPECT_NE(pool_.Acquire(target_, Time{}), connection);
   EXPECT_FALSE(connection->is_open());
 }
 
 TEST_F(KeptConnectionsTest, AQuietConnectionIsReused) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   auto& server_end = Accept();
   ASSERT_EQ(Exchange(connection, server_end, kAnswer), TransferEnd::kComplete);
   pool_.Release(target_, connection, {}, 8, Time{});
-  EXPECT_EQ(pool_.Acquire(target_, false, Time{}), connection);
+  EXPECT_EQ(pool_.Acquire(target_, Time{}), connection);
 }
 
-TEST_F(KeptConnectionsTest,
-       AfterARefusalWithoutIdOnlyRepeatableRequestsFollow) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
-  auto& server_end = Accept();
-  ASSERT_EQ(Exchange(connection, server_end, kAnswer), TransferEnd::kComplete);
-  connection->RecordPastRefusal(PastRefusals::kWithoutId);
-  pool_.Release(target_, connection, {}, 8, Time{});
-  EXPECT_NE(pool_.Acquire(target_, false, Time{}), connection);
-  EXPECT_TRUE(connection->is_open());
-  EXPECT_EQ(pool_.Acquire(target_, true, Time{}), connection);
-}
-
-TEST_F(KeptConnectionsTest, AConnectionForAnyRequestTakesTheLastPlace) {
-  const auto restricted = pool_.Acquire(target_, true, Time{});
-  auto& restricted_end = Accept();
-  const auto any = pool_.Acquire(target_, true, Time{});
-  auto& any_end = Accept();
-  const auto late = pool_.Acquire(target_, true, Time{});
-  auto& late_end = Accept();
-  ASSERT_EQ(Exchange(restricted, restricted_end, kAnswer),
-            TransferEnd::kComplete);
-  ASSERT_EQ(Exchange(any, any_end, kAnswer), TransferEnd::kComplete);
-  ASSERT_EQ(Exchange(late, late_end, kAnswer), TransferEnd::kComplete);
-  restricted->RecordPastRefusal(PastRefusals::kWithoutId);
-  pool_.Release(target_, restricted, {}, 1, Time{});
-  pool_.Release(target_, any, {}, 1, Time{});
-  EXPECT_FALSE(restricted->is_open());
-  late->RecordPastRefusal(PastRefusals::kWithoutId);
-  pool_.Release(target_, late, {}, 1, Time{});
-  EXPECT_FALSE(late->is_open());
-  EXPECT_EQ(pool_.Acquire(target_, false, Time{}), any);
+TEST_F(KeptConnectionsTest, NoMoreAreKeptThanMayBeIdle) {
+  const auto first = pool_.Acquire(target_, Time{});
+  auto& first_end = Accept();
+  const auto second = pool_.Acquire(target_, Time{});
+  auto& second_end = Accept();
+  ASSERT_EQ(Exchange(first, first_end, kAnswer), TransferEnd::kComplete);
+  ASSERT_EQ(Exchange(second, second_end, kAnswer), TransferEnd::kComplete);
+  pool_.Release(target_, first, {}, 1, Time{});
+  pool_.Release(target_, second, {}, 1, Time{});
+  EXPECT_FALSE(second->is_open());
+  EXPECT_EQ(pool_.Acquire(target_, Time{}), first);
 }
 
 TEST_F(KeptConnectionsTest, TheLatestRequestsAreKnown) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   connection->RecordRequest("a");
   for (int i = 0; i < 7; ++i) {
     EXPECT_TRUE(connection->HasCarried("a"));
@@ -134,7 +114,7 @@
 }
 
 TEST_F(KeptConnectionsTest, SkippedAndInterimAnswersPrecedeTheAnswer) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   auto& server_end = Accept();
   const std::string skipped =
       "HTTP/1.1 299 X\r\nContent-Length: 5\r\n\r\nstale"
@@ -146,7 +126,7 @@
 }
 
 TEST_F(KeptConnectionsTest, EndlessSkippedAnswersBreakTheTransfer) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   auto& server_end = Accept();
   std::string interim;
   for (int i = 0; i < 100; ++i) interim += "HTTP/1.1 103 X\r\n\r\n";
@@ -154,7 +134,7 @@
 }
 
 TEST_F(KeptConnectionsTest, ASwitchOfProtocolsBreaksTheTransfer) {
-  const auto connection = pool_.Acquire(target_, true, Time{});
+  const auto connection = pool_.Acquire(target_, Time{});
   auto& server_end = Accept();
   EXPECT_EQ(Exchange(connection, server_end, "HTTP/1.1 101 X\r\n\r\n"),
             TransferEnd::kBroken);
