Show a planned stop that cuts requests which it has accepted

Rule: LOST, around planned work.

Order of events: requests of a route take 60 ms. Its router gets SIGTERM. 4.6 to 5.8 s later, clients that still have its address send requests that take 2.5 s, within the timeout of 4 s. The router passes them on, the runners run them, and the router closes their connections 0.4 s before the end of the grace.

Cause, as far as known: GatewayCore::IsTooLongToStop takes twice the longest time that the route had lately for the most that a request can take.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,8 @@
-"""Clients read their answers slowly. Do the routers stay within the memory of
-their machines?"""
+"""A router is stopped as planned. Does each request that it takes get its
+answer?"""
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -10,108 +11,70 @@
 sys.path.insert(0, os.path.join(FOLDER, "../lib-3"))
 import caller  # noqa: E402
 import fleet as fleets  # noqa: E402
-from platform_watch import PlatformWatch  # noqa: E402
-from runner import Registration, Runner  # noqa: E402
+from runner import Registration, Runner, answer_pieces  # noqa: E402
 from store import Store  # noqa: E402
 
-LIMITS = {"memory-mb": 120, "max-fds": 3075, "cpu-share": 0.09}
-CLIENTS = 2500            # In all, at each machine.
-CLIENTS_PER_SECOND = 100  # At each machine.
-ANSWER = {"bytes": 240000}
-SEGMENT = 1460            # As over a network whose packets have 1,500 bytes.
-RECEIVE_BUFFER = 16384
-READ_BYTES = 2048         # In one second.
-WATCH_SECONDS = 45
-
-
-class SlowClients:
-    """Clients of one router; each sends one request."""
-
-    def __init__(self, router, record, has_trouble):
-        self.router, self.record = router, record
-        self.has_trouble = has_trouble
-        self.connections = []
-        self.count = 0
-        for work in (self._send, self._read):
-            threading.Thread(target=work, daemon=True).start()
-
-    def _send(self):
-        while self.count < CLIENTS:
-            time.sleep(1 / CLIENTS_PER_SECOND)
-            self.count += 1
-            name = "%s-slow-%d" % (self.router.name, self.count)
-            try:
-                connection = caller.connect(self.router.front, SEGMENT,
-                                            RECEIVE_BUFFER)
-                caller.send(connection, "/status/1", name, ANSWER)
-                if self.has_trouble:
-                    connection.setblocking(False)
-                    self.connections.append(connection)
-                else:  # Reads at once.
-                    answer = caller.receive(connection)
-                    connection.close()
-                    if self.count % 100 == 0:
-                        self.record("client", name, "gets", answer)
-            except OSError:
-                time.sleep(0.1)  # The process is being started again.
-
-    def _read(self):
-        while True:
-            time.sleep(1)
-            for connection in list(self.connections):
-                try:
-                    if connection.recv(READ_BYTES):
-                        continue
-                except BlockingIOError:
-                    continue
-                except OSError:
-                    pass  # The process has ended.
-                self.connections.remove(connection)
-                connection.close()
-
-
-def counted_mb(router):
-    """What the router says it holds of answers that clients have not read."""
-    metrics = router.get(router.fleet.ports[5], "/metrics")[1].decode()
-    for line in metrics.split("\n"):
-        if line.startswith("papayaplank_held_unsent_answer_bytes "):
-            return float(line.split()[1]) / 2 ** 20
-    return 0.0
+TIMEOUT_MS = 4000   # Of the route, and the deadline of its clients.
+USUAL_MS = 60       # "work ms" of refund-post.
+LONG_MS = 2500      # One of them that takes longer, well within the timeout.
+SENT_AT = (4.6, 4.9, 5.2, 5.5, 5.8)   # Seconds after SIGTERM.
 
 
 def case(record, has_trouble):
     store = Store(("127.31.1.1", fleets.claim_port()))
     port = fleets.claim_port()
+    runs = set()
+
+    def on_event(event, runner_id, attempt, *rest):
+        record("runner", event, runner_id, attempt, *rest)
+        if event == "run":
+            runs.add(attempt)
+
     for i in range(4):
         address = ("127.31.2.%d" % (i + 1), port)
-        Runner("i-%d" % i, address)
+        Runner("i-%d" % i, address, on_event)
         Registration(store, "i-%d" % i, address, "detaxe-app", "a")
-    fleet = fleets.Fleet(store.listener.getsockname(), routers=2)
-    for router in fleet.routers:
-        router.settings["limits"].update(LIMITS)
+    fleet = fleets.Fleet(store.listener.getsockname())
     try:
         store.write("op", "config", caller.configuration(
-            1, [caller.route("/status/", "idempotent", "detaxe-app"),
-                caller.route("/post/", "non_idempotent", "detaxe-app")],
+            1, [caller.route("/post/", "non_idempotent", "detaxe-app",
+                             **{"timeout-ms": TIMEOUT_MS})],
             {"detaxe-app": {}}))
         fleet.start()
         fleets.wait_for(lambda: all(r.is_ready() for r in fleet.routers),
                         "the routers are ready")
         time.sleep(4)
-        clients = {router: SlowClients(router, record, has_trouble)
-                   for router in fleet.routers}
-        watch = PlatformWatch(
-            fleet, record, lambda router:
-            " for %d slow clients, and counts %.1f MB for them" %
-            (len(clients[router].connections), counted_mb(router)))
-        until = time.monotonic() + WATCH_SECONDS
-        while time.monotonic() < until and not watch.broken():
-            time.sleep(0.1)
-        watch.stop()
-        for router in fleet.routers:
-            record(router.name, "held %.0f MB at most, answered %d clients" %
-                   (watch.most_mb[router], clients[router].count))
-        return watch.broken()
+        router = fleet.routers[0]
+        answers = {}
+
+        def ask(name, work_ms):
+            record("client sends", name)
+            answers[name] = caller.ask(
+                router.front, "/post/1", name, {"work_ms": work_ms},
+                deadline_ms=TIMEOUT_MS)
+            record("client", name, "gets", answers[name])
+
+        for i in range(20):
+            ask("usual-%d" % i, USUAL_MS)
+        if has_trouble:
+            router.signal(signal.SIGTERM)
+            record("SIGTERM to", router.name)
+        began = time.monotonic()
+        threads = []
+        for i, at in enumerate(SENT_AT):
+            time.sleep(max(0, began + at - time.monotonic()))
+            threads.append(threading.Thread(
+                target=ask, args=("long-%d" % i, LONG_MS)))
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+        if has_trouble:
+            router.process.wait(timeout=20)
+            record(router.name, "ended %.1f s after SIGTERM" %
+                   (time.monotonic() - began))
+        return ["LOST: %s ran, and its connection ended without an answer (%s)"
+                % (name, answer) for name, answer in sorted(answers.items())
+                if name in runs and not answer.is_whole]
     finally:
         fleet.stop()
 
