--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -25,6 +25,10 @@
           "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 54,
           "recover-s": 12, "max-lag-ms": 120, "reuse-window-s": 10,
           "quota-window-s": 4, "ttl_max_s": 5}
+# Of the deployments in demands/, but for what each of them has of its own.
+DEMANDS_BOUNDS = {**BOUNDS, "contact-ms": 4000, "ack-ms": 6000,
+                  "catch-up-s": 6, "drain-ms": 3000, "config-ms": 3000,
+                  "max-skew-ms": 6000, "recover-s": 15, "max-lag-ms": 200}
 
 
 def lookup(name, scopes):
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -44,6 +44,8 @@
                 "%s.%s\r\n" % (attempt, self.id, attempt))
         if self.is_leaving:
             head += "Server-Leaving: 1\r\n"
+        if plan.get("events"):
+            head += "Content-Type: text/event-stream\r\n"
         if plan.get("unframed"):
             head += "Connection: close\r\n"
         else:
@@ -61,6 +63,9 @@
     """The body that a runner sends for a request."""
     count = plan.get("pieces", 1)
     size = plan.get("bytes", 800) // count
+    if plan.get("events"):
+        return [("id: %d\ndata: %s" % (i + 1, attempt)).encode().ljust(
+            size - 2, b".") + b"\n\n" for i in range(count)]
     return [("%s/%d:" % (attempt, i)).encode().ljust(size, b".")
             for i in range(count)]
 
