--- a/review/13/case.py
+++ b/review/13/case.py
@@ -34,7 +34,8 @@
         address = ("127.31.2.%d" % (i + 1), port)
         Runner("i-%d" % i, address, on_event)
         Registration(store, "i-%d" % i, address, "detaxe-app", "a")
-    fleet = fleets.Fleet(store.listener.getsockname())
+    fleet = fleets.Fleet(store.listener.getsockname(),
+                         bounds={**fleets.DEMANDS_BOUNDS, "retry-slack": 158})
     try:
         store.write("op", "config", caller.configuration(
             1, [caller.route("/post/", "non_idempotent", "detaxe-app",
