Router: requests on open connections were taken until the last moment of a stop

Cause: the drain time ended only the listener. Admission knew nothing of the stop, and its end aborted all answers.

Change: StopRequested tells the core when admission and the process end. A request whose answer may begin later is refused at once with 503 `stopping`; at the end, open requests get 504 `stopped`, with "unknown" for what runs.

What remains: a stream has no time limit once it has begun, so one that was taken in the drain time can outlast `--stop_limit_seconds`.

--- a/router/core_messages.h
+++ b/router/core_messages.h
@@ -24,6 +24,8 @@
   kTargetFailed,      // Every allowed attempt failed.
   kTableUnavailable,  // The table service did not store the claim.
   kOutcomeUnknown,    // Another request has claimed the idempotency key.
+  kStopping,          // The router stops before the request could end.
+  kStopped,           // The router ended while the request was open.
 };
 
 // Name of a reason in answers and metrics.
@@ -114,13 +116,21 @@
 };
 
 // Begin a graceful shutdown.
-struct StopRequested {};
+struct StopRequested {
+  // Requests are admitted until then.
+  Time admits_until{};
+  // What is still open then is ended.
+  Time ends_at{};
+};
+
+// The time for open requests is over: end them.
+struct StopOver {};
 
 using CoreInput =
     std::variant<RequestArrived, RequestCancelled, ClaimResolved,
                  AttemptProgress, AttemptEnded, PeerMessageReceived,
                  InstanceListReceived, TargetLeaving, CacheChanged,
-                 ConfigApplied, StopRequested>;
+                 ConfigApplied, StopRequested, StopOver>;
 
 // Send the request to a target.
 struct StartAttempt {
--- a/router/router_core.cpp
+++ b/router/router_core.cpp
@@ -36,6 +36,10 @@
       return "table_unavailable";
     case FailReason::kOutcomeUnknown:
       return "outcome_unknown";
+    case FailReason::kStopping:
+      return "stopping";
+    case FailReason::kStopped:
+      return "stopped";
   }
   return "unknown";
 }
@@ -47,9 +51,11 @@
     case FailReason::kShed:
       return 429;
     case FailReason::kDeadline:
+    case FailReason::kStopped:
       return 504;
     case FailReason::kNoTarget:
     case FailReason::kTableUnavailable:
+    case FailReason::kStopping:
       return 503;
     case FailReason::kTargetFailed:
       return 502;
@@ -99,7 +105,18 @@
   commands_.push_back(ClaimKey{message.id, message.idempotency_key});
 }
 
+auto RouterCore::FitsStop(const RequestArrived& message, Time now) const
+    -> bool {
+  return !stop_ || (now < stop_->admits_until &&
+                    now + message.request_class->deadline <= stop_->ends_at);
+}
+
 auto RouterCore::Admit(const RequestArrived& message, Time now) -> bool {
+  if (!FitsStop(message, now)) {
+    // Another router takes it at once.
+    Reject(message.id, FailReason::kStopping, {});
+    return false;
+  }
   const auto& customer = *message.customer;
   const auto admission = rate_limiter_.Admit(customer, now);
   if (!admission.is_admitted) {
@@ -222,6 +239,23 @@
   }
 }
 
+auto RouterCore::HandleInput(const StopOver& /*message*/, Time /*now*/)
+    -> void {
+  std::vector<RequestId> open;
+  for (const auto& [id, request] : requests_) open.push_back(id);
+  for (const auto& id : open) {
+    auto& request = requests_.at(id);
+    if (request.stage == Stage::kRunning) {
+      request.ran = std::max(request.ran, Ran::kUnknown);
+      commands_.push_back(CancelAttempt{id, request.attempts});
+      ReleaseSlot(request);
+    } else if (request.stage == Stage::kWaiting) {
+      FindOrAddPool(request.arrival.pool).queue.Remove(id);
+    }
+    Fail(request, FailReason::kStopped, {});
+  }
+}
+
 auto RouterCore::HandleInput(const ClaimResolved& message, Time now) -> void {
   const auto found = requests_.find(message.id);
   if (found == requests_.end()) return;
--- a/router/router_core.h
+++ b/router/router_core.h
@@ -119,7 +119,7 @@
   auto CustomerVirtualTime(const CustomerId& customer, const PoolId& pool) const
       -> VirtualTime;
   auto counters() const -> const CoreCounters& { return counters_; }
-  auto is_stopping() const -> bool { return is_stopping_; }
+  auto is_stopping() const -> bool { return stop_.has_value(); }
   auto HasRequest(const RequestId& id) const -> bool {
     return requests_.count(id) != 0;
   }
@@ -189,6 +189,8 @@
   auto HandleInput(const AttemptEnded& message, Time now) -> void;
   // Whether the request is admitted; else it has been rejected.
   auto Admit(const RequestArrived& message, Time now) -> bool;
+  // Whether the request surely begins its answer before a stop ends.
+  auto FitsStop(const RequestArrived& message, Time now) const -> bool;
   auto Enqueue(Request& request) -> void;
   // Rejects a request that was not admitted.
   auto Reject(const RequestId& id, FailReason reason, Duration retry_after)
@@ -253,6 +255,7 @@
   auto HandleInput(const CacheChanged& message, Time now) -> void;
   auto HandleInput(const ConfigApplied& message, Time now) -> void;
   auto HandleInput(const StopRequested& message, Time now) -> void;
+  auto HandleInput(const StopOver& message, Time now) -> void;
   auto SendTo(const RouterId& router, PeerMessage message) -> void;
   auto SendMembership(MemberList::Messages messages) -> void;
   auto SendUpdates(std::vector<AddressedUpdate> updates) -> void;
@@ -315,7 +318,8 @@
   std::uint64_t summary_sequence_ = 0;
   // `MemberList::generation` at the last call of `DropDeadRouters`.
   std::uint64_t seen_generation_ = 0;
-  bool is_stopping_ = false;
+  // Set once the router stops.
+  std::optional<StopRequested> stop_;
   Time last_tick_{};
   Time next_report_{};
   Time next_gossip_{};
--- a/router/router_core_peers.cpp
+++ b/router/router_core_peers.cpp
@@ -140,10 +140,9 @@
   members_.SetConfigVersion(version_);
 }
 
-auto RouterCore::HandleInput(const StopRequested& /*message*/, Time now)
-    -> void {
-  if (is_stopping_) return;
-  is_stopping_ = true;
+auto RouterCore::HandleInput(const StopRequested& message, Time now) -> void {
+  if (stop_) return;
+  stop_ = message;
   SendMembership(members_.Leave(now));
   RefreshOwnership();
 }
--- a/tasks/core_task.cpp
+++ b/tasks/core_task.cpp
@@ -34,6 +34,10 @@
       return "the idempotency key could not be claimed";
     case FailReason::kOutcomeUnknown:
       return "the idempotency key is in use; its outcome is not known yet";
+    case FailReason::kStopping:
+      return "the router stops before the request could end; ask another one";
+    case FailReason::kStopped:
+      return "the router ended while the request was open";
   }
   return "unknown";
 }
--- a/tasks/router_process.cpp
+++ b/tasks/router_process.cpp
@@ -30,6 +30,8 @@
 // Length of the body's beginning that `RequestArrived::prefix` identifies.
 constexpr std::size_t kPrefixBytes = 256;
 constexpr Duration kStopPollPeriod = milliseconds(50);
+// For the answers of requests that a stopping router ends.
+constexpr Duration kLastAnswersTime = milliseconds(500);
 constexpr Duration kPeerTimeout = seconds(5);
 // Share of the instance's memory for request bodies. The rest is for the
 // process itself, its connections and answers, and what the allocator loses.
@@ -116,12 +118,13 @@
   auto Stop() -> void {
     LOG(INFO) << "event=stopping drain_seconds="
               << Seconds(settings_.drain_time);
-    core_task_->Post(CoreInput(StopRequested{}));
+    const auto admits_until = MonotonicClock::now() + settings_.drain_time;
+    const auto give_up = admits_until + settings_.stop_limit;
+    core_task_->Post(CoreInput(StopRequested{admits_until, give_up}));
     caller_server_->CloseAfterAnswers();
     is_ready_ = false;
     std::this_thread::sleep_for(settings_.drain_time);
     caller_server_->StopListening();
-    const auto give_up = MonotonicClock::now() + settings_.stop_limit;
     const auto count = [](const RouterCore& core) {
       return core.open_requests();
     };
@@ -131,6 +134,7 @@
       if (open == 0 && caller_server_->open_connections() == 0) break;
       if (MonotonicClock::now() >= give_up) {
         LOG(WARNING) << "event=stop_limit open_requests=" << open;
+        EndOpenRequests();
         break;
       }
       std::this_thread::sleep_for(kStopPollPeriod);
@@ -139,6 +143,16 @@
   }
 
  private:
+  // Answers requests that have no answer yet, and gives the answers a moment.
+  auto EndOpenRequests() -> void {
+    core_task_->Post(CoreInput(StopOver{}));
+    const auto until = MonotonicClock::now() + kLastAnswersTime;
+    while (caller_server_->open_requests() > 0 &&
+           MonotonicClock::now() < until) {
+      std::this_thread::sleep_for(kStopPollPeriod);
+    }
+  }
+
   auto CoreHooks() -> CoreTaskHooks {
     CoreTaskHooks hooks;
     hooks.start_attempt = [this](TargetRequest request) {
--- a/transport/caller_server.cpp
+++ b/transport/caller_server.cpp
@@ -136,6 +136,11 @@
     return info == nullptr ? 0 : info->num_connections;
   }
 
+  auto OpenRequests() -> std::size_t {
+    const std::lock_guard lock(mutex_);
+    return open_.size();
+  }
+
  private:
   // A request that was passed on, with the socket that `CheckSockets` checks.
   struct OpenRequest {
@@ -519,6 +524,9 @@
 
 auto CallerServer::CloseAfterAnswers() -> void { server_->CloseAfterAnswers(); }
 auto CallerServer::StopListening() -> void { server_->StopListening(); }
+auto CallerServer::open_requests() const -> std::size_t {
+  return server_->OpenRequests();
+}
 auto CallerServer::open_connections() const -> unsigned {
   return server_->OpenConnections();
 }
--- a/transport/caller_server.h
+++ b/transport/caller_server.h
@@ -76,6 +76,8 @@
   CallerServer(const CallerServer&) = delete;
   auto operator=(const CallerServer&) -> CallerServer& = delete;
 
+  // Requests that were passed on and whose answer is not sent.
+  auto open_requests() const -> std::size_t;
   // Makes each later answer close its connection.
   auto CloseAfterAnswers() -> void;
 
