Storage: a table that comes back older was taken for the newest history

What operators saw: nothing.

Change: such a read is an error that names both versions. The version in force stays, it is not confirmed (configuration_unconfirmed_seconds grows), the line of the table service says why, and submissions are refused with that cause.

--- a/storage/configuration_store.cpp
+++ b/storage/configuration_store.cpp
@@ -108,6 +108,13 @@
     -> Outcome<std::vector<StoredChange>> {
   auto head = ReadHead();
   if (!IsOk(head)) return ErrorOf(head);
+  if (ValueOf(head) < version) {
+    return Error{ErrorCode::kConflict,
+                 "the table service ends its history at version " +
+                     std::to_string(ValueOf(head).value()) +
+                     ", before version " + std::to_string(version.value()) +
+                     "; restore the rows config/* that it has lost"};
+  }
   std::vector<std::string> keys;
   std::vector<ConfigVersion> versions;
   for (auto next = NextVersion(version);
--- a/storage/configuration_store.h
+++ b/storage/configuration_store.h
@@ -51,7 +51,8 @@
 
   // Changes after `version`, oldest first, at most `limit`; they end before the
   // first change whose row is missing or invalid. Errors: those of
-  // `TableClient::Read`.
+  // `TableClient::Read`, and `kConflict` if the history ends before `version`,
+  // as after a restore of the table from an older copy.
   auto ReadChanges(ConfigVersion version, std::size_t limit)
       -> Outcome<std::vector<StoredChange>>;
 
--- a/tasks/configuration_task.cpp
+++ b/tasks/configuration_task.cpp
@@ -80,9 +80,12 @@
 }
 
 auto ConfigurationTask::Poll() -> void {
-  const auto is_up = CatchUpFromStore();
+  const auto outcome = CatchUpFromStore();
+  const auto is_up = IsOk(outcome);
   if (is_up != is_store_up_) {
-    LOG(WARNING) << "event=table_service state=" << (is_up ? "up" : "down");
+    LOG(WARNING) << "event=table_service state=" << (is_up ? "up" : "down")
+                 << " error=\"" << (is_up ? "" : ErrorOf(outcome).message)
+                 << '"';
   }
   is_store_up_ = is_up;
 }
@@ -100,7 +103,9 @@
 
 auto ConfigurationTask::Handle(const FetchMessage& message) -> void {
   if (Current()->version() >= message.version) return;
-  if (CatchUpFromStore() && Current()->version() >= message.version) return;
+  if (IsOk(CatchUpFromStore()) && Current()->version() >= message.version) {
+    return;
+  }
   if (CatchUpFromPeer(message.peer_address)) return;
   LOG(WARNING) << "event=configuration_fetch_failed version=" << message.version
                << " peer=" << message.peer_address;
@@ -116,10 +121,12 @@
 
 auto ConfigurationTask::ExecuteSubmission(const Submission& submission)
     -> SubmitResult {
-  if (!CatchUpFromStore()) {
+  const auto outcome = CatchUpFromStore();
+  if (!IsOk(outcome)) {
     return Error{ErrorCode::kUnavailable,
-                 "the table service does not answer; nothing was changed; "
-                 "submit again later"};
+                 "the table service can't be used (" +
+                     ErrorOf(outcome).message +
+                     "); nothing was changed; submit again later"};
   }
   const auto current = Current();
   if (submission.base != current->version()) {
@@ -152,12 +159,12 @@
   if (ValueOf(snapshot)) Install(std::move(*ValueOf(snapshot)));
 }
 
-auto ConfigurationTask::CatchUpFromStore() -> bool {
+auto ConfigurationTask::CatchUpFromStore() -> Outcome<Done> {
   if (!has_read_snapshot_ && Current()->version().is_empty()) LoadSnapshot();
   for (;;) {
     const auto current = Current();
     auto changes = store_.ReadChanges(current->version(), kChangesPerRead);
-    if (!IsOk(changes)) return false;
+    if (!IsOk(changes)) return ErrorOf(changes);
     if (ValueOf(changes).empty()) break;
     Configuration next = *current;
     for (const auto& change : ValueOf(changes)) {
@@ -165,14 +172,17 @@
       if (!std::holds_alternative<Configuration>(applied)) {
         LOG(ERROR) << "event=configuration_change_unreadable version="
                    << change.version;
-        return false;
+        return Error{ErrorCode::kInvalidArgument,
+                     "the change of version " +
+                         std::to_string(change.version.value()) +
+                         " cannot be applied"};
       }
       next = std::move(std::get<Configuration>(applied));
     }
     Install(std::move(next));
   }
   Confirm();
-  return true;
+  return Done{};
 }
 
 auto ConfigurationTask::CatchUpFromPeer(const std::string& address) -> bool {
--- a/tasks/configuration_task.h
+++ b/tasks/configuration_task.h
@@ -93,9 +93,10 @@
   auto Handle(const HistoryMessage& message) -> void;
   auto ExecuteSubmission(const Submission& submission) -> SubmitResult;
   auto LoadSnapshot() -> void;
-  // Applies all newer changes in the table service; false if it did not answer
-  // or a change cannot be applied. Both are logged as state=down.
-  auto CatchUpFromStore() -> bool;
+  // Applies all newer changes in the table service. An error if it did not
+  // answer, if a change cannot be applied, or if its history ends before the
+  // version in force, which stays then.
+  auto CatchUpFromStore() -> Outcome<Done>;
   auto CatchUpFromPeer(const std::string& address) -> bool;
   auto Install(Configuration next) -> void;
   auto Confirm() -> void;
