--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -171,6 +171,7 @@
                                                 "stopping",
                                                 "store_lost",
                                                 "store_regained",
+                                                "store_era_changed",
                                                 "target_left",
                                                 "target_joined",
                                                 "target_restarted",
--- a/base/strong_id.h
+++ b/base/strong_id.h
@@ -52,6 +52,9 @@
 using RequestId = StrongId<struct RequestTag, std::string>;
 // A version of the configuration; 0 means that none is in force.
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
+// A span in which the versions of the platform's store are in order: it ends
+// when the store comes back from an older copy. 0 means that none is known.
+using StoreEra = StrongId<struct StoreEraTag, std::uint64_t>;
 
 }  // namespace papayaplank
 
--- a/gateway/evacuation_news.cpp
+++ b/gateway/evacuation_news.cpp
@@ -30,7 +30,7 @@
     -> std::vector<EvacuationRecord> {
   auto changes = evacuations_.ApplyList(evacuated, version);
   for (const auto& record : changes) NoteChange(record, false, now);
-  for (const auto& record : evacuations_.Records()) {
+  for (const auto& record : Known()) {
     read_here_.insert(record.data_center);
   }
   return changes;
@@ -46,12 +46,25 @@
   return is_change;
 }
 
+auto EvacuationNews::BeginEra() -> void {
+  evacuations_.BeginEra();
+  read_here_.clear();
+  fresh_until_.clear();
+}
+
+auto EvacuationNews::Known() const -> std::vector<EvacuationRecord> {
+  auto records = evacuations_.Records();
+  std::erase_if(records,
+                [](const auto& record) { return record.version == 0; });
+  return records;
+}
+
 auto EvacuationNews::ToSend(bool passes_on, Time now)
     -> std::vector<EvacuationRecord> {
   const auto is_refresh_due = now - refreshed_at_ >= kRefreshPeriod;
   if (is_refresh_due) refreshed_at_ = now;
   std::vector<EvacuationRecord> records;
-  for (const auto& record : evacuations_.Records()) {
+  for (const auto& record : Known()) {
     const auto fresh = fresh_until_.find(record.data_center);
     const auto is_fresh = fresh != fresh_until_.end() && now < fresh->second;
     const auto is_told = passes_on || read_here_.count(record.data_center) != 0;
--- a/gateway/evacuation_news.h
+++ b/gateway/evacuation_news.h
@@ -34,11 +34,16 @@
   // Another router told of the record. Returns whether it is a change.
   auto RecordHeard(const EvacuationRecord& record, Time now) -> bool;
 
-  // The records that a message made now tells. A router tells what it has read
-  // itself; with `passes_on`, also what it heard.
+  // The store has come back from an older copy; see `Evacuations`.
+  auto BeginEra() -> void;
+
+  // The records of the current era that a message made now tells. A router
+  // tells what it has read itself; with `passes_on`, also what it heard.
   auto ToSend(bool passes_on, Time now) -> std::vector<EvacuationRecord>;
 
   auto evacuations() const -> const Evacuations& { return evacuations_; }
+  // The records that the current era of the store has shown.
+  auto Known() const -> std::vector<EvacuationRecord>;
   // Changes since the last call.
   auto TakeChanges() -> std::vector<EvacuationChange> {
     return std::exchange(changes_, {});
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -83,9 +83,7 @@
   if (length >= kLongestPauseWithNews) DemandMissedNews();
 }
 
-auto GatewayCore::BeginStop(Time now) -> void {
-  stop_window_.Begin(now);
-}
+auto GatewayCore::BeginStop(Time now) -> void { stop_window_.Begin(now); }
 
 auto GatewayCore::Refuse(RefusalReason reason, Duration retry_after)
     -> Refusal {
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -73,6 +73,8 @@
   std::uint64_t retries = 0;
   std::uint64_t completed = 0;
   std::uint64_t failed_attempts = 0;
+  // Messages of other routers whose versions are of an older era of the store.
+  std::uint64_t stale_messages = 0;
 };
 
 // The targets of a service and their load as known to this router, for
@@ -119,6 +121,20 @@
   // store as read since.
   auto JudgeExit(const TargetRow& target, Time ended_at, ExitRow row,
                  Time now) const -> ExitVerdict;
+  // An answer of the store to a call that was sent at `sent_at` states this
+  // era, or none. Returns whether the answer counts; a late one of an older era
+  // doesn't.
+  auto RecordStoreEra(std::optional<StoreEra> stated, Time sent_at, Time now)
+      -> bool;
+  // An answer of the current era has shown this version of the store.
+  auto RecordStoreVersion(std::uint64_t version) -> void {
+    store_eras_.RecordVersion(version);
+  }
+  auto store_eras() const -> const StoreEras& { return store_eras_; }
+  // The change of era since the last call, if there was one.
+  auto TakeEraChange() -> std::optional<EraChange> {
+    return store_eras_.TakeChange();
+  }
   // A call to the store succeeded.
   auto RecordStoreSuccess(Time now) -> void;
   // A call to the store failed.
@@ -129,8 +145,8 @@
                     std::uint64_t version, Time now) -> void;
   auto SetEvacuation(const EvacuationRecord& record, Time now) -> void;
   // Evacuations that another router's snapshot names.
-  auto HandleEvacuations(const std::vector<EvacuationRecord>& records, Time now)
-      -> void;
+  auto HandleEvacuations(const std::vector<EvacuationRecord>& records,
+                         StoreEra era, Time now) -> void;
   // Evacuations that began or ended since the last call.
   auto TakeEvacuationChanges() -> std::vector<EvacuationChange> {
     return evacuation_news_.TakeChanges();
@@ -248,6 +264,8 @@
   // Whether to read the configuration now: this router has none, or a peer has
   // a newer one.
   auto must_read_configuration(Time now) -> bool;
+  // Whether a live peer reports a newer configuration than this router's.
+  auto HasPeerWithNewerConfiguration(Time now) const -> bool;
   // Whether the newest call to the store failed.
   auto is_store_failing() const -> bool {
     return store_continuity_.is_failing();
@@ -257,9 +275,10 @@
   auto ChooseSnapshotSource(Time now) -> std::string;
   // Nothing if this router has no configuration.
   auto MakeSnapshot() const -> std::optional<PeerSnapshot>;
-  // Returns the changes in the directory.
-  auto ApplyTargetUpdates(const std::vector<TargetUpdate>& updates, Time now)
-      -> DirectoryChange;
+  // Applies updates of another router, whose versions are of this era. Returns
+  // the changes in the directory.
+  auto ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
+                          StoreEra era, Time now) -> DirectoryChange;
   // The read of the target list that is due; once for each. Asked for after
   // each tick.
   auto TakeListReadDemand() -> std::optional<ListReadDemand> {
@@ -298,6 +317,11 @@
   auto directory() const -> const TargetDirectory& { return directory_; }
   // Time since the configuration was last confirmed as the newest.
   auto key_age(Time now) const -> Duration { return keys_.Age(now); }
+  // Whether the router at the peer address has said that it leaves and is
+  // silent now.
+  auto HasLeft(const std::string& peer_address, Time now) const -> bool {
+    return peers_.HasLeft(peer_address, now);
+  }
   // Number of peers that reported lately.
   auto live_peers(Time now) const -> std::size_t {
     return peers_.LiveCount(now);
@@ -368,6 +392,12 @@
   auto TargetListReaders(Time now) const -> ListReaders;
   // Other routers may have told of changes that this one has missed.
   auto DemandMissedNews() -> void;
+  // Whether versions of this era, which another router names, can be compared
+  // with those known here. A later era begins here, too.
+  auto CountsForEra(StoreEra era, Time now) -> bool;
+  // Keeps what is known, without its versions, and reads the store again.
+  auto BeginStoreEra() -> void;
+  auto DemandEraRead() -> void;
 
   GatewayOptions options_;
   Random random_;
@@ -397,6 +427,7 @@
   TargetListSchedule list_schedule_;
   std::optional<ListReadDemand> list_read_demand_;
   StoreContinuity store_continuity_;
+  StoreEras store_eras_;
   std::uint64_t next_attempt_ = 1;
   std::uint64_t report_sequence_ = 0;
   // Since when a peer has had a newer configuration.
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -22,6 +22,8 @@
 // the target list at random times within this one, so that the store gets few
 // calls at a time.
 constexpr Duration kMissedNewsReadTime = milliseconds(800);
+// Rows that one call for the target list returns.
+constexpr std::size_t kRowsPerListCall = 500;
 
 }  // namespace
 
@@ -31,8 +33,9 @@
   if (!options_.cold.is_set()) {
     for (auto& row : rows) row.cold_left = {};
   }
-  auto change = directory_.Apply(
-      TargetList{std::move(rows), store_version, IsStoreRecovering(now)});
+  auto change = directory_.Apply(TargetList{std::move(rows), store_version,
+                                            IsStoreRecovering(now),
+                                            store_eras_.DoubtfulVersion(now)});
   list_schedule_.RecordRead(now);
   for (const auto& update : change.updates) target_news_.AddRead(update, now);
   ApplyChange(change, now);
@@ -68,8 +71,11 @@
 
 auto GatewayCore::JudgeExit(const TargetRow& target, Time ended_at, ExitRow row,
                             Time now) const -> ExitVerdict {
-  // Rows expire while the store is away.
-  const auto is_incomplete = row == ExitRow::kAbsent && IsStoreRecovering(now);
+  // Rows expire while the store is away, and an older copy of it may have them
+  // still.
+  const auto is_incomplete =
+      (row == ExitRow::kAbsent && IsStoreRecovering(now)) ||
+      store_eras_.IsSettling(now);
   return target_exits_.Judge(target.id, directory_.HasAnnouncedExit(target),
                              ended_at, is_incomplete ? ExitRow::kUnknown : row,
                              now);
@@ -77,6 +83,15 @@
 
 auto GatewayCore::SetEvacuated(const std::vector<EvacuationRecord>& evacuated,
                                std::uint64_t version, Time now) -> void {
+  if (store_eras_.IsSettling(now)) {
+    // Other rows may be older than what is known, or may be missing.
+    for (const auto& record : evacuated) {
+      if (store_eras_.IsOfCurrentEra(record.version)) {
+        SetEvacuation(record, now);
+      }
+    }
+    return;
+  }
   ApplyEvacuations(evacuation_news_.RecordList(evacuated, version, now), now);
 }
 
@@ -86,7 +101,12 @@
 }
 
 auto GatewayCore::HandleEvacuations(
-    const std::vector<EvacuationRecord>& records, Time now) -> void {
+    const std::vector<EvacuationRecord>& records, StoreEra era, Time now)
+    -> void {
+  if (!CountsForEra(era, now)) {
+    if (!records.empty()) ++counters_.stale_messages;
+    return;
+  }
   std::vector<EvacuationRecord> changes;
   for (const auto& record : records) {
     if (evacuation_news_.RecordHeard(record, now)) changes.push_back(record);
@@ -123,7 +143,36 @@
   store_continuity_.RecordSuccess(now);
 }
 
+auto GatewayCore::RecordStoreEra(std::optional<StoreEra> stated, Time sent_at,
+                                 Time now) -> bool {
+  const auto news = store_eras_.RecordAnswer(stated, sent_at, now);
+  if (news == EraNews::kNew) BeginStoreEra();
+  return news != EraNews::kStale;
+}
+
+auto GatewayCore::CountsForEra(StoreEra era, Time now) -> bool {
+  const auto news = store_eras_.RecordPeer(era, now);
+  if (news == EraNews::kNew) BeginStoreEra();
+  return news != EraNews::kStale;
+}
+
+auto GatewayCore::BeginStoreEra() -> void {
+  directory_.BeginEra();
+  evacuation_news_.BeginEra();
+  target_news_.BeginEra();
+  DemandEraRead();
+}
+
+auto GatewayCore::DemandEraRead() -> void {
+  // A long list takes several calls for each router.
+  const auto pages = 1 + directory_.size() / kRowsPerListCall;
+  list_read_demand_ = ListReadDemand{
+      ListReadReason::kNewEra,
+      Scale(kMissedNewsReadTime * static_cast<int>(pages), random_.Uniform())};
+}
+
 auto GatewayCore::IsStoreRecovering(Time now) const -> bool {
+  if (store_eras_.IsSettling(now)) return true;
   // A router that calls the store rarely relies on peers that call it often.
   return !store_continuity_.IsContinuous(now) && !peers_.HasContinuousPeer(now);
 }
@@ -139,7 +188,8 @@
   if (!peers_.ApplyReport(report, report.sequence, now)) return {};
   retry_budget_.SetRouters(peers_.ExpectedCount(now) + 1, now);
   exchange_.ApplyReport(report, now);
-  auto changes = ApplyTargetUpdates(report.target_updates, now);
+  auto changes =
+      ApplyTargetUpdates(report.target_updates, report.store_era, now);
   UpdateOtherLoads();
   return changes;
 }
@@ -148,7 +198,8 @@
     -> DirectoryChange {
   if (!exchange_.ApplySummary(summary, now)) return {};
   retry_budget_.SetRouters(peers_.ExpectedCount(now) + 1, now);
-  auto changes = ApplyTargetUpdates(summary.target_updates, now);
+  auto changes =
+      ApplyTargetUpdates(summary.target_updates, summary.sender.store_era, now);
   UpdateOtherLoads();
   return changes;
 }
@@ -161,8 +212,13 @@
 }
 
 auto GatewayCore::ApplyTargetUpdates(const std::vector<TargetUpdate>& updates,
-                                     Time now) -> DirectoryChange {
+                                     StoreEra era, Time now)
+    -> DirectoryChange {
   DirectoryChange changes;
+  if (!CountsForEra(era, now)) {
+    if (!updates.empty()) ++counters_.stale_messages;
+    return changes;
+  }
   const auto append = [](auto& to, const auto& from) {
     to.insert(to.end(), from.begin(), from.end());
   };
@@ -230,10 +286,14 @@
   return peers.empty() ? "" : peers[random_.Index(peers.size())];
 }
 
+auto GatewayCore::HasPeerWithNewerConfiguration(Time now) const -> bool {
+  const auto version = table_ == nullptr ? 0 : table_->version();
+  return !peers_.AddressesWithNewerVersion(version, nullptr, now).empty();
+}
+
 auto GatewayCore::must_read_configuration(Time now) -> bool {
   if (table_ == nullptr) return true;
-  if (peers_.AddressesWithNewerVersion(table_->version(), nullptr, now)
-          .empty()) {
+  if (!HasPeerWithNewerConfiguration(now)) {
     behind_since_ = Time{};
     return false;
   }
@@ -246,7 +306,7 @@
 auto GatewayCore::MakeSnapshot() const -> std::optional<PeerSnapshot> {
   if (table_ == nullptr) return std::nullopt;
   return PeerSnapshot{table_->document().source, directory_.AsUpdates(),
-                      evacuations().Records()};
+                      evacuation_news_.Known(), store_eras_.current()};
 }
 
 auto GatewayCore::DemandMissedNews() -> void {
@@ -298,6 +358,7 @@
   state.is_store_failing = store_continuity_.is_failing();
   state.issues_permits = true;
   state.config_version = table_ == nullptr ? 0 : table_->version();
+  state.store_era = store_eras_.current();
   return state;
 }
 
@@ -323,6 +384,7 @@
   if (exchange_.TakeHubChange()) target_news_.RepeatDepartures(now);
   const auto due = list_schedule_.Tick(TargetListReaders(now), random_, now);
   if (exchange_.TakeGap()) DemandMissedNews();
+  if (store_eras_.TakeSettled(now)) DemandEraRead();
   if (!list_read_demand_) list_read_demand_ = due;
   UpdateOtherLoads();
   crash_guard_.Tick(now);
@@ -340,6 +402,7 @@
   StatementReport statements{
       target_guard_.MakeReport(exchange_.role() == ExchangeRole::kHub,
                                exchange_.role() == ExchangeRole::kMember, now)};
+  statements.store_era = store_eras_.current();
   statements.evacuations =
       evacuation_news_.ToSend(exchange_.role() == ExchangeRole::kHub, now);
   if (!statements.is_empty()) {
--- a/gateway/gateway_core_statements.cpp
+++ b/gateway/gateway_core_statements.cpp
@@ -109,7 +109,7 @@
     if (known == target_of_hash_.end()) continue;
     target_guard_.MergeCold(known->second, record, passes_on, now);
   }
-  HandleEvacuations(report.evacuations, now);
+  HandleEvacuations(report.evacuations, report.store_era, now);
 }
 
 auto GatewayCore::HandlePermitRequest(const PermitRequest& request, Time now)
--- a/gateway/peer_messages.cpp
+++ b/gateway/peer_messages.cpp
@@ -1,14 +1,11 @@
 // Encodes messages as CBOR arrays.
 #include "gateway/peer_messages.h"
 
-#include <algorithm>
-#include <cmath>
-#include <limits>
 #include <nlohmann/json.hpp>
-#include <type_traits>
 #include <utility>
 
 #include "gateway/cbor_structure.h"
+#include "gateway/message_numbers.h"
 
 namespace papayaplank {
 namespace {
@@ -35,45 +32,21 @@
 constexpr unsigned kReadyBit = 4;
 constexpr unsigned kContinuousBit = 8;
 constexpr unsigned kFailingBit = 16;
-// Earlier versions ignore it.
+// Earlier versions ignore it, and the bits above, which are the era of the
+// store.
 constexpr unsigned kPermitsBit = 32;
+constexpr unsigned kEraShift = 8;
 // Cores are sent in hundredths.
 constexpr double kCoreSteps = 100;
 
-// Of loads, rates and cores; larger ones would lose whole numbers.
-constexpr double kLargestNumber = 1e15;
-
-// Throws like the library if `json` is not a number of that type and range. The
-// library itself converts other numbers, whatever comes of it.
-template <typename Number>
-auto ReadNumber(const Json& json) -> Number {
-  if constexpr (std::is_integral_v<Number>) {
-    if (json.is_number_unsigned()) {
-      const auto value = json.get<std::uint64_t>();
-      if (std::in_range<Number>(value)) return static_cast<Number>(value);
-    } else if (json.is_number_integer()) {
-      const auto value = json.get<std::int64_t>();
-      if (std::in_range<Number>(value)) return static_cast<Number>(value);
-    }
-  } else if (json.is_number()) {
-    const auto value = json.get<double>();
-    if (value >= 0 && value <= kLargestNumber) return value;
-  }
-  throw Json::other_error::create(0, "not a number of this range", &json);
-}
-
-// A peer drops a whole message for one number out of range.
-auto Rounded(double value) -> std::int64_t {
-  return value > 0 ? std::lround(std::min(value, kLargestNumber)) : 0;
-}
-
 auto EncodeState(const RouterState& state) -> Json {
-  const auto flags = (state.is_leaving ? kLeavingBit : 0) |
-                     (state.diverts_callers ? kDivertsBit : 0) |
-                     (state.is_ready ? kReadyBit : 0) |
-                     (state.is_store_continuous ? kContinuousBit : 0) |
-                     (state.is_store_failing ? kFailingBit : 0) |
-                     (state.issues_permits ? kPermitsBit : 0);
+  const std::uint64_t bits = (state.is_leaving ? kLeavingBit : 0) |
+                             (state.diverts_callers ? kDivertsBit : 0) |
+                             (state.is_ready ? kReadyBit : 0) |
+                             (state.is_store_continuous ? kContinuousBit : 0) |
+                             (state.is_store_failing ? kFailingBit : 0) |
+                             (state.issues_permits ? kPermitsBit : 0);
+  const auto flags = bits | state.store_era.value() << kEraShift;
   return {state.started_unix_ms,
           state.peer_address,
           state.caller_address,
@@ -87,7 +60,7 @@
   if (json.size() != kStateMembers) {
     throw Json::other_error::create(0, "a router state has 7 members", &json);
   }
-  const auto flags = ReadNumber<unsigned>(json.at(5));
+  const auto flags = ReadNumber<std::uint64_t>(json.at(5));
   state.started_unix_ms = ReadNumber<std::int64_t>(json.at(0));
   state.peer_address = json.at(1).get<std::string>();
   state.caller_address = json.at(2).get<std::string>();
@@ -100,6 +73,7 @@
   state.is_store_failing = (flags & kFailingBit) != 0;
   state.issues_permits = (flags & kPermitsBit) != 0;
   state.config_version = ReadNumber<std::uint64_t>(json.at(6));
+  state.store_era = StoreEra(flags >> kEraShift);
 }
 
 auto EncodeLoads(const TargetLoads& loads) -> Json {
@@ -149,17 +123,6 @@
   return rates;
 }
 
-// Durations are encoded in milliseconds.
-auto WriteDuration(Duration duration) -> std::int64_t {
-  return std::clamp<std::int64_t>(
-      std::chrono::duration_cast<milliseconds>(duration).count(), 0,
-      std::numeric_limits<std::uint32_t>::max());
-}
-
-auto ReadDuration(const Json& json) -> Duration {
-  return milliseconds(ReadNumber<std::uint32_t>(json));
-}
-
 auto EncodeTargetUpdates(const std::vector<TargetUpdate>& updates) -> Json {
   auto all = Json::array();
   for (const auto& update : updates) {
@@ -357,9 +320,10 @@
   auto cold = Json::array();
   for (const auto& record : report.cold) AppendColdRecord(cold, record);
   // Earlier versions read the first elements only.
-  return {kStatementReport,      std::move(limits),
-          std::move(departures), std::move(pauses),
-          std::move(cold),       EncodeEvacuations(report.evacuations)};
+  return {kStatementReport,        std::move(limits),
+          std::move(departures),   std::move(pauses),
+          std::move(cold),         EncodeEvacuations(report.evacuations),
+          report.store_era.value()};
 }
 
 auto DecodeCold(const Json& json) -> std::vector<ColdRecord> {
@@ -393,10 +357,14 @@
   }
   constexpr std::size_t kCold = 4;
   constexpr std::size_t kEvacuations = 5;
+  constexpr std::size_t kEra = 6;
   if (body.size() > kCold) report.cold = DecodeCold(body.at(kCold));
   if (body.size() > kEvacuations) {
     report.evacuations = DecodeEvacuations(body.at(kEvacuations));
   }
+  if (body.size() > kEra) {
+    report.store_era = StoreEra(ReadNumber<std::uint64_t>(body.at(kEra)));
+  }
   return report;
 }
 
@@ -448,7 +416,7 @@
   // Earlier versions read the first elements only.
   return {kSnapshot, snapshot.configuration,
           EncodeTargetUpdates(snapshot.targets),
-          EncodeEvacuations(snapshot.evacuations)};
+          EncodeEvacuations(snapshot.evacuations), snapshot.store_era.value()};
 }
 
 auto DecodeReport(const Json& body) -> PeerReport {
@@ -507,8 +475,11 @@
   }
   if (kind == kSnapshot) {
     PeerSnapshot snapshot{
-        body.at(1).get<std::string>(), DecodeTargetUpdates(body.at(2)), {}};
+        body.at(1).get<std::string>(), DecodeTargetUpdates(body.at(2)), {}, {}};
     if (body.size() > 3) snapshot.evacuations = DecodeEvacuations(body.at(3));
+    if (body.size() > 4) {
+      snapshot.store_era = StoreEra(ReadNumber<std::uint64_t>(body.at(4)));
+    }
     return snapshot;
   }
   return std::nullopt;
--- a/gateway/peer_messages.h
+++ b/gateway/peer_messages.h
@@ -114,6 +114,8 @@
   std::vector<ColdRecord> cold;
   // Not a statement of targets, but of the operator about them.
   std::vector<EvacuationRecord> evacuations;
+  // Of the versions of the evacuations.
+  StoreEra store_era{};
 
   auto is_empty() const -> bool {
     return limits.empty() && departures.empty() && pauses.empty() &&
@@ -163,6 +165,8 @@
   std::string configuration;
   std::vector<TargetUpdate> targets;
   std::vector<EvacuationRecord> evacuations;
+  // Of the versions of targets and evacuations.
+  StoreEra store_era{};
 };
 
 using PeerMessage = std::variant<PeerReport, FleetSummary, PartEvidence,
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -117,6 +117,12 @@
          found->second.state.router() == router;
 }
 
+auto PeerTable::HasLeft(const std::string& address, Time now) const -> bool {
+  const auto found = peers_.find(address);
+  return found != peers_.end() && found->second.has_state &&
+         found->second.state.is_leaving && !IsLive(found->second, now);
+}
+
 auto PeerTable::DropSilent(Time now) -> void {
   std::erase_if(peers_, [now](const auto& entry) {
     return now - entry.second.last_named_at > kDropAfter;
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -67,6 +67,9 @@
   // A hub no longer hears the router. Whether it was live and now is not.
   auto MarkLost(const RouterId& router, Time now) -> bool;
   auto IsLiveRouter(const RouterId& router, Time now) const -> bool;
+  // Whether the router at the address has said that it leaves and is silent
+  // now.
+  auto HasLeft(const std::string& address, Time now) const -> bool;
   // Drops addresses that were silent for long.
   auto DropSilent(Time now) -> void;
   // Live routers of the data centre that fell silent. `must_report` leaves out
--- a/gateway/router_state.h
+++ b/gateway/router_state.h
@@ -32,6 +32,8 @@
   // It hands out permits for limited targets and asks others for them.
   bool issues_permits = false;
   std::uint64_t config_version = 0;
+  // Of the versions of the store that its messages name.
+  StoreEra store_era{};
 
   // Identifies the process by address and start.
   auto router() const -> RouterId {
--- a/gateway/target_list_schedule.cpp
+++ b/gateway/target_list_schedule.cpp
@@ -36,6 +36,8 @@
       return "missing_targets";
     case ListReadReason::kMissedNews:
       return "missed_news";
+    case ListReadReason::kNewEra:
+      return "new_era";
   }
   return "unknown";
 }
--- a/gateway/target_list_schedule.h
+++ b/gateway/target_list_schedule.h
@@ -33,6 +33,8 @@
   kMissingTargets,
   // This router may have missed news of the others.
   kMissedNews,
+  // The store came back from an older copy, or has all rows again after that.
+  kNewEra,
 };
 
 auto ListReadReasonName(ListReadReason reason) -> std::string_view;
--- a/gateway/target_news.h
+++ b/gateway/target_news.h
@@ -23,6 +23,9 @@
   auto AddHeard(const TargetUpdate& update, Time now) -> void {
     Add(update, false, now);
   }
+  // The store has come back from an older copy: the versions of what was told
+  // so far mean nothing any more.
+  auto BeginEra() -> void { entries_.clear(); }
   // Who gets the messages has changed.
   auto RepeatDepartures(Time now) -> void;
   // What a message made now tells, departures first.
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -30,6 +30,10 @@
 // store for this long; meanwhile it asks peers.
 constexpr Duration kStoreFailurePause = milliseconds(1600);
 
+// After a return of the store from a copy, the routers list the operator's rows
+// at random times within this one.
+constexpr Duration kEraListTime = milliseconds(800);
+
 constexpr int kOk = 200;
 // Name of the store calls in the log.
 constexpr char kStoreCallName[] = "configuration";
@@ -59,6 +63,7 @@
 auto ConfigurationReader::ReadStore(const PageStart& after) -> void {
   if (!after) {
     listed_evacuations_.clear();
+    has_listed_configuration_ = false;
     list_sent_at_ = MonotonicClock::now();
   }
   store_client_.Call(ListRows(kOperatorTable, after), kListTimeout,
@@ -70,7 +75,10 @@
 auto ConfigurationReader::WatchStore() -> void {
   const auto sent_at = MonotonicClock::now();
   // Without a configuration there are no keys to confirm.
-  const auto wait = core_.table() == nullptr ? kFirstWatchWait : kWatchWait;
+  auto wait = core_.table() == nullptr ? kFirstWatchWait : kWatchWait;
+  // The first read after an era has settled confirms the keys again.
+  const auto settling = core_.store_eras().SettlingTimeLeft(sent_at);
+  if (settling > Duration{}) wait = std::min(wait, settling);
   store_client_.Call(WatchRows(kOperatorTable, store_version_, wait),
                      wait + kWatchSlack,
                      [this, sent_at](const Outcome<HttpReply>& reply) {
@@ -85,10 +93,17 @@
     store_failed_at_ = MonotonicClock::now();
     return ScheduleRetry();
   }
-  backoff_ = {};
+  // A store without any history must not be listed in a loop.
+  if (!is_history_lost_) backoff_ = {};
+  const auto era = core_.store_eras().current();
+  if (!after) {
+    // Rows may change between two pages: the list is as old as its first one.
+    list_version_ = rows->version;
+    list_era_ = era;
+  }
+  // Pages of two eras are no list.
+  if (list_era_ != era) return ReadStore();
   ApplyRows(*rows);
-  // Rows may change between two pages: the list is as old as its first one.
-  if (!after) list_version_ = rows->version;
   for (const auto& row : rows->rows) {
     const auto data_center = FindEvacuated(row);
     if (!data_center || row.is_removed) continue;
@@ -96,18 +111,31 @@
     listed_evacuations_.push_back({*data_center, version, true});
   }
   if (rows->next_after) return ReadStore(rows->next_after);
-  core_.SetEvacuated(listed_evacuations_, list_version_, MonotonicClock::now());
+  const auto now = MonotonicClock::now();
+  core_.SetEvacuated(listed_evacuations_, list_version_, now);
+  if (!has_listed_configuration_ && core_.table() != nullptr) {
+    is_outdated_ = true;
+  }
+  if (!core_.store_eras().IsSettling(list_sent_at_)) settled_era_ = era;
+  store_version_ = list_version_;
+  store_era_ = era;
   ConfirmRows(list_version_, list_sent_at_);
 }
 
 auto ConfigurationReader::HandleWatchReply(const Outcome<HttpReply>& reply,
                                            Time sent_at) -> void {
-  if (IsOk(reply) && IsHistoryLost(ValueOf(reply).status)) return ReadStore();
+  const auto is_history_lost =
+      IsOk(reply) && IsHistoryLost(ValueOf(reply).status) &&
+      store_health_.IsOfCurrentEra(kStoreCallName, ValueOf(reply));
+  if (is_history_lost) return HandleLostHistory();
   const auto rows = store_health_.DecodeRows(kStoreCallName, reply);
   if (!rows) {
     store_failed_at_ = MonotonicClock::now();
     return ScheduleRetry();
   }
+  // The version that was asked for is not of this era.
+  if (store_era_ != core_.store_eras().current()) return ReadStore();
+  is_history_lost_ = false;
   backoff_ = {};
   ApplyRows(*rows);
   for (const auto& row : rows->rows) {
@@ -120,13 +148,40 @@
   ConfirmRows(rows->version, sent_at);
 }
 
+auto ConfigurationReader::HandleLostHistory() -> void {
+  if (std::exchange(is_history_lost_, true)) return ScheduleRetry();
+  ReadStore();
+}
+
 auto ConfigurationReader::ConfirmRows(std::uint64_t version, Time sent_at)
     -> void {
   store_version_ = std::max(store_version_, version);
-  if (core_.table() != nullptr) core_.ConfirmConfiguration(sent_at);
+  // A configuration that the store has lost may have revoked keys.
+  const auto is_newest = !is_outdated_ &&
+                         !core_.store_eras().IsSettling(sent_at) &&
+                         !core_.HasPeerWithNewerConfiguration(sent_at);
+  if (core_.table() != nullptr && is_newest) {
+    core_.ConfirmConfiguration(sent_at);
+  }
   ScheduleNext();
 }
 
+auto ConfigurationReader::IsEraListDue(Time now) -> bool {
+  const auto& eras = core_.store_eras();
+  if (eras.changes() == 0 || settled_era_ == eras.current() ||
+      eras.IsSettling(now)) {
+    era_list_due_at_.reset();
+    return false;
+  }
+  if (!era_list_due_at_) {
+    const auto delay = core_.is_watcher(now)
+                           ? Duration{}
+                           : Scale(kEraListTime, random_.Uniform());
+    era_list_due_at_ = now + delay;
+  }
+  return now >= *era_list_due_at_;
+}
+
 auto ConfigurationReader::ReadPeer(const std::string& address) -> void {
   snapshot_client_ = std::make_unique<HttpClient>(io_, address);
   snapshot_client_->Call(HttpCall{"GET", kSnapshotPath, ""}, kSnapshotTimeout,
@@ -151,9 +206,10 @@
     return ReadStore();
   }
   ApplyDocument(snapshot->configuration, address);
-  core_.HandleEvacuations(snapshot->evacuations, MonotonicClock::now());
-  const auto change =
-      core_.ApplyTargetUpdates(snapshot->targets, MonotonicClock::now());
+  core_.HandleEvacuations(snapshot->evacuations, snapshot->store_era,
+                          MonotonicClock::now());
+  const auto change = core_.ApplyTargetUpdates(
+      snapshot->targets, snapshot->store_era, MonotonicClock::now());
   if (on_target_change_) on_target_change_(change);
   // The peer's version may be outdated, so other peers are asked to confirm it.
   if (on_query_) on_query_();
@@ -163,30 +219,36 @@
 auto ConfigurationReader::ApplyRows(const StoreRows& rows) -> void {
   for (const auto& row : rows.rows) {
     if (row.key != kConfigurationKey || row.is_removed) continue;
-    ApplyDocument(row.value, "store");
+    has_listed_configuration_ = true;
+    const auto version = ApplyDocument(row.value, "store");
+    is_outdated_ = version && *version < core_.table()->version();
   }
 }
 
 auto ConfigurationReader::ApplyDocument(std::string_view text,
-                                        std::string_view source) -> void {
+                                        std::string_view source)
+    -> std::optional<std::uint64_t> {
   auto document = DecodeConfiguration(text);
   if (!IsOk(document)) {
     log_.Write(LogClass::kState, "configuration_rejected",
                {{"source", source}, {"cause", ErrorOf(document).message}});
-    return;
+    return std::nullopt;
   }
   const auto version = ValueOf(document).version;
   const auto table =
       std::make_shared<const RoutingTable>(std::move(ValueOf(document)));
-  if (!core_.SetTable(table)) return;
+  if (!core_.SetTable(table)) return version;
   log_.Write(LogClass::kState, "configuration_in_force",
              {{"configuration", static_cast<std::int64_t>(version)},
               {"source", source}});
+  return version;
 }
 
 auto ConfigurationReader::ScheduleNext() -> void {
-  if (core_.table() == nullptr || core_.is_watcher(MonotonicClock::now())) {
-    return WatchStore();
+  const auto now = MonotonicClock::now();
+  if (core_.table() == nullptr || core_.is_watcher(now)) {
+    const auto must_list = store_era_ != core_.store_eras().current();
+    return must_list || IsEraListDue(now) ? ReadStore() : WatchStore();
   }
   ScheduleCheck(kCheckPeriod);
 }
@@ -211,9 +273,10 @@
   if (core_.is_watcher(now)) return ReadNewest();
   const auto must_read =
       core_.must_read_configuration(now) || age > kStoreReadAge;
-  const auto may_read = !core_.is_store_failing() ||
-                        now - store_failed_at_ >= kStoreFailurePause ||
-                        !core_.ChooseSnapshotSource(now).empty();
+  const auto may_call =
+      !core_.is_store_failing() || now - store_failed_at_ >= kStoreFailurePause;
+  if (IsEraListDue(now) && may_call) return ReadStore();
+  const auto may_read = may_call || !core_.ChooseSnapshotSource(now).empty();
   if (must_read && may_read) return ReadNewest();
   ScheduleCheck(kCheckPeriod);
 }
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,15 +54,22 @@
   auto HandleListReply(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
   auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
+  // The store has dropped the changes since the version that was read last.
+  auto HandleLostHistory() -> void;
   // Rows up to the version were read; the configuration in them was the newest
   // one at `sent_at`.
   auto ConfirmRows(std::uint64_t version, Time sent_at) -> void;
+  // Whether the operator's rows are to be listed because the store came back
+  // from an older copy.
+  auto IsEraListDue(Time now) -> bool;
   auto ReadPeer(const std::string& address) -> void;
   auto HandlePeerReply(const std::string& address,
                        const Outcome<HttpReply>& reply) -> void;
   auto ApplyRows(const StoreRows& rows) -> void;
-  // `source` is where the document came from, for the log.
-  auto ApplyDocument(std::string_view text, std::string_view source) -> void;
+  // `source` is where the document came from, for the log. Returns its version,
+  // if it can be read.
+  auto ApplyDocument(std::string_view text, std::string_view source)
+      -> std::optional<std::uint64_t>;
   auto ScheduleNext() -> void;
   auto ScheduleCheck(Duration delay) -> void;
   auto ScheduleRetry() -> void;
@@ -78,12 +86,25 @@
   std::unique_ptr<HttpClient> snapshot_client_;
   asio::steady_timer timer_;
   Random random_;
-  // Version of the store that the latest read covers; 0 before the first read.
+  // Version of the store that the latest read covers, and the era in which it
+  // means anything; 0 before the first read.
   std::uint64_t store_version_ = 0;
+  StoreEra store_era_;
+  // Era of the store whose rows were listed after it had settled, and when they
+  // are to be listed for the current one.
+  StoreEra settled_era_;
+  std::optional<Time> era_list_due_at_;
+  // The newest configuration that the store has shown is older than the one in
+  // force.
+  bool is_outdated_ = false;
+  // A watch found its history dropped, and none has succeeded since.
+  bool is_history_lost_ = false;
   // When the first page of the list that is being read was asked for, and the
   // evacuated data centres in its pages so far.
   Time list_sent_at_{};
   std::uint64_t list_version_ = 0;
+  StoreEra list_era_;
+  bool has_listed_configuration_ = false;
   std::vector<EvacuationRecord> listed_evacuations_;
   Duration backoff_{};
   Time store_failed_at_{};
--- a/relay/http_client.cpp
+++ b/relay/http_client.cpp
@@ -22,6 +22,7 @@
                       ReplyHook on_reply) -> void {
   on_reply_ = std::move(on_reply);
   reply_ = {};
+  reply_.sent_at = MonotonicClock::now();
   ++calls_;
   timer_.expires_after(timeout);
   timer_.async_wait([this](error_code error) {
@@ -53,8 +54,9 @@
   }
   connection_->Send(
       head + "\r\n", body, false,
-      TransferHooks{[this](int status, const HttpFields&) {
+      TransferHooks{[this](int status, const HttpFields& fields) {
                       reply_.status = status;
+                      reply_.fields = fields;
                       return HeadAction::kRead;
                     },
                     [this](std::string_view bytes) { AppendBody(bytes); },
--- a/relay/http_client.h
+++ b/relay/http_client.h
@@ -15,7 +15,10 @@
 // The complete answer to a call.
 struct HttpReply {
   int status = 0;
+  HttpFields fields;
   std::string body;
+  // When the call was made.
+  Time sent_at{};
 };
 
 // Makes calls; `on_reply` of each call is called exactly once, unless the
--- a/relay/info_service.cpp
+++ b/relay/info_service.cpp
@@ -53,6 +53,12 @@
   const auto& core = sources.context.core;
   SetMetric(metrics, "log_lines_dropped_total",
             static_cast<double>(sources.context.log.dropped()));
+  const auto& eras = core.store_eras();
+  SetMetric(metrics, "store_era", static_cast<double>(eras.current().value()));
+  SetMetric(metrics, "store_era_changes_total",
+            static_cast<double>(eras.changes()));
+  SetMetric(metrics, "stale_messages_total",
+            static_cast<double>(core.counters().stale_messages));
   SetMetric(metrics, "key_age_seconds",
             std::chrono::duration<double>(core.key_age(now)).count());
   SetMetric(metrics, "configuration_version",
--- a/relay/quarantine_store.cpp
+++ b/relay/quarantine_store.cpp
@@ -2,6 +2,7 @@
 #include "relay/quarantine_store.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaplank {
 namespace {
@@ -15,7 +16,6 @@
 constexpr Duration kRewriteAge = seconds(30);
 // Of a row; no evidence counts for so long.
 constexpr milliseconds kLongestAge = std::chrono::hours(24);
-constexpr int kOk = 200;
 // Name of the store calls in the log.
 constexpr char kStoreCallName[] = "quarantine";
 
@@ -39,6 +39,11 @@
   if (now - started_at_ < kLoadDelay || now < next_call_at_) return;
   if (store_client_.is_busy() || core_.is_leaving()) return;
   if (!core_.is_watcher(now)) return;
+  const auto era = core_.store_eras().current();
+  if (std::exchange(era_, era) != era) {
+    is_loaded_ = false;
+    stored_.clear();
+  }
   if (!is_loaded_) return Load({});
   StoreChange(now);
 }
@@ -66,7 +71,7 @@
     if (!row.is_removed) ApplyRow(row, rows->store_ms.value_or(0));
   }
   if (rows->next_after) return Load(rows->next_after);
-  is_loaded_ = true;
+  is_loaded_ = era_ == core_.store_eras().current();
 }
 
 auto QuarantineStore::ApplyRow(const StoreRow& row, std::int64_t store_ms)
@@ -121,13 +126,8 @@
 
 auto QuarantineStore::HandleConfirmation(const Outcome<HttpReply>& reply,
                                          Time now) -> bool {
-  if (IsOk(reply) && ValueOf(reply).status == kOk) {
-    store_health_.RecordSuccess(kStoreCallName);
-    return true;
-  }
+  if (store_health_.IsConfirmed(kStoreCallName, reply)) return true;
   next_call_at_ = now + kRetryDelay;
-  store_health_.RecordFailure(kStoreCallName,
-                              "the store did not confirm the change");
   return false;
 }
 
--- a/relay/quarantine_store.h
+++ b/relay/quarantine_store.h
@@ -48,6 +48,8 @@
   Time started_at_{};
   Time next_call_at_{};
   bool is_loaded_ = false;
+  // Era of the store of which `stored_` tells.
+  StoreEra era_;
   // Rows that the table has, with the time of the newest crash in each.
   std::map<PartId, Time> stored_;
   std::int64_t store_ms_ = 0;
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -182,6 +182,7 @@
   auto UpdateAccepting(Time now) -> void;
   auto LogCrashes() -> void;
   auto LogBudget(Time now) -> void;
+  auto LogEraChange() -> void;
   auto ApplyStatements() -> void;
   auto LogLimitShares(Time now) -> void;
   auto WaitForSignal() -> void;
@@ -308,6 +309,7 @@
   }
   LogCrashes();
   LogBudget(now);
+  LogEraChange();
   ApplyStatements();
   quarantine_store_.Tick(now);
   report_timer_.expires_after(kReportPeriod);
@@ -356,6 +358,23 @@
   }
 }
 
+auto RelayProcess::LogEraChange() -> void {
+  const auto change = core_.TakeEraChange();
+  if (!change) return;
+  const auto before = change->before.value();
+  const auto now = change->now.value();
+  log_.Write(
+      LogClass::kState, "store_era_changed",
+      {{"era", static_cast<std::int64_t>(now)},
+       {"era_before", static_cast<std::int64_t>(before)},
+       {"kind", now == before + 1 ? "next"
+                : now > before    ? "skipped"
+                                  : "fell"},
+       {"source", change->is_from_peer ? "peer" : "store"},
+       {"last_version_before", static_cast<std::int64_t>(change->last_version)},
+       {"key_age_ms", ToMs(core_.key_age(MonotonicClock::now()))}});
+}
+
 auto RelayProcess::ApplyStatements() -> void {
   for (const auto& change : core_.TakePauseChanges()) {
     const auto is_over = change.pause <= Duration{};
@@ -432,8 +451,11 @@
       LogClass::kRoutine, "load",
       {{"callers", static_cast<std::int64_t>(caller_server_.connections())},
        {"callers_refused", static_cast<std::int64_t>(caller_server_.refused())},
-       {"open_requests", static_cast<std::int64_t>(context_.open_requests.size())},
+       {"open_requests",
+        static_cast<std::int64_t>(context_.open_requests.size())},
        {"store_calls", static_cast<std::int64_t>(StoreCalls())},
+       {"store_era",
+        static_cast<std::int64_t>(core_.store_eras().current().value())},
        {"is_watcher", core_.is_watcher(now)},
        {"exchange_role", ExchangeRoleName(core_.exchange_role())},
        {"lateness_ms", core_.load().lateness_ms()},
@@ -467,9 +489,9 @@
   registry_reader_.Deregister();
   caller_server_.CloseAfterAnswers();
   peer_link_.SendMessages(stop_began_at_);
-  log_.Write(
-      LogClass::kState, "stopping",
-      {{"open_requests", static_cast<std::int64_t>(context_.open_requests.size())}});
+  log_.Write(LogClass::kState, "stopping",
+             {{"open_requests",
+               static_cast<std::int64_t>(context_.open_requests.size())}});
   CheckStopped();
 }
 
--- a/relay/service_registry_reader.cpp
+++ b/relay/service_registry_reader.cpp
@@ -13,11 +13,6 @@
 constexpr Duration kFirstRetryDelay = milliseconds(200);
 constexpr Duration kMaxRetryDelay = milliseconds(1600);
 constexpr Duration kMaxRetryDelayWithoutTargets = milliseconds(400);
-constexpr int kOk = 200;
-
-auto HasSucceeded(const Outcome<HttpReply>& reply) -> bool {
-  return IsOk(reply) && ValueOf(reply).status == kOk;
-}
 
 }  // namespace
 
@@ -60,9 +55,13 @@
 }
 
 auto ServiceRegistryReader::ReadWhenDue(const ListReadDemand& demand) -> void {
-  const auto has_missed_news = demand.reason == ListReadReason::kMissedNews;
+  const auto is_new_era = demand.reason == ListReadReason::kNewEra;
+  if (is_new_era) BeginEraChecks();
+  // A call on its way may be older than what was missed.
+  const auto must_be_newer =
+      is_new_era || demand.reason == ListReadReason::kMissedNews;
   const auto is_retrying = retry_delay_ > Duration{};
-  if (!has_missed_news && (is_reading_targets_ || is_retrying)) return;
+  if (!must_be_newer && (is_reading_targets_ || is_retrying)) return;
   read_reason_ = ListReadReasonName(demand.reason);
   if (store_client_.is_busy()) {
     must_read_again_ = true;
@@ -75,6 +74,15 @@
   if (!is_sooner) Schedule(demand.delay);
 }
 
+auto ServiceRegistryReader::BeginEraChecks() -> void {
+  must_check_own_row_ = true;
+  const auto now = MonotonicClock::now();
+  // By then a router that has started again under a name has told of itself.
+  if (!core_.is_watcher(now) || core_.store_eras().IsSettling(now)) return;
+  must_find_left_rows_ = true;
+  routers_read_at_ = Time{};
+}
+
 auto ServiceRegistryReader::IsRouterListDue(Time now) const -> bool {
   return routers_read_at_ == Time{} ||
          now - routers_read_at_ > core_.RouterListPeriod(now);
@@ -83,9 +91,13 @@
 auto ServiceRegistryReader::MakeNextCall() -> void {
   if (store_client_.is_busy()) return;
   const auto now = MonotonicClock::now();
-  if (is_deregistering_ && is_own_row_written_) return RemoveOwnRow();
+  if (is_deregistering_ && (is_own_row_written_ || must_check_own_row_)) {
+    return RemoveOwnRow();
+  }
   if (std::exchange(is_target_list_next_, false)) return ReadTargets({});
   if (!is_own_row_written_ && !is_deregistering_) return WriteOwnRow();
+  if (must_check_own_row_) return CheckOwnRow();
+  if (!left_rows_.empty()) return RemoveLeftRow();
   if (IsRouterListDue(now)) return ReadRouters({});
   ReadTargets({});
 }
@@ -110,6 +122,10 @@
     return ScheduleRetry();
   }
   retry_delay_ = {};
+  const auto era = core_.store_eras().current();
+  if (!after) list_era_ = era;
+  // Pages of two eras are no list.
+  if (list_era_ != era) return ReadTargets({});
   for (const auto& row : rows->rows) AddTargetRow(row);
   if (rows->next_after) return ReadTargets(rows->next_after);
   is_reading_targets_ = false;
@@ -126,9 +142,10 @@
 auto ServiceRegistryReader::ScheduleNext() -> void {
   // Other calls come after the targets, so that these are read at each turn.
   const auto has_other_calls =
-      is_deregistering_
-          ? is_own_row_written_
-          : !is_own_row_written_ || IsRouterListDue(MonotonicClock::now());
+      must_check_own_row_ || !left_rows_.empty() ||
+      (is_deregistering_
+           ? is_own_row_written_
+           : !is_own_row_written_ || IsRouterListDue(MonotonicClock::now()));
   const auto is_list_owed = retry_delay_ > Duration{};
   if (std::exchange(must_read_again_, false)) is_target_list_next_ = true;
   if (is_target_list_next_ || is_list_owed || has_other_calls) {
@@ -154,6 +171,7 @@
     return malformed_targets_.Log(row.key, ErrorOf(target).message);
   }
   listed_targets_.push_back(std::move(ValueOf(target)));
+  listed_targets_.back().version = row.version;
 }
 
 auto ServiceRegistryReader::LogTargetChange(std::string_view event,
@@ -199,6 +217,11 @@
     return malformed_routers_.Log(row.key, ErrorOf(router).message);
   }
   const auto& value = ValueOf(router);
+  if (must_find_left_rows_ &&
+      core_.HasLeft(value.peer_address, MonotonicClock::now())) {
+    left_rows_.emplace_back(row.key, row.version);
+    return;
+  }
   listed_routers_.push_back(
       PeerSeed{value.peer_address, value.data_center, value.cores});
 }
@@ -212,6 +235,7 @@
   }
   for (const auto& row : rows->rows) AddRouterRow(row);
   if (rows->next_after) return ReadRouters(rows->next_after);
+  must_find_left_rows_ = false;
   routers_read_at_ = MonotonicClock::now();
   core_.AddPeers(listed_routers_, routers_read_at_);
   listed_routers_.clear();
@@ -225,9 +249,7 @@
                          EncodeRouterRow(own_row_.row)};
   store_client_.Call(WriteRow(write), kCallTimeout,
                      [this](const Outcome<HttpReply>& reply) {
-                       if (!HasSucceeded(reply)) {
-                         store_health_.RecordFailure(
-                             "own_row", "the store did not confirm the write");
+                       if (!store_health_.IsConfirmed("own_row", reply)) {
                          is_target_list_next_ = true;
                          return ScheduleRetry();
                        }
@@ -236,13 +258,35 @@
                      });
 }
 
+auto ServiceRegistryReader::CheckOwnRow() -> void {
+  must_check_own_row_ = false;
+  store_client_.Call(
+      ReadRow(kRouterTable, own_row_.key), kCallTimeout,
+      [this](const Outcome<HttpReply>& reply) { HandleOwnRow(reply); });
+}
+
+auto ServiceRegistryReader::HandleOwnRow(const Outcome<HttpReply>& reply)
+    -> void {
+  const auto rows = store_health_.DecodeRows("own_row", reply);
+  if (!rows) {
+    must_check_own_row_ = true;
+    is_target_list_next_ = true;
+    return ScheduleRetry();
+  }
+  const auto value = EncodeRouterRow(own_row_.row);
+  is_own_row_written_ =
+      std::any_of(rows->rows.begin(), rows->rows.end(), [&](const auto& row) {
+        return row.key == own_row_.key && !row.is_removed && row.value == value;
+      });
+  Schedule(Duration{});
+}
+
 auto ServiceRegistryReader::RemoveOwnRow() -> void {
+  must_check_own_row_ = false;
   store_client_.Call(RemoveRow(kRouterTable, own_row_.key), kCallTimeout,
                      [this](const Outcome<HttpReply>& reply) {
-                       if (!HasSucceeded(reply)) {
-                         store_health_.RecordFailure(
-                             "own_row",
-                             "the store did not confirm the removal");
+                       if (!store_health_.IsConfirmed("own_row", reply)) {
+                         is_own_row_written_ = true;
                          return ScheduleRetry();
                        }
                        is_own_row_written_ = false;
@@ -250,6 +294,23 @@
                      });
 }
 
+auto ServiceRegistryReader::RemoveLeftRow() -> void {
+  const auto [key, version] = left_rows_.back();
+  left_rows_.pop_back();
+  log_.Write(
+      LogClass::kState, "router_row_removed",
+      {{"router", key}, {"store_version", static_cast<std::int64_t>(version)}});
+  // If it fails, the row has changed or stays as that of a crashed router does.
+  store_client_.Call(RemoveRowOfVersion(kRouterTable, key, version),
+                     kCallTimeout, [this](const Outcome<HttpReply>& reply) {
+                       if (IsOk(reply)) {
+                         store_health_.IsOfCurrentEra("left_row",
+                                                      ValueOf(reply));
+                       }
+                       ScheduleNext();
+                     });
+}
+
 auto ServiceRegistryReader::Deregister() -> void {
   is_deregistering_ = true;
   // The end of a call in flight schedules the next one.
--- a/relay/service_registry_reader.h
+++ b/relay/service_registry_reader.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/gateway.h"
@@ -47,6 +48,8 @@
 
  private:
   auto MakeNextCall() -> void;
+  // The store came back from an older copy, or has all rows again after that.
+  auto BeginEraChecks() -> void;
   auto ReadTargets(const PageStart& after) -> void;
   auto HandleTargetRows(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
@@ -60,7 +63,12 @@
       -> void;
   auto AddRouterRow(const StoreRow& row) -> void;
   auto WriteOwnRow() -> void;
+  // Writes this router's row again if the store has lost it.
+  auto CheckOwnRow() -> void;
+  auto HandleOwnRow(const Outcome<HttpReply>& reply) -> void;
   auto RemoveOwnRow() -> void;
+  // Removes the row of a router that has left, which came back with a copy.
+  auto RemoveLeftRow() -> void;
   // Makes the next call after the delay, and cancels a call that waits.
   auto Schedule(Duration delay) -> void;
   auto ScheduleRetry() -> void;
@@ -99,6 +107,15 @@
   // Set when the list is to be read once more after the call in flight.
   bool must_read_again_ = false;
   bool is_own_row_written_ = false;
+  // Set when the store came back from an older copy, which may lack the row, or
+  // still have it after its removal.
+  bool must_check_own_row_ = false;
+  // Set when the router list is to be read for rows of routers that have left,
+  // and the key and version of those that were found.
+  bool must_find_left_rows_ = false;
+  std::vector<std::pair<std::string, std::uint64_t>> left_rows_;
+  // Era of the store in which the current list was begun.
+  StoreEra list_era_;
   bool is_deregistering_ = false;
 };
 
--- a/relay/store_health.cpp
+++ b/relay/store_health.cpp
@@ -24,6 +24,32 @@
              {{"call", call}, {"cause", cause}});
 }
 
+auto StoreHealth::IsOfCurrentEra(std::string_view call, const HttpReply& reply)
+    -> bool {
+  const auto era = DecodeStoreEra(reply.fields);
+  const auto is_malformed = !IsOk(era);
+  if (is_malformed && !is_era_malformed_) {
+    log_.Write(LogClass::kState, "store_era_malformed",
+               {{"call", call}, {"cause", ErrorOf(era).message}});
+  }
+  is_era_malformed_ = is_malformed;
+  return core_.RecordStoreEra(is_malformed ? std::nullopt : ValueOf(era),
+                              reply.sent_at, MonotonicClock::now());
+}
+
+auto StoreHealth::IsConfirmed(std::string_view call,
+                              const Outcome<HttpReply>& reply) -> bool {
+  const auto is_confirmed = IsOk(reply) &&
+                            IsOfCurrentEra(call, ValueOf(reply)) &&
+                            ValueOf(reply).status == kOk;
+  if (is_confirmed) {
+    RecordSuccess(call);
+  } else {
+    RecordFailure(call, "the store did not confirm the change");
+  }
+  return is_confirmed;
+}
+
 auto StoreHealth::DecodeRows(std::string_view call,
                              const Outcome<HttpReply>& reply,
                              const PageStart& after)
@@ -33,6 +59,10 @@
     return std::nullopt;
   }
   const auto& http_reply = ValueOf(reply);
+  if (!IsOfCurrentEra(call, http_reply)) {
+    RecordFailure(call, "a late answer of an older era of the store");
+    return std::nullopt;
+  }
   if (http_reply.status != kOk) {
     RecordFailure(call, "status " + std::to_string(http_reply.status));
     return std::nullopt;
@@ -43,6 +73,7 @@
     return std::nullopt;
   }
   RecordSuccess(call);
+  core_.RecordStoreVersion(ValueOf(rows).version);
   return std::move(ValueOf(rows));
 }
 
--- a/router/router_core.cpp
+++ b/router/router_core.cpp
@@ -239,23 +239,6 @@
   }
 }
 
-auto RouterCore::HandleInput(const StopOver& /*message*/, Time /*now*/)
-    -> void {
-  std::vector<RequestId> open;
-  for (const auto& [id, request] : requests_) open.push_back(id);
-  for (const auto& id : open) {
-    auto& request = requests_.at(id);
-    if (request.stage == Stage::kRunning) {
-      request.ran = std::max(request.ran, Ran::kUnknown);
-      commands_.push_back(CancelAttempt{id, request.attempts});
-      ReleaseSlot(request);
-    } else if (request.stage == Stage::kWaiting) {
-      FindOrAddPool(request.arrival.pool).queue.Remove(id);
-    }
-    Fail(request, FailReason::kStopped, {});
-  }
-}
-
 auto RouterCore::HandleInput(const ClaimResolved& message, Time now) -> void {
   const auto found = requests_.find(message.id);
   if (found == requests_.end()) return;
--- a/routing/evacuations.cpp
+++ b/routing/evacuations.cpp
@@ -44,6 +44,11 @@
   return changes;
 }
 
+auto Evacuations::BeginEra() -> void {
+  for (auto& [data_center, record] : records_) record.version = 0;
+  list_version_ = 0;
+}
+
 auto Evacuations::IsEvacuated(const DataCenterId& data_center) const -> bool {
   const auto found = records_.find(data_center);
   return found != records_.end() && found->second.is_evacuated;
--- a/routing/evacuations.h
+++ b/routing/evacuations.h
@@ -13,7 +13,8 @@
 
 namespace papayaplank {
 
-// Whether a data centre is evacuated as of a version of the store.
+// Whether a data centre is evacuated as of a version of the store, in its
+// current era.
 struct EvacuationRecord {
   DataCenterId data_center;
   std::uint64_t version = 0;
@@ -32,9 +33,14 @@
   auto ApplyList(const std::vector<EvacuationRecord>& evacuated,
                  std::uint64_t version) -> std::vector<EvacuationRecord>;
 
+  // The store has come back from an older copy. What is known stays, and any
+  // record of the new era replaces it.
+  auto BeginEra() -> void;
+
   auto IsEvacuated(const DataCenterId& data_center) const -> bool;
   auto Evacuated() const -> std::set<DataCenterId>;
-  // All known records, also of data centres that were taken back.
+  // All known records, also of data centres that were taken back. The version
+  // is 0 if the current era of the store has not shown the record yet.
   auto Records() const -> std::vector<EvacuationRecord>;
 
  private:
--- a/routing/routing.h
+++ b/routing/routing.h
@@ -7,6 +7,7 @@
 #include "routing/key_validity.h"
 #include "routing/routing_table.h"
 #include "routing/store_continuity.h"
+#include "routing/store_eras.h"
 #include "routing/target_directory.h"
 #include "routing/target_exits.h"
 
--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -12,6 +12,9 @@
 // Beyond it, departed targets that are in no list are forgotten.
 constexpr std::size_t kMaxRememberedDepartures = 4096;
 
+// Removed targets that are remembered; beyond it, all are dropped.
+constexpr std::size_t kMaxRememberedRemovals = 4096;
+
 // Whether the target restarted between the two rows.
 auto HasRestarted(const TargetRow& before, const TargetRow& now) -> bool {
   return before.started_unix_ms != now.started_unix_ms ||
@@ -61,7 +64,27 @@
 auto TargetDirectory::Remove(const TargetId& id, DirectoryChange& change)
     -> void {
   missing_.erase(id);
-  if (targets_.erase(id) != 0) change.left.push_back(id);
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) return;
+  if (removed_.size() >= kMaxRememberedRemovals) removed_.clear();
+  removed_[id] = found->second.started_unix_ms;
+  targets_.erase(found);
+  change.left.push_back(id);
+}
+
+auto TargetDirectory::BeginEra() -> void {
+  list_version_ = 0;
+  newer_updates_.clear();
+  for (auto& [id, version] : missing_) version = 0;
+}
+
+auto TargetDirectory::IsPlausible(const TargetRow& row) const -> bool {
+  const auto known = targets_.find(row.id);
+  if (known != targets_.end()) {
+    return row.started_unix_ms > known->second.started_unix_ms;
+  }
+  const auto removed = removed_.find(row.id);
+  return removed == removed_.end() || row.started_unix_ms > removed->second;
 }
 
 auto TargetDirectory::Apply(const TargetList& list) -> DirectoryChange {
@@ -79,7 +102,11 @@
     present.insert(row.id);
     if (newer_updates_.count(row.id) != 0) continue;
     missing_.erase(row.id);
-    if (IsChanged(row)) {
+    const auto is_doubtful =
+        list.doubtful_version && row.version <= *list.doubtful_version;
+    if (is_doubtful && !IsPlausible(row)) continue;
+    // Other routers read the list themselves, and judge by what they know.
+    if (!is_doubtful && IsChanged(row)) {
       change.updates.push_back(TargetUpdate{list.version, false, row});
     }
     Upsert(row, change);
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,8 @@
   // Number of reports that the target has written to the store since its start;
   // a lower one shows that it restarted.
   std::int64_t reports = 0;
+  // Version of the store at which the row was written; 0 if not known.
+  std::uint64_t version = 0;
 };
 
 // One change of a target that a router has read from the store.
@@ -47,6 +50,9 @@
   // Rows expire during a store outage and return soon after it; until then a
   // missing row does not mean that the target is gone.
   bool is_store_recovering = false;
+  // After the store came back from an older copy: rows up to this version may
+  // be older than what is known. Nothing if no row is.
+  std::optional<std::uint64_t> doubtful_version{};
 };
 
 // Changes in the directory by a target list or a target update.
@@ -60,7 +66,8 @@
   std::vector<TargetUpdate> updates;
 };
 
-// The targets by id. Store versions put lists and updates in order.
+// The targets by id. Store versions put lists and updates in order, within one
+// era of the store.
 class TargetDirectory {
  public:
   // Applies a complete list. One that is older than the newest list changes
@@ -71,6 +78,10 @@
   // the removal of a target that the newest list lacks, too.
   auto Apply(const TargetUpdate& update) -> DirectoryChange;
 
+  // The store has come back from an older copy. What is known stays, and what
+  // the new era shows replaces it, but for doubtful rows.
+  auto BeginEra() -> void;
+
   // The process said itself that it leaves: neither it nor an earlier one gets
   // new requests, whatever its row says.
   auto RecordDeparture(const TargetId& id, std::int64_t started_unix_ms)
@@ -105,6 +116,10 @@
   // Whether the update tells that a target, which is missing in the newest
   // list, is gone, and is newer than what last named the target.
   auto ConfirmsMissing(const TargetUpdate& update) const -> bool;
+  // Whether a row that may come from an older copy of the store tells something
+  // new: of a target that is not known and was not removed, or of a later
+  // process.
+  auto IsPlausible(const TargetRow& row) const -> bool;
   // Whether other routers need an update for the row.
   auto IsChanged(const TargetRow& row) const -> bool;
   // Whether the target's process said itself that it leaves.
@@ -128,6 +143,9 @@
   // Targets that are kept though the newest list lacks them, as their rows may
   // return, by the version of what last named them.
   std::map<TargetId, std::uint64_t> missing_;
+  // Start of the newest process of each target that was removed. An older copy
+  // of the store may still have its row.
+  std::map<TargetId, std::int64_t> removed_;
 };
 
 }  // namespace papayaplank
--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kReadLatency = milliseconds(10);
 // Average delay after a call that failed.
 constexpr Duration kRetryDelay = milliseconds(1000);
+// Of an answer of the store that comes late.
+constexpr Duration kLongestLatency = seconds(3);
+// Within which the operator and the targets write again.
+constexpr Duration kWriteAgainTime = seconds(2);
 // Of a watcher's calls for the operator's rows.
 constexpr Duration kWatchPeriod = milliseconds(700);
 
@@ -52,8 +56,10 @@
     row.pool = PoolId("targets");
     row.data_center = DataCenter(i);
     row.started_unix_ms = 1;
-    rows_.push_back(row);
+    row.version = store_.version;
+    store_.targets[row.id] = wanted_targets_[row.id] = row;
   }
+  copies_.emplace_back(now_, store_);
   for (int i = 0; i < routers; ++i) {
     addresses_.push_back("10.0." + std::to_string(i / 250) + "." +
                          std::to_string(i % 250) + ":1");
@@ -164,7 +170,10 @@
     const auto period = router.core->RouterListPeriod(now_);
     if (now_ - router.routers_read_at > period) ReadRouters(index);
   }
-  if (router.core->is_watcher(now_)) ReadOperatorRows(index);
+  const auto& eras = router.core->store_eras();
+  const auto is_era_list_due = eras.changes() > 0 && !eras.IsSettling(now_) &&
+                               router.settled_era != eras.current();
+  if (router.core->is_watcher(now_) || is_era_list_due) ReadOperatorRows(index);
   for (const auto& [message, recipients] :
        router.core->MakePeerMessages(now_)) {
     const auto bytes = EncodePeerMessage(message);
@@ -177,7 +186,8 @@
   }
   const auto demand = router.core->TakeListReadDemand();
   const auto is_retry_enough = router.is_retrying && demand &&
-                               demand->reason != ListReadReason::kMissedNews;
+                               demand->reason != ListReadReason::kMissedNews &&
+                               demand->reason != ListReadReason::kNewEra;
   if (demand && !is_retry_enough) ScheduleRead(index, demand->delay);
   At(kTick, [this, index, incarnation] { Tick(index, incarnation); });
 }
@@ -214,20 +224,27 @@
 auto DepartureFleet::ReadTargets(int index) -> void {
   const auto& router = routers_.at(index);
   if (router.is_frozen) return ScheduleRead(index, kTick);
-  if (router.is_cut || router.is_cut_from_store) {
+  if (!IsReachable(router)) {
     routers_.at(index).core->RecordStoreFailure();
     routers_.at(index).is_retrying = true;
     const auto jitter = 0.5 + random_.Uniform();
     return ScheduleRead(index, Scale(kRetryDelay, jitter));
   }
   RecordRead();
-  At(kReadLatency, [this, index, incarnation = routers_.at(index).incarnation,
-                    rows = rows_, version = store_version_] {
+  std::vector<TargetRow> rows;
+  for (const auto& [id, row] : store_.targets) rows.push_back(row);
+  At(ReadLatency(), [this, index, incarnation = routers_.at(index).incarnation,
+                     rows, version = store_.version, era = era_,
+                     sent_at = now_] {
     const auto found = routers_.find(index);
     if (found == routers_.end() || found->second.incarnation != incarnation) {
       return;
     }
     auto& core = *found->second.core;
+    if (!core.RecordStoreEra(era, sent_at, now_)) {
+      return ScheduleRead(index, kRetryDelay);
+    }
+    core.RecordStoreVersion(version);
     core.RecordStoreSuccess(now_);
     core.SetTargets(rows, version, now_);
     found->second.is_retrying = false;
@@ -238,30 +255,120 @@
   auto& router = routers_.at(index);
   if (now_ - router.operator_rows_read_at < kWatchPeriod) return;
   router.operator_rows_read_at = now_;
-  if (router.is_cut || router.is_cut_from_store) {
-    return router.core->RecordStoreFailure();
-  }
+  if (!IsReachable(router)) return router.core->RecordStoreFailure();
   std::vector<EvacuationRecord> rows;
-  for (const auto& [data_center, record] : evacuated_) rows.push_back(record);
-  At(kReadLatency, [this, index, incarnation = router.incarnation, rows,
-                    version = store_version_] {
+  for (const auto& [id, record] : store_.evacuated) rows.push_back(record);
+  At(ReadLatency(), [this, index, incarnation = router.incarnation, rows,
+                     version = store_.version, era = era_, sent_at = now_] {
     const auto found = routers_.find(index);
     if (found == routers_.end() || found->second.incarnation != incarnation) {
       return;
     }
-    found->second.core->RecordStoreSuccess(now_);
-    found->second.core->SetEvacuated(rows, version, now_);
+    auto& core = *found->second.core;
+    if (!core.RecordStoreEra(era, sent_at, now_)) return;
+    core.RecordStoreVersion(version);
+    core.RecordStoreSuccess(now_);
+    core.SetEvacuated(rows, version, now_);
+    if (!core.store_eras().IsSettling(sent_at)) {
+      found->second.settled_era = era;
+    }
+  });
+}
+
+auto DepartureFleet::ReadLatency() -> Duration {
+  if (random_.Uniform() >= late_share_) return kReadLatency;
+  return Scale(kLongestLatency, random_.Uniform());
+}
+
+auto DepartureFleet::WriteTarget(const TargetId& target) -> void {
+  if (is_store_away_) return;  // Written once it is back.
+  const auto wanted = wanted_targets_.find(target);
+  ++store_.version;
+  if (wanted == wanted_targets_.end()) {
+    store_.targets.erase(target);
+  } else {
+    auto& row = store_.targets[target] = wanted->second;
+    row.version = store_.version;
+  }
+  copies_.emplace_back(now_, store_);
+}
+
+auto DepartureFleet::WriteEvacuation(const DataCenterId& data_center) -> void {
+  if (is_store_away_) return;
+  ++store_.version;
+  if (wanted_evacuated_.count(data_center) != 0) {
+    store_.evacuated[data_center] = {data_center, store_.version, true};
+  } else {
+    store_.evacuated.erase(data_center);
+  }
+  copies_.emplace_back(now_, store_);
+}
+
+auto DepartureFleet::ReturnFromCopy(Duration away, Duration age) -> void {
+  const auto copied_at = now_ - age;
+  const auto later = std::find_if(
+      copies_.begin(), copies_.end(),
+      [copied_at](const auto& each) { return each.first > copied_at; });
+  const auto copy = later == copies_.begin() ? *later : *std::prev(later);
+  is_store_away_ = true;
+  At(away, [this, copy] {
+    is_store_away_ = false;
+    store_ = copy.second;
+    copies_ = {{now_, store_}};
+    era_ = StoreEra(era_.value() + 1);
+    WriteAgain();
   });
 }
 
+auto DepartureFleet::WriteAgain() -> void {
+  const auto within = [this] {
+    return Scale(kWriteAgainTime, random_.Uniform());
+  };
+  std::set<TargetId> targets;
+  for (const auto& [id, row] : store_.targets) targets.insert(id);
+  for (const auto& [id, row] : wanted_targets_) targets.insert(id);
+  for (const auto& id : targets) {
+    At(within(), [this, id] { WriteTarget(id); });
+  }
+  for (int i = 0; i < kDataCenters; ++i) {
+    At(within(), [this, i] { WriteEvacuation(DataCenter(i)); });
+  }
+}
+
 auto DepartureFleet::SetEvacuated(int data_center, bool is_evacuated) -> void {
-  ++store_version_;
   const auto id = DataCenter(data_center);
   if (is_evacuated) {
-    evacuated_[id] = {id, store_version_, true};
+    wanted_evacuated_.insert(id);
   } else {
-    evacuated_.erase(id);
+    wanted_evacuated_.erase(id);
   }
+  WriteEvacuation(id);
+}
+
+auto DepartureFleet::IsUsable(int target) const -> bool {
+  const auto found =
+      wanted_targets_.find(TargetId("t" + std::to_string(target)));
+  return found != wanted_targets_.end() && !found->second.is_draining &&
+         wanted_evacuated_.count(found->second.data_center) == 0;
+}
+
+auto DepartureFleet::Connected() const -> std::vector<int> {
+  std::vector<int> connected;
+  for (const auto& [index, router] : routers_) {
+    if (IsReachable(router)) connected.push_back(index);
+  }
+  return connected;
+}
+
+auto DepartureFleet::Join(int target) -> void {
+  TargetRow row;
+  row.id = TargetId("t" + std::to_string(target));
+  row.address = "127.0.0.1:" + std::to_string(9000 + target);
+  row.pool = PoolId("targets");
+  row.data_center = DataCenter(target);
+  row.started_unix_ms = ++target_starts_;
+  wanted_targets_[row.id] = row;
+  WriteTarget(row.id);
 }
 
 auto DepartureFleet::UsersOf(int data_center) const -> std::vector<int> {
@@ -297,15 +404,17 @@
 }
 
 auto DepartureFleet::Drain(int target) -> void {
-  ++store_version_;
   const TargetId id("t" + std::to_string(target));
-  for (auto& row : rows_) row.is_draining |= row.id == id;
+  const auto found = wanted_targets_.find(id);
+  if (found == wanted_targets_.end()) return;
+  found->second.is_draining = true;
+  WriteTarget(id);
 }
 
 auto DepartureFleet::Remove(int target) -> void {
-  ++store_version_;
   const TargetId id("t" + std::to_string(target));
-  std::erase_if(rows_, [&id](const TargetRow& row) { return row.id == id; });
+  wanted_targets_.erase(id);
+  WriteTarget(id);
 }
 
 auto DepartureFleet::Unaware(int target) const -> std::vector<int> {
--- a/tests/gateway/departure_fleet.h
+++ b/tests/gateway/departure_fleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,17 @@
   // A frozen router does nothing and gets nothing.
   auto Freeze(int index) -> void;
   auto Thaw(int index) -> void;
+  // The store is away, and then back from a copy of that age. What the operator
+  // and the targets have written since is written again within two seconds.
+  auto ReturnFromCopy(Duration away, Duration age) -> void;
+  // Share of the answers of the store that come seconds late.
+  auto SetLateAnswers(double share) -> void { late_share_ = share; }
+  // A target starts, also one that was removed.
+  auto Join(int target) -> void;
+  // Whether the target is to be used by every router.
+  auto IsUsable(int target) const -> bool;
+  // Routers that reach the store.
+  auto Connected() const -> std::vector<int>;
   // The store takes in that the target leaves.
   auto Drain(int target) -> void;
   // The target's row is taken out of the store.
@@ -90,6 +102,8 @@
     int incarnation = 0;
     // Its newest call for the list of targets failed.
     bool is_retrying = false;
+    // Era of the store whose operator rows were read after it had settled.
+    StoreEra settled_era;
     Time read_due_at{};
     std::uint64_t reads = 0;
   };
@@ -102,7 +116,22 @@
     }
   };
 
+  // What the store holds.
+  struct Store {
+    std::map<TargetId, TargetRow> targets;
+    std::map<DataCenterId, EvacuationRecord> evacuated;
+    std::uint64_t version = 1;
+  };
+
   auto At(Duration delay, std::function<void()> action) -> void;
+  // Writes what the operator and the targets want of one row to the store.
+  auto WriteTarget(const TargetId& target) -> void;
+  auto WriteEvacuation(const DataCenterId& data_center) -> void;
+  auto WriteAgain() -> void;
+  auto IsReachable(const Router& router) const -> bool {
+    return !router.is_cut && !router.is_cut_from_store && !is_store_away_;
+  }
+  auto ReadLatency() -> Duration;
   auto Tick(int index, int incarnation) -> void;
   auto Deliver(int to, const std::string& bytes) -> void;
   auto ScheduleRead(int index, Duration delay) -> void;
@@ -120,11 +149,19 @@
   std::vector<std::string> addresses_;
   std::map<std::string, int> index_of_;
   std::map<int, Router> routers_;
-  std::vector<TargetRow> rows_;
-  std::map<DataCenterId, EvacuationRecord> evacuated_;
+  // What the targets and the operator have written last, whatever the store
+  // holds.
+  std::map<TargetId, TargetRow> wanted_targets_;
+  std::set<DataCenterId> wanted_evacuated_;
+  Store store_;
+  // Copies of the store, one for each write.
+  std::vector<std::pair<Time, Store>> copies_;
+  StoreEra era_{1};
+  bool is_store_away_ = false;
+  double late_share_ = 0;
   double loss_ = 0;
-  std::uint64_t store_version_ = 1;
   int starts_ = 0;
+  std::int64_t target_starts_ = 1;
   std::uint64_t reads_ = 0;
   Cost cost_;
   // When a router last read the target list.
--- a/tests/gateway/test_snapshot.cpp
+++ b/tests/gateway/test_snapshot.cpp
@@ -64,7 +64,8 @@
   ASSERT_TRUE(message.has_value());
   const auto& copy = std::get<PeerSnapshot>(*message);
   EXPECT_EQ(copy.configuration, "version 5");
-  const auto change = core_.ApplyTargetUpdates(copy.targets, kStart);
+  const auto change =
+      core_.ApplyTargetUpdates(copy.targets, copy.store_era, kStart);
   EXPECT_EQ(change.joined.size(), 2U);
   EXPECT_EQ(core_.directory().Serving(PoolId("engines")).size(), 2U);
 }
@@ -80,7 +81,7 @@
   core_.RecordStoreSuccess(now);
   core_.SetTargets({MakeTarget("t1"), MakeTarget("t2")}, 45, now);
   core_.SetTargets({MakeTarget("t1")}, 50, now);
-  core_.ApplyTargetUpdates(snapshot->targets, now);
+  core_.ApplyTargetUpdates(snapshot->targets, snapshot->store_era, now);
   EXPECT_EQ(core_.directory().Find(TargetId("t2")), nullptr);
 }
 
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -92,10 +92,12 @@
         self.empty_page_tables = set()  # Listed as cut short, without rows.
         self.rejects_writes = False     # Answers them 503.
         self.version = 0
+        self.era = None  # Stated in each answer, unless it is None.
         self.changed = threading.Condition()
         self.fault = None
         self.calls = 0
         self.list_times = {}  # When each table was listed.
+        self.read_times = []  # When each call to read came.
         self.endless_bytes = 0
         super().__init__()
 
@@ -141,25 +143,27 @@
 
     def serve(self, connection, start, headers, body):
         self.calls += 1
+        era = self.era
         if self.fault == "silent":
             time.sleep(3600)
         if self.fault == "reset":
             return False
         if self.fault == "busy":
-            return self.reply(connection, 503, {})
+            return self.answer(connection, 503, {})
         if self.fault == "endless":
             return self.send_endlessly(connection)
         path, _, query = start[1].partition("?")
         query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/v1/rows-tx":
             if self.rejects_writes:
-                return self.reply(connection, 503, {})
+                return self.answer(connection, 503, {})
             for row in json.loads(body)["writes"]:
                 value = base64.b64decode(row["value"]).decode()
                 self.put(row["table"], row["key"], value)
             for row in json.loads(body)["remove"]:
                 self.remove(row["table"], row["key"])
-            return self.reply(connection, 200, {"ver": self.version})
+            return self.answer(connection, 200, {"ver": self.version})
+        self.read_times.append(time.monotonic())
         if path == "/v1/rows-get":
             self.list_times.setdefault(query["table"], []).append(
                 time.monotonic())
@@ -168,12 +172,14 @@
                         if row["key"] >= query.get("from", "") and
                         ("to" not in query or row["key"] < query["to"])]
                 page = self.first_page(query["table"], rows)
-                return self.reply(connection, 200, {
+                return self.answer(connection, 200, {
                     "rows": page,
                     "truncated": len(rows) > len(page),
                     "now-ms": int(time.monotonic() * 1000),
                     "ver": self.version})
         after = int(query["after-rev"])
+        if self.era is not None and after > self.version:
+            return self.answer(connection, 410, {})
         until = time.monotonic() + int(query["wait-ms"]) / 1000
         with self.changed:
             while not self.select_rows(query["table"], after, True):
@@ -186,7 +192,9 @@
                 "ver": self.version}
         if self.fault:  # Set while the call waited.
             return self.serve(connection, start, headers, body)
-        return self.reply(connection, 200, answer)
+        if self.era != era:  # Of the store that the call was sent to.
+            return False
+        return self.answer(connection, 200, answer)
 
     def send_part(self, connection, headers, fault):
         length = b"Content-Length: 262144\r\n"
@@ -200,6 +208,10 @@
         connection.recv(1)  # Until the other side closes.
         return False
 
+    def answer(self, connection, status, body):
+        era = b"" if self.era is None else b"Store-Era: %d\r\n" % self.era
+        return self.reply(connection, status, body, era)
+
     def send_endlessly(self, connection):
         connection.sendall(b"HTTP/1.1 200 X\r\n\r\n")
         while True:
@@ -207,12 +219,34 @@
             self.endless_bytes += 65536
 
     @staticmethod
-    def reply(connection, status, body):
+    def reply(connection, status, body, headers=b""):
         text = json.dumps(body).encode()
-        connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s"
-                           % (status, len(text), text))
+        connection.sendall(
+            b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s"
+            % (status, headers, len(text), text))
         return True
 
+    def copy(self):
+        """What the store holds now, for `come_back`."""
+        with self.changed:
+            return dict(self.rows), self.version
+
+    def go_away(self):
+        self.fault = "reset"
+        with self.changed:
+            self.changed.notify_all()
+
+    def come_back(self, copy=None, passed_versions=0):
+        """With a copy, from that one, in a new era; `passed_versions` are
+        given out before anyone reads."""
+        with self.changed:
+            if copy is not None:
+                self.rows, self.version = dict(copy[0]), copy[1]
+                self.version += passed_versions
+                self.era = (self.era or 0) + 1
+            self.fault = None
+            self.changed.notify_all()
+
 
 class RejectingStore(Server):
     """A second address of a store; answers 503 while `is_rejecting` is set."""
