Soak: the store comes back from an older copy

Drills at seeded times of their own, so that the known seeds play what they played before: the store is away for up to 1.5 s, comes back from a copy up to five seconds old, sometimes with versions that have passed the lost ones, and the operator's and the targets' rows are written again within two seconds.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -26,6 +26,7 @@
 from fragile_target import FATAL_PART, FragileTarget  # noqa: E402
 from seed_ranges import parse_seeds  # noqa: E402
 from soak_callers import CALL_TIMEOUT, Caller, prompt  # noqa: E402
+from store_drill import StoreDrill  # noqa: E402
 from stream_callers import NOT_EXECUTED_STATUSES  # noqa: E402
 from stream_callers import Caller as StreamCaller  # noqa: E402
 from stream_fleet import (RESUMABLE_ATTEMPTS, TargetGroup,  # noqa: E402
@@ -75,6 +76,7 @@
         self.keys = ["key-1", "key-2"]
         self.revoked = {}  # Key -> time at which the store no longer had it.
         self.store = standin.Store()
+        self.drill = StoreDrill(self.store, random.Random(f"drill {seed}"))
         self.publish()
         self.targets = []
         self.ends = []  # Times at which targets ended on the fatal part.
@@ -90,8 +92,7 @@
         # Held while a router is started or all are stopped.
         self.lock = threading.Lock()
         self.is_stopped = False
-        self.faults = []
-        self.violations = []
+        self.faults, self.violations = [], []
 
     def choose_key(self, generator):
         """A valid, revoked or unknown key."""
@@ -144,6 +145,7 @@
 
     def inject(self):
         until = time.monotonic() + self.seconds
+        self.drill.begin_among(self.seconds, self.faults)
         self.run_later(self.together.uniform(0, 0.8 * self.seconds),
                        self.disturb_all_routers)
         while time.monotonic() < until:
