--- a/tests/gateway/departure_fleet.cpp
+++ b/tests/gateway/departure_fleet.cpp
@@ -145,6 +145,10 @@
 
 auto DepartureFleet::RecordRead() -> void {
   ++cost_.list_reads;
+  recent_reads_.push_back(now_);
+  while (now_ - recent_reads_.front() > seconds(1)) recent_reads_.pop_front();
+  cost_.most_reads =
+      std::max(cost_.most_reads, static_cast<int>(recent_reads_.size()));
   const ReadGap gap{list_read_at_, now_ - list_read_at_};
   if (list_read_at_ != Time{} && gap.length > longest_read_gap_.length) {
     longest_read_gap_ = gap;
