Routing: a late report counted as a restart, and a leaving target was used again

Cause: a lower count of reports was a restart, which forgets an announced exit. A report that the store performs late has a lower count of the same process.

Ruled out: a departure that is forgotten by time (the directory does it in a test with two lists and no clock).

Change: two rows that state the same start are of one process, whatever their counts. Rows without a start go by the count as before.

Tests: ALateReportOfTheSameProcessIsNoRestart failed before.

--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -17,8 +17,13 @@
 
 // Whether the target restarted between the two rows.
 auto HasRestarted(const TargetRow& before, const TargetRow& now) -> bool {
-  return before.started_unix_ms != now.started_unix_ms ||
-         now.reports < before.reports || before.address != now.address;
+  if (before.started_unix_ms != now.started_unix_ms ||
+      before.address != now.address) {
+    return true;
+  }
+  // A report that the store performs late has a lower count, too.
+  const auto states_start = now.started_unix_ms != 0;
+  return !states_start && now.reports < before.reports;
 }
 
 }  // namespace
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -26,8 +26,8 @@
   std::int64_t started_unix_ms = 0;
   // How much longer it is cold, as of the read of the row.
   Duration cold_left{};
-  // Number of reports that the target has written to the store since its start;
-  // a lower one shows that it restarted.
+  // Number of reports that the target has written to the store since its start.
+  // If the start is not stated, a lower one shows that it restarted.
   std::int64_t reports = 0;
   // Version of the store at which the row was written; 0 if not known.
   std::uint64_t version = 0;
