Configuration: a read that shows less than others had confirms nothing

A router that starts after a return of the store reads an older configuration from the copy, and can't tell the new era from an old one. Whether its read confirms the keys was judged by what peers report when the answer arrives, which in a storm of configurations could have held back sound confirmations of a slow router. It is judged now by what was known in the fleet when the call was sent: a store that answers less is an older copy.

--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -264,8 +264,8 @@
   // Whether to read the configuration now: this router has none, or a peer has
   // a newer one.
   auto must_read_configuration(Time now) -> bool;
-  // Whether a live peer reports a newer configuration than this router's.
-  auto HasPeerWithNewerConfiguration(Time now) const -> bool;
+  // The newest configuration version that this router or a live peer has.
+  auto NewestConfiguration(Time now) const -> std::uint64_t;
   // Whether the newest call to the store failed.
   auto is_store_failing() const -> bool {
     return store_continuity_.is_failing();
--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -286,14 +286,14 @@
   return peers.empty() ? "" : peers[random_.Index(peers.size())];
 }
 
-auto GatewayCore::HasPeerWithNewerConfiguration(Time now) const -> bool {
-  const auto version = table_ == nullptr ? 0 : table_->version();
-  return !peers_.AddressesWithNewerVersion(version, nullptr, now).empty();
+auto GatewayCore::NewestConfiguration(Time now) const -> std::uint64_t {
+  const auto own = table_ == nullptr ? 0 : table_->version();
+  return std::max(own, peers_.NewestVersion(now));
 }
 
 auto GatewayCore::must_read_configuration(Time now) -> bool {
   if (table_ == nullptr) return true;
-  if (!HasPeerWithNewerConfiguration(now)) {
+  if (NewestConfiguration(now) <= table_->version()) {
     behind_since_ = Time{};
     return false;
   }
--- a/gateway/peer_table.cpp
+++ b/gateway/peer_table.cpp
@@ -297,6 +297,15 @@
   return addresses;
 }
 
+auto PeerTable::NewestVersion(Time now) const -> std::uint64_t {
+  std::uint64_t newest = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (!IsLive(peer, now)) continue;
+    newest = std::max(newest, peer.state.config_version);
+  }
+  return newest;
+}
+
 auto PeerTable::HasContinuousPeer(Time now) const -> bool {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const auto& peer = entry.second;
--- a/gateway/peer_table.h
+++ b/gateway/peer_table.h
@@ -107,6 +107,8 @@
   auto AddressesWithNewerVersion(std::uint64_t version,
                                  const DataCenterId* data_center,
                                  Time now) const -> std::vector<std::string>;
+  // Newest configuration that a live router reports; 0 if none does.
+  auto NewestVersion(Time now) const -> std::uint64_t;
   // Whether a live router's calls show that the store had no long outage
   // lately.
   auto HasContinuousPeer(Time now) const -> bool;
--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -65,6 +65,7 @@
     listed_evacuations_.clear();
     has_listed_configuration_ = false;
     list_sent_at_ = MonotonicClock::now();
+    known_version_ = core_.NewestConfiguration(list_sent_at_);
   }
   store_client_.Call(ListRows(kOperatorTable, after), kListTimeout,
                      [this, after](const Outcome<HttpReply>& reply) {
@@ -74,6 +75,7 @@
 
 auto ConfigurationReader::WatchStore() -> void {
   const auto sent_at = MonotonicClock::now();
+  known_version_ = core_.NewestConfiguration(sent_at);
   // Without a configuration there are no keys to confirm.
   auto wait = core_.table() == nullptr ? kFirstWatchWait : kWatchWait;
   // The first read after an era has settled confirms the keys again.
@@ -113,9 +115,7 @@
   if (rows->next_after) return ReadStore(rows->next_after);
   const auto now = MonotonicClock::now();
   core_.SetEvacuated(listed_evacuations_, list_version_, now);
-  if (!has_listed_configuration_ && core_.table() != nullptr) {
-    is_outdated_ = true;
-  }
+  if (!has_listed_configuration_) shown_version_ = 0;
   if (!core_.store_eras().IsSettling(list_sent_at_)) settled_era_ = era;
   store_version_ = list_version_;
   store_era_ = era;
@@ -156,16 +156,18 @@
 auto ConfigurationReader::ConfirmRows(std::uint64_t version, Time sent_at)
     -> void {
   store_version_ = std::max(store_version_, version);
-  // A configuration that the store has lost may have revoked keys.
-  const auto is_newest = !is_outdated_ &&
-                         !core_.store_eras().IsSettling(sent_at) &&
-                         !core_.HasPeerWithNewerConfiguration(sent_at);
-  if (core_.table() != nullptr && is_newest) {
+  if (core_.table() != nullptr && IsNewest(sent_at)) {
     core_.ConfirmConfiguration(sent_at);
   }
   ScheduleNext();
 }
 
+auto ConfigurationReader::IsNewest(Time sent_at) const -> bool {
+  // A configuration that the store has lost may have revoked keys.
+  if (core_.store_eras().IsSettling(sent_at)) return false;
+  return !shown_version_ || *shown_version_ >= known_version_;
+}
+
 auto ConfigurationReader::IsEraListDue(Time now) -> bool {
   const auto& eras = core_.store_eras();
   if (eras.changes() == 0 || settled_era_ == eras.current() ||
@@ -220,8 +222,7 @@
   for (const auto& row : rows.rows) {
     if (row.key != kConfigurationKey || row.is_removed) continue;
     has_listed_configuration_ = true;
-    const auto version = ApplyDocument(row.value, "store");
-    is_outdated_ = version && *version < core_.table()->version();
+    shown_version_ = ApplyDocument(row.value, "store");
   }
 }
 
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -56,9 +56,11 @@
   auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
   // The store has dropped the changes since the version that was read last.
   auto HandleLostHistory() -> void;
-  // Rows up to the version were read; the configuration in them was the newest
-  // one at `sent_at`.
+  // Rows up to the version were read by a call that was sent at `sent_at`.
   auto ConfirmRows(std::uint64_t version, Time sent_at) -> void;
+  // Whether the configuration that the store has shown was the newest one at
+  // `sent_at`: its copy may lack what this router or another one has.
+  auto IsNewest(Time sent_at) const -> bool;
   // Whether the operator's rows are to be listed because the store came back
   // from an older copy.
   auto IsEraListDue(Time now) -> bool;
@@ -94,9 +96,11 @@
   // are to be listed for the current one.
   StoreEra settled_era_;
   std::optional<Time> era_list_due_at_;
-  // The newest configuration that the store has shown is older than the one in
-  // force.
-  bool is_outdated_ = false;
+  // Version of the newest configuration that the store has shown; 0 if it has
+  // none, nothing if it could not be read.
+  std::optional<std::uint64_t> shown_version_;
+  // The newest version that was known in the fleet as the latest call was sent.
+  std::uint64_t known_version_ = 0;
   // A watch found its history dropped, and none has succeeded since.
   bool is_history_lost_ = false;
   // When the first page of the list that is being read was asked for, and the
