Gateway: a stopping router takes resumable streams in the first moment

A resumable stream that outlasts the router is not lost: its caller goes on at another one after the last event that it has. Those are taken in the first 0.3 s again, whatever their limit, as before. All else stays refused unless it fits.

test_stopping_router's test_streams has both kinds now; StopWindowTest.

--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -152,7 +152,10 @@
   auto wait =
       facts.caller_wait > Duration{} ? facts.caller_wait : kDefaultDeadline;
   if (route->timeout > Duration{}) wait = std::min(wait, route->timeout);
-  if (!stop_window_.Fits(wait, now)) {
+  // A resumable stream that outlasts the router goes on at another one, which
+  // costs its caller less than to be refused by each router of a rolling stop.
+  const auto may_be_cut = route->is_resumable && stop_window_.HasJustBegun(now);
+  if (!stop_window_.Fits(wait, now) && !may_be_cut) {
     return Refuse(RefusalReason::kLeaving, milliseconds(1));
   }
   if (is_stream && load_.is_saturated()) {
--- a/gateway/stop_window.h
+++ b/gateway/stop_window.h
@@ -22,6 +22,8 @@
   // Whether a request that may take as long as `limit` surely ends before
   // connections are closed. Every request fits before the signal.
   auto Fits(Duration limit, Time now) const -> bool;
+  // Whether callers can't have heard of the stop yet.
+  auto HasJustBegun(Time now) const -> bool;
   // When requests that are still open are ended and connections closed;
   // meaningful once the signal has come.
   auto closes_at() const -> Time { return closes_at_; }
@@ -29,6 +31,7 @@
  private:
   Duration grace_;
   bool has_begun_ = false;
+  Time began_at_{};
   Time closes_at_{};
 };
 
--- a/tests/gateway/test_stop_window.cpp
+++ b/tests/gateway/test_stop_window.cpp
@@ -28,6 +28,14 @@
   EXPECT_TRUE(window.Fits(seconds(7), kSignal));
 }
 
+TEST(StopWindowTest, ItHasJustBegunForAMoment) {
+  StopWindow window(seconds(8));
+  EXPECT_FALSE(window.HasJustBegun(kSignal));
+  window.Begin(kSignal);
+  EXPECT_TRUE(window.HasJustBegun(kSignal + milliseconds(250)));
+  EXPECT_FALSE(window.HasJustBegun(kSignal + milliseconds(350)));
+}
+
 TEST(StopWindowTest, ALaterSignalGivesNoMoreTime) {
   StopWindow window(seconds(8));
   window.Begin(kSignal);
--- a/tests/process/test_stopping_router.py
+++ b/tests/process/test_stopping_router.py
@@ -158,8 +158,8 @@
                                         limit_ms=LONG_MS, run_seconds=3.3))
         self.check()
 
-    # Streams that came in the first moment were taken, whatever their limit,
-    # and cut; those that surely end were refused later.
+    # Streams that can't be resumed were taken in the first moment, whatever
+    # their limit, and cut; those that surely end were refused later.
     def test_streams(self):
         for target in self.targets:
             target.event_gap = 0.3  # A stream takes three seconds.
@@ -167,9 +167,12 @@
                                 limit_ms="8000")
         calls += self.late_calls((2.0, 3.0, 3.6, 4.6, 5.2, 6.0),
                                  path="/stream/once/1", limit_ms=LONG_MS)
+        calls += self.late_calls((0.15, 1.0), path="/stream/1",
+                                 limit_ms="8000")
         self.stop_among(calls)
         self.check()
         self.assertEqual({self.answers[0.1], self.answers[0.2]}, {503})
+        self.assertEqual((self.answers[0.15], self.answers[1.0]), (200, 503))
         self.assertEqual({self.answers[2.0], self.answers[3.0]}, {200})
 
     def send_slowly(self, name, seconds):
