Tests: what a router missed after the store had come back from an older copy

The watch went on from a version that the store had lost. Answered at once or left waiting, they are shown nothing, and confirm the configuration before as the newest to all others.

--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -82,6 +82,8 @@
 
     `fault` is None, "busy" (answers 503), "silent" (does not answer), "reset"
     (closes the connection) or "endless" (a body that never ends).
+    `lost_watch` is what a feed from a version that the store doesn't have gets:
+    "refused" (410), "empty" (at once, without rows) or "waiting" (as any other).
     """
 
     page_rows = 500       # Most rows in an answer,
@@ -93,6 +95,8 @@
         self.rejects_writes = False     # Answers them 503.
         self.version = 0
         self.era = None  # Stated in each answer, unless it is None.
+        self.lost_watch = "refused"
+        self.ignores_wait = False  # Feeds are answered at once.
         self.changed = threading.Condition()
         self.fault = None
         self.calls = 0
@@ -179,8 +183,13 @@
                     "ver": self.version})
         after = int(query["after-rev"])
         if self.era is not None and after > self.version:
-            return self.answer(connection, 410, {})
-        until = time.monotonic() + int(query["wait-ms"]) / 1000
+            if self.lost_watch == "refused":
+                return self.answer(connection, 410, {})
+            if self.lost_watch == "empty":
+                return self.answer(connection, 200,
+                                   {"rows": [], "ver": self.version})
+        wait = 0 if self.ignores_wait else int(query["wait-ms"]) / 1000
+        until = time.monotonic() + wait
         with self.changed:
             while not self.select_rows(query["table"], after, True):
                 left = until - time.monotonic()
