Routing: a target that drained as the store returned got requests until it settled

For 2.3 s rows that may come from the copy change nothing, and its row had a version below the first one that the routers saw.

A process that drains never returns to service, so such a row is true whether it is of the copy or not. It is taken, and told to the others, if the process is the one that is known.

--- a/routing/target_directory.cpp
+++ b/routing/target_directory.cpp
@@ -86,7 +86,10 @@
 auto TargetDirectory::IsPlausible(const TargetRow& row) const -> bool {
   const auto known = targets_.find(row.id);
   if (known != targets_.end()) {
-    return row.started_unix_ms > known->second.started_unix_ms;
+    const auto start = known->second.started_unix_ms;
+    if (row.started_unix_ms > start) return true;
+    // A process that drains never returns to service.
+    return row.is_draining && start != 0 && row.started_unix_ms == start;
   }
   const auto removed = removed_.find(row.id);
   return removed == removed_.end() || row.started_unix_ms > removed->second;
@@ -110,8 +113,8 @@
     const auto is_doubtful =
         list.doubtful_version && row.version <= *list.doubtful_version;
     if (is_doubtful && !IsPlausible(row)) continue;
-    // Other routers read the list themselves, and judge by what they know.
-    if (!is_doubtful && IsChanged(row)) {
+    // Of other doubtful rows, the routers judge by what they know themselves.
+    if ((!is_doubtful || row.is_draining) && IsChanged(row)) {
       change.updates.push_back(TargetUpdate{list.version, false, row});
     }
     Upsert(row, change);
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -117,8 +117,8 @@
   // list, is gone, and is newer than what last named the target.
   auto ConfirmsMissing(const TargetUpdate& update) const -> bool;
   // Whether a row that may come from an older copy of the store tells something
-  // new: of a target that is not known and was not removed, or of a later
-  // process.
+  // new: of a target that is not known and was not removed, of a later process,
+  // or that the known one drains.
   auto IsPlausible(const TargetRow& row) const -> bool;
   // Whether other routers need an update for the row.
   auto IsChanged(const TargetRow& row) const -> bool;
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -144,6 +144,14 @@
         late = self.watch_drains(("t0", "t1"), drain)
         self.assertEqual(late, {"t0": [], "t1": []})
 
+    # The row of a target that drains was doubted as long as the store settled.
+    def test_targets_that_drain_as_the_store_returns(self):
+        def drain():
+            self.lose_versions()
+            return self.drain("t0", "t1")
+        late = self.watch_drains(("t0", "t1"), drain)
+        self.assertEqual(late, {"t0": [], "t1": []})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/routing/test_store_eras.cpp
+++ b/tests/routing/test_store_eras.cpp
@@ -177,6 +177,24 @@
   EXPECT_TRUE(ServingIds(directory).empty());
 }
 
+// A target that drained as the store returned got requests until it had settled
+// (DRAIN), as its row may have come from the copy.
+TEST(StoreErasTest, ATargetThatDrainsInTheCopyLeaves) {
+  TargetDirectory directory;
+  directory.Apply(TargetList{{Row("a", 5, 20), Row("b", 5, 20)}, 90});
+  directory.BeginEra();
+  auto draining = Row("a", 5, 12);
+  draining.is_draining = true;
+  auto of_process_before = Row("b", 4, 12);
+  of_process_before.is_draining = true;
+  const auto change =
+      directory.Apply(TargetList{{draining, of_process_before}, 30, true, 30});
+  EXPECT_EQ(ServingIds(directory), std::set<std::string>{"b"});
+  ASSERT_EQ(change.updates.size(), 1) << "other routers are told";
+  EXPECT_EQ(change.updates[0].row.id, TargetId("a"));
+  EXPECT_TRUE(change.updates[0].row.is_draining);
+}
+
 TEST(StoreErasTest, AnyRecordOfANewEraReplacesAnEvacuation) {
   const DataCenterId west("west");
   Evacuations evacuations;
