Gateway: a router denied routes that it could not know

A router that had been paused for 3 s answered 404 for a route that had been acknowledged meanwhile; so did one that was cut off, for as long as it was. The route was looked up before the router asked how old its configuration is.

That something isn't there is a statement about the newest configuration. Otherwise 503 says that the request has not run, and where it may. A confirmation is at most some 1.7 s old in calm, so known answers stay.

GatewayCoreTest.AConfigurationThatMayBeOldDeniesNothing and test_lost_versions (paused, route) failed before; the case of keys passed before as well, as the pause is noticed first.

--- a/apps/edge_flags.cpp
+++ b/apps/edge_flags.cpp
@@ -32,6 +32,10 @@
 DEFINE_string(store_address, "", "IP:port of the platform's store.");
 DEFINE_double(revocation_bound_ms, 5000,
               "Longest time for which a revoked key may be accepted.");
+DEFINE_double(configuration_bound_ms, 2000,
+              "Longest time until a change of the configuration is in force; a "
+              "router whose configuration was confirmed longer ago denies no "
+              "route or key.");
 DEFINE_double(stop_grace_seconds, 8,
               "Time from SIGTERM until the platform kills the process.");
 DEFINE_double(retry_ratio, 0.2,
@@ -140,6 +144,8 @@
   CheckAddress("store_address", FLAGS_store_address, true, errors);
   CheckRange("revocation_bound_ms", FLAGS_revocation_bound_ms, 1000, 3600000,
              errors);
+  CheckRange("configuration_bound_ms", FLAGS_configuration_bound_ms, 100,
+             3600000, errors);
   CheckRange("stop_grace_seconds", FLAGS_stop_grace_seconds, 1, 3600, errors);
   CheckRange("retry_ratio", FLAGS_retry_ratio, 0, 1, errors);
   CheckRange("retry_slack", FLAGS_retry_slack, 0, 100000, errors);
@@ -173,6 +179,8 @@
   settings.store_address = FLAGS_store_address;
   settings.revocation_bound =
       SecondsToDuration(FLAGS_revocation_bound_ms / 1000);
+  settings.configuration_bound =
+      SecondsToDuration(FLAGS_configuration_bound_ms / 1000);
   settings.stop_grace = SecondsToDuration(FLAGS_stop_grace_seconds);
   settings.retry_ratio = FLAGS_retry_ratio;
   settings.retry_slack = FLAGS_retry_slack;
--- a/apps/request_timeline.cpp
+++ b/apps/request_timeline.cpp
@@ -89,6 +89,12 @@
            DisplayField(line, "key_age_ms") +
            " ms before; neither the store nor a peer answered the router";
   }
+  if (outcome == "configuration_unconfirmed") {
+    return "the configuration in force has no such route or key, but was last "
+           "confirmed " +
+           DisplayField(line, "key_age_ms") +
+           " ms before, so that a newer one may have it";
+  }
   static const std::map<std::string, std::string> kExplanations = {
       {"no_configuration", "the router had no configuration yet"},
       {"no_route", "no route of the configuration matches"},
--- a/gateway/gateway_core.cpp
+++ b/gateway/gateway_core.cpp
@@ -91,6 +91,14 @@
   return Refusal{reason, retry_after};
 }
 
+auto GatewayCore::RefuseUnknown(RefusalReason reason, Time now) -> Refusal {
+  // A newer configuration may have it, and the caller would not try elsewhere.
+  if (!keys_.IsConfirmedWithin(options_.configuration_bound, now)) {
+    return Refuse(RefusalReason::kConfigurationUnconfirmed, kUnknownRetryAfter);
+  }
+  return Refuse(reason, {});
+}
+
 auto GatewayCore::IsProbeOwner(PartId part, Time now) const -> bool {
   const auto own = StableHash(options_.peer_address, part);
   const auto addresses = peers_.LiveAddresses(now);
@@ -136,7 +144,7 @@
     return Refuse(RefusalReason::kNoConfiguration, kUnknownRetryAfter);
   }
   const auto* route = table_->FindRoute(facts.host, facts.path);
-  if (route == nullptr) return Refuse(RefusalReason::kNoRoute, {});
+  if (route == nullptr) return RefuseUnknown(RefusalReason::kNoRoute, now);
   GatewayRequest request;
   request.table = table_;
   request.route = route;
@@ -145,7 +153,9 @@
       return Refuse(RefusalReason::kKeyUnconfirmed, kUnknownRetryAfter);
     }
     const auto* customer = table_->FindCustomer(facts.key);
-    if (customer == nullptr) return Refuse(RefusalReason::kUnknownKey, {});
+    if (customer == nullptr) {
+      return RefuseUnknown(RefusalReason::kUnknownKey, now);
+    }
     request.customer = *customer;
   }
   const auto is_stream = route->kind == RequestKind::kStream;
--- a/gateway/gateway_core.h
+++ b/gateway/gateway_core.h
@@ -42,6 +42,9 @@
   double cores = 1;
   // A revoked key is accepted for at most this long after its revocation.
   Duration revocation_bound = seconds(5);
+  // A change of the configuration is in force at most this long after the store
+  // has acknowledged it.
+  Duration configuration_bound = seconds(2);
   RetryBound retries;
   // Bound on the requests to a cold target.
   ColdBound cold;
@@ -372,6 +375,8 @@
   // The refusal of a request for which all targets lack permits.
   auto RefuseLimited(const std::vector<TargetOption>& options,
                      const AdmissionTerms& terms, Time now) -> Refusal;
+  // The refusal of a request for something that the configuration lacks.
+  auto RefuseUnknown(RefusalReason reason, Time now) -> Refusal;
   // Makes a refusal and counts it.
   auto Refuse(RefusalReason reason, Duration retry_after) -> Refusal;
   // A random pool of the route, by weight, among those with serving targets.
--- a/gateway/request.cpp
+++ b/gateway/request.cpp
@@ -12,6 +12,8 @@
       return "no_configuration";
     case RefusalReason::kKeyUnconfirmed:
       return "key_unconfirmed";
+    case RefusalReason::kConfigurationUnconfirmed:
+      return "configuration_unconfirmed";
     case RefusalReason::kNoRoute:
       return "no_route";
     case RefusalReason::kUnknownKey:
@@ -63,6 +65,7 @@
       return 504;
     case RefusalReason::kNoConfiguration:
     case RefusalReason::kKeyUnconfirmed:
+    case RefusalReason::kConfigurationUnconfirmed:
     case RefusalReason::kNoTarget:
     case RefusalReason::kNoRoom:
     case RefusalReason::kTargetLimits:
--- a/gateway/request.h
+++ b/gateway/request.h
@@ -51,6 +51,8 @@
 enum class RefusalReason {
   kNoConfiguration,  // The router has no configuration yet.
   kKeyUnconfirmed,   // The configuration was not confirmed lately.
+  // It lacks the route or key, and was not confirmed lately enough to say so.
+  kConfigurationUnconfirmed,
   kNoRoute,          // No route matches.
   kUnknownKey,       // The key is missing or belongs to nobody.
   kNoTarget,         // No target serves the pool.
--- a/relay/relay_process.cpp
+++ b/relay/relay_process.cpp
@@ -81,6 +81,7 @@
   options.regions = settings.regions;
   options.cores = settings.cores;
   options.revocation_bound = settings.revocation_bound;
+  options.configuration_bound = settings.configuration_bound;
   options.cold = settings.cold;
   options.exits = settings.exits;
   options.stop_grace = settings.stop_grace;
--- a/relay/relay_process.h
+++ b/relay/relay_process.h
@@ -33,6 +33,8 @@
   std::string store_address;
   // Longest time for which a revoked API key may still work.
   Duration revocation_bound{};
+  // Longest time until a change of the configuration is in force.
+  Duration configuration_bound{};
   // Bound on the requests to a cold target.
   ColdBound cold;
   // What the platform guarantees of targets that leave.
--- a/routing/key_validity.h
+++ b/routing/key_validity.h
@@ -21,6 +21,10 @@
   auto Invalidate() -> void { is_confirmed_ = false; }
 
   auto IsValid(Time now) const -> bool;
+  // Whether the newest confirmation is at most that old.
+  auto IsConfirmedWithin(Duration age, Time now) const -> bool {
+    return is_confirmed_ && now - confirmed_at_ <= age;
+  }
   // Time since the newest confirmation; the limit if there is none.
   auto Age(Time now) const -> Duration;
 
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -23,6 +23,31 @@
   EXPECT_EQ(Accepted(Facts("/chat/1", "key-b")).customer, CustomerId("b"));
 }
 
+// A router that had been paused or cut off denied routes and keys that had been
+// added meanwhile (CONFIG); callers don't try again after that.
+TEST_F(GatewayCoreTest, AConfigurationThatMayBeOldDeniesNothing) {
+  Serve(1);
+  const auto bound = GatewayOptions().configuration_bound;
+  const auto refusal = [&](const char* path, const char* key, Time now) {
+    return Reason(core_.Accept(Facts(path, key), now));
+  };
+  EXPECT_EQ(refusal("/none/1", "key-a", kStart + bound),
+            RefusalReason::kNoRoute);
+  EXPECT_EQ(refusal("/chat/1", "stolen", kStart + bound),
+            RefusalReason::kUnknownKey);
+  const auto later = kStart + bound + milliseconds(1);
+  EXPECT_EQ(refusal("/none/1", "key-a", later),
+            RefusalReason::kConfigurationUnconfirmed);
+  EXPECT_EQ(refusal("/chat/1", "stolen", later),
+            RefusalReason::kConfigurationUnconfirmed);
+  EXPECT_EQ(RefusalStatus(RefusalReason::kConfigurationUnconfirmed), 503);
+  core_.ConfirmConfiguration(later);
+  EXPECT_EQ(refusal("/none/1", "key-a", later), RefusalReason::kNoRoute);
+  core_.RecordPause(milliseconds(700), later);
+  EXPECT_EQ(refusal("/none/1", "key-a", later),
+            RefusalReason::kConfigurationUnconfirmed);
+}
+
 TEST_F(GatewayCoreTest, NoKeyIsAcceptedLongerThanTheRevocationBound) {
   Serve(1);
   const auto late = kStart + milliseconds(4700);
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -4,6 +4,7 @@
 
 import http.client
 import os
+import signal
 import sys
 import threading
 import time
@@ -22,6 +23,7 @@
 DRAIN_SECONDS = 2
 CONTACT_SECONDS = 3
 LOST_VERSIONS = 60
+PAUSE_SECONDS = 3  # Longer than a configuration may be unconfirmed.
 
 
 class LostVersionsTest(unittest.TestCase):
@@ -44,11 +46,11 @@
             server.stop()
 
     @staticmethod
-    def ask(edge, path):
+    def ask(edge, path, key="key-1"):
         connection = http.client.HTTPConnection("127.0.0.1", edge.caller,
                                                 timeout=10)
         connection.request("GET", path, headers={
-            "Host": "shop.example", "Credential": "key-1",
+            "Host": "shop.example", "Credential": key,
             "Attempt-Id": f"id{time.monotonic_ns()}", "Deadline-Ms": "2000"})
         status = connection.getresponse().status
         connection.close()
@@ -152,6 +154,43 @@
         late = self.watch_drains(("t0", "t1"), drain)
         self.assertEqual(late, {"t0": [], "t1": []})
 
+    def pause_all(self, change, path, key):
+        """The answers to requests that wait at routers which are paused while
+        the configuration changes."""
+        for edge in self.edges:
+            edge.process.send_signal(signal.SIGSTOP)
+        change()
+        time.sleep(PAUSE_SECONDS)
+        answers = {}
+        callers = [threading.Thread(
+            target=lambda edge=edge: answers.update(
+                {edge.name: self.ask(edge, path, key)}))
+            for edge in self.edges]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.2)
+        for edge in self.edges:
+            edge.process.send_signal(signal.SIGCONT)
+        for caller in callers:
+            caller.join()
+        return answers
+
+    # A router that had been paused told its callers that there was no route.
+    def test_a_paused_router_denies_no_route(self):
+        answers = self.pause_all(self.add_route, "/new2/1", "key-1")
+        for edge in self.edges:
+            self.assertIn(answers[edge.name], (200, 503), edge.name)
+        self.check_new_routes()
+
+    # The same for keys.
+    def test_a_paused_router_denies_no_key(self):
+        answers = self.pause_all(
+            lambda: self.store.put(
+                "op", "config", configuration(2, ("key-0", "key-1"))),
+            "/read/1", "key-0")
+        for edge in self.edges:
+            self.assertIn(answers[edge.name], (200, 503), edge.name)
+
 
 if __name__ == "__main__":
     unittest.main()
