Configuration: a watch went on from a version that the store doesn't have

The store's pages exclude this; a header that can't be read, or a server in between, would bring it about.

Answers are linearizable, so one with a lower version than the watch began from proves that its position is void: the rows are listed, with the backoff of a lost history.

test_lost_versions (nothing tells of the return) failed before.

--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -135,6 +135,8 @@
   }
   // The version that was asked for is not of this era.
   if (store_era_ != core_.store_eras().current()) return ReadStore();
+  // Nor is it one that the store has, whether or not the store says so.
+  if (rows->version < store_version_) return HandleLostHistory();
   is_history_lost_ = false;
   backoff_ = {};
   ApplyRows(*rows);
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -54,7 +54,7 @@
   auto HandleListReply(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
   auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
-  // The store has dropped the changes since the version that was read last.
+  // The store doesn't have the changes since the version that was read last.
   auto HandleLostHistory() -> void;
   // Rows up to the version were read by a call that was sent at `sent_at`.
   auto ConfirmRows(std::uint64_t version, Time sent_at) -> void;
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -99,6 +99,18 @@
         time.sleep(CONTACT_SECONDS)
         self.check_new_routes()
 
+    # Neither the era nor a lost connection tells that the versions fell.
+    def test_new_routes_if_nothing_tells_of_the_return(self):
+        self.store.era = None
+        copy = self.store.copy()
+        for i in range(LOST_VERSIONS):
+            self.store.put("op", "other", i)
+        time.sleep(1)
+        with self.store.changed:
+            self.store.rows, self.store.version = dict(copy[0]), copy[1]
+        time.sleep(CONTACT_SECONDS)
+        self.check_new_routes()
+
     def watch_drains(self, names, drain):
         """Requests that reach the targets too late, while all routers work."""
         arrivals = {name: [] for name in names}
