Configuration: watches that were answered at once were repeated without a pause

The next watch begins 250 ms after the one before at the soonest, whatever the answer; a watch that waits as it should lasts 700 ms. So a change that follows another one within 250 ms is read that much later, of the 2 s that are allowed.

test_lost_versions (answered at once) failed before: 150 calls are allowed.

--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kWatchSlack = milliseconds(800);
 // The same for a router that waits for the first configuration.
 constexpr Duration kFirstWatchWait = milliseconds(2500);
+// Shortest time between two long-poll calls, however soon they are answered.
+constexpr Duration kWatchSpacing = milliseconds(250);
 // Short, since peers are close on the network. After this time the store is
 // read instead; a later read may ask another peer.
 constexpr Duration kSnapshotTimeout = milliseconds(400);
@@ -75,6 +77,7 @@
 
 auto ConfigurationReader::WatchStore() -> void {
   const auto sent_at = MonotonicClock::now();
+  watched_at_ = sent_at;
   known_version_ = core_.NewestConfiguration(sent_at);
   // Without a configuration there are no keys to confirm.
   auto wait = core_.table() == nullptr ? kFirstWatchWait : kWatchWait;
@@ -251,11 +254,20 @@
   const auto now = MonotonicClock::now();
   if (core_.table() == nullptr || core_.is_watcher(now)) {
     const auto must_list = store_era_ != core_.store_eras().current();
-    return must_list || IsEraListDue(now) ? ReadStore() : WatchStore();
+    return must_list || IsEraListDue(now) ? ReadStore() : ScheduleWatch(now);
   }
   ScheduleCheck(kCheckPeriod);
 }
 
+auto ConfigurationReader::ScheduleWatch(Time now) -> void {
+  const auto due_at = watched_at_ + kWatchSpacing;
+  if (watched_at_ == Time{} || due_at <= now) return WatchStore();
+  timer_.expires_after(due_at - now);
+  timer_.async_wait([this](error_code error) {
+    if (!error) WatchStore();
+  });
+}
+
 auto ConfigurationReader::ScheduleRetry() -> void {
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
   const auto jitter = 0.5 + random_.Uniform();
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -73,6 +73,8 @@
   auto ApplyDocument(std::string_view text, std::string_view source)
       -> std::optional<std::uint64_t>;
   auto ScheduleNext() -> void;
+  // Watches as soon as the spacing of such calls allows it.
+  auto ScheduleWatch(Time now) -> void;
   auto ScheduleCheck(Duration delay) -> void;
   auto ScheduleRetry() -> void;
   auto Check() -> void;
@@ -101,6 +103,8 @@
   std::optional<std::uint64_t> shown_version_;
   // The newest version that was known in the fleet as the latest call was sent.
   std::uint64_t known_version_ = 0;
+  // When the latest watch began.
+  Time watched_at_{};
   // A watch found its history dropped, and none has succeeded since.
   bool is_history_lost_ = false;
   // When the first page of the list that is being read was asked for, and the
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -23,6 +23,8 @@
 DRAIN_SECONDS = 2
 CONTACT_SECONDS = 3
 LOST_VERSIONS = 60
+# A watcher asks each 0.7 s, and every router may read lists each 0.7 s.
+READS_PER_ROUTER = 50
 PAUSE_SECONDS = 3  # Longer than a configuration may be unconfirmed.
 
 
@@ -111,6 +113,15 @@
         time.sleep(CONTACT_SECONDS)
         self.check_new_routes()
 
+    # 453 calls a second of two watchers, for as long as it lasted.
+    def test_watches_that_are_answered_at_once_are_few(self):
+        self.store.ignores_wait = True
+        began = time.monotonic()
+        time.sleep(10)
+        reads = sum(at > began for at in self.store.read_times)
+        self.assertLess(reads, READS_PER_ROUTER * ROUTERS)
+        self.check_new_routes()
+
     def watch_drains(self, names, drain):
         """Requests that reach the targets too late, while all routers work."""
         arrivals = {name: [] for name in names}
