Soak: changes after a return of the store are in force in time

At the end of a seed the store loses versions and returns from a copy, among a SIGHUP, SIGKILL or SIGTERM of a router; what a watch from a lost version gets is drawn (410, an empty answer at once, a wait). Three seconds later a route is added and a target drains: after two more no router may deny the route, and no request may reach the target. The draws are of a generator of their own, so the seeds' other histories stay.

--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -76,7 +76,7 @@
         self.keys = ["key-1", "key-2"]
         self.revoked = {}  # Key -> time at which the store no longer had it.
         self.store = standin.Store()
-        self.drill = StoreDrill(self.store, random.Random(f"drill {seed}"))
+        self.drill = StoreDrill(self.store, seed)
         self.publish()
         self.targets = []
         self.ends = []  # Times at which targets ended on the fatal part.
@@ -129,6 +129,7 @@
             self.check_leaving_target()
             self.check_pausing_target(callers)
             self.check_fatal_part()
+            self.drill.check_changes(self)
             self.is_over = True
             for caller in callers:
                 caller.join(timeout=CALL_TIMEOUT + 2)
--- a/tests/process/store_drill.py
+++ b/tests/process/store_drill.py
@@ -1,6 +1,9 @@
 """The drill of the store: away for a moment, then back from an older copy, while
 the operator and the targets write again what is lost."""
 
+import http.client
+import random as randoms
+import signal
 import threading
 import time
 
@@ -8,15 +11,24 @@
 KEPT_COPIES = 40
 WRITE_AGAIN_SECONDS = 2  # Within which all is written again.
 OUTSIDE_TABLES = ("op", "servers")  # The routers don't write these.
+LOST_WATCHES = ("refused", "empty", "waiting")
+LOST_VERSIONS = 40
+# The users' bounds: from when a change is acknowledged until it is in force, and
+# from the return of the store until its acknowledgements count.
+CHANGE_SECONDS = 2
+CONTACT_SECONDS = 3
+DENIALS = (401, 403, 404)
 
 
 class StoreDrill:
     """Drills of a stand-in at seeded times. One that would begin within another
     is left out."""
 
-    def __init__(self, store, random):
+    def __init__(self, store, seed):
         self.store = store
-        self.random = random
+        self.random = randoms.Random(f"drill {seed}")
+        self.change_random = randoms.Random(f"changes after a drill {seed}")
+        store.lost_watch = self.change_random.choice(LOST_WATCHES)
         self.copies = []
         self.lock = threading.Lock()  # Held during a drill.
         store.era = 1
@@ -69,3 +81,53 @@
                     self.store.remove(*name)
                 else:
                     self.store.put(*name, wanted[name][0])
+
+    def check_changes(self, soak):
+        """Checks that changes which are acknowledged after a return, among
+        signals, are in force in time at every router."""
+        with self.lock:
+            copy = self.store.copy()
+            for i in range(LOST_VERSIONS):
+                self.store.put("op", "other", i)
+            time.sleep(1)
+            edge = self.change_random.choice(soak.edges)
+            soak.restart(edge, self.change_random.choice(
+                (signal.SIGHUP, signal.SIGKILL, signal.SIGTERM)))
+            self.store.go_away()
+            time.sleep(self.change_random.uniform(0.05, 1))
+            self.store.come_back(copy)
+            time.sleep(CONTACT_SECONDS)
+            target = self.change_random.choice(soak.targets)
+            target.drain()
+            soak.publish_version()
+            acknowledged = time.monotonic()
+            time.sleep(CHANGE_SECONDS)
+            for edge in soak.edges:
+                status = self._ask(edge, f"/new{soak.version}/1", soak.keys[0])
+                if status in DENIALS:
+                    soak.violations.append(
+                        f"{edge.name} answered {status} for a new route")
+            time.sleep(CHANGE_SECONDS)
+            late = [at for at, _ in list(target.requests)
+                    if at > acknowledged + CHANGE_SECONDS]
+            if late:
+                soak.violations.append(
+                    f"{len(late)} requests reached {target.name}, which drains")
+            target.row["state"] = "ready"
+            target.come_back()
+
+    @staticmethod
+    def _ask(edge, path, key):
+        """The status; None if the router doesn't answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", edge.caller,
+                                                timeout=2)
+        try:
+            connection.request("GET", path, headers={
+                "Host": "shop.example", "Credential": key,
+                "Attempt-Id": f"change{time.monotonic_ns()}",
+                "Deadline-Ms": "1500"})
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            connection.close()
