--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -130,7 +130,7 @@
   const auto is_history_lost =
       IsOk(reply) && IsHistoryLost(ValueOf(reply).status) &&
       store_health_.IsOfCurrentEra(kStoreCallName, ValueOf(reply));
-  if (is_history_lost) return HandleLostHistory();
+  if (is_history_lost) return HandleLostHistory("refused");
   const auto rows = store_health_.DecodeRows(kStoreCallName, reply);
   if (!rows) {
     store_failed_at_ = MonotonicClock::now();
@@ -139,7 +139,9 @@
   // The version that was asked for is not of this era.
   if (store_era_ != core_.store_eras().current()) return ReadStore();
   // Nor is it one that the store has, whether or not the store says so.
-  if (rows->version < store_version_) return HandleLostHistory();
+  if (rows->version < store_version_) {
+    return HandleLostHistory("lower_version");
+  }
   is_history_lost_ = false;
   backoff_ = {};
   ApplyRows(*rows);
@@ -153,7 +155,10 @@
   ConfirmRows(rows->version, sent_at);
 }
 
-auto ConfigurationReader::HandleLostHistory() -> void {
+auto ConfigurationReader::HandleLostHistory(std::string_view answer) -> void {
+  log_.Write(LogClass::kRoutine, "watch_lost",
+             {{"answer", answer},
+              {"store_version", static_cast<std::int64_t>(store_version_)}});
   if (std::exchange(is_history_lost_, true)) return ScheduleRetry();
   ReadStore();
 }
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -54,8 +54,9 @@
   auto HandleListReply(const Outcome<HttpReply>& reply, const PageStart& after)
       -> void;
   auto HandleWatchReply(const Outcome<HttpReply>& reply, Time sent_at) -> void;
-  // The store doesn't have the changes since the version that was read last.
-  auto HandleLostHistory() -> void;
+  // The store doesn't have the changes since the version that was read last;
+  // `answer` is how the watch showed it, for the log.
+  auto HandleLostHistory(std::string_view answer) -> void;
   // Rows up to the version were read by a call that was sent at `sent_at`.
   auto ConfirmRows(std::uint64_t version, Time sent_at) -> void;
   // Whether the configuration that the store has shown was the newest one at
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -112,6 +112,9 @@
             self.store.rows, self.store.version = dict(copy[0]), copy[1]
         time.sleep(CONTACT_SECONDS)
         self.check_new_routes()
+        told = {line["answer"] for edge in self.edges for line in edge.lines
+                if line["event"] == "watch_lost"}
+        self.assertEqual(told, {"lower_version"})
 
     # 453 calls a second of two watchers, for as long as it lasted.
     def test_watches_that_are_answered_at_once_are_few(self):
