--- a/relay/configuration_reader.cpp
+++ b/relay/configuration_reader.cpp
@@ -266,13 +266,24 @@
 
 auto ConfigurationReader::ScheduleWatch(Time now) -> void {
   const auto due_at = watched_at_ + kWatchSpacing;
-  if (watched_at_ == Time{} || due_at <= now) return WatchStore();
+  if (watched_at_ == Time{} || due_at <= now) return WatchOrList();
   timer_.expires_after(due_at - now);
   timer_.async_wait([this](error_code error) {
-    if (!error) WatchStore();
+    if (!error) WatchOrList();
   });
 }
 
+auto ConfigurationReader::WatchOrList() -> void {
+  const auto now = MonotonicClock::now();
+  const auto* table = core_.table().get();
+  // Another router was shown what the watch should have shown.
+  const auto has_missed_change =
+      table != nullptr && core_.NewestConfiguration(now) > table->version();
+  if (!has_missed_change) return WatchStore();
+  watched_at_ = now;
+  ReadStore();
+}
+
 auto ConfigurationReader::ScheduleRetry() -> void {
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
   const auto jitter = 0.5 + random_.Uniform();
--- a/relay/configuration_reader.h
+++ b/relay/configuration_reader.h
@@ -76,6 +76,8 @@
   auto ScheduleNext() -> void;
   // Watches as soon as the spacing of such calls allows it.
   auto ScheduleWatch(Time now) -> void;
+  // Watches, or lists the rows if a peer has a newer configuration.
+  auto WatchOrList() -> void;
   auto ScheduleCheck(Duration delay) -> void;
   auto ScheduleRetry() -> void;
   auto Check() -> void;
@@ -104,7 +106,7 @@
   std::optional<std::uint64_t> shown_version_;
   // The newest version that was known in the fleet as the latest call was sent.
   std::uint64_t known_version_ = 0;
-  // When the latest watch began.
+  // When the latest watch, or the list in its place, began.
   Time watched_at_{};
   // A watch found its history dropped, and none has succeeded since.
   bool is_history_lost_ = false;
