Gateway: news of a router that starts in a return were believed by all

A target's row was removed, and all routers had seen it. 3.5 s later the store came back from an older copy, and a router started.

A router that starts has seen no change of era, so it takes the copy for true and tells of its rows; the others judged rows that they read, but not rows that they are told. While an era settles both are judged alike now: targets by TargetDirectory::IsPlausible, evacuations by the versions of the era (by reading), and no reply of another router confirms keys as of the settling time.

--- a/gateway/gateway_core_peers.cpp
+++ b/gateway/gateway_core_peers.cpp
@@ -108,7 +108,10 @@
     return;
   }
   std::vector<EvacuationRecord> changes;
+  const auto is_doubtful = store_eras_.IsSettling(now);
   for (const auto& record : records) {
+    // It may be of the copy, like the rows that this router reads itself.
+    if (is_doubtful && !store_eras_.IsOfCurrentEra(record.version)) continue;
     if (evacuation_news_.RecordHeard(record, now)) changes.push_back(record);
   }
   ApplyEvacuations(changes, now);
@@ -222,7 +225,12 @@
   const auto append = [](auto& to, const auto& from) {
     to.insert(to.end(), from.begin(), from.end());
   };
+  // A router that has started since the return can't doubt the copy.
+  const auto is_doubtful = store_eras_.IsSettling(now);
   for (const auto& update : updates) {
+    const auto may_be_old =
+        is_doubtful && !update.is_gone && !directory_.IsPlausible(update.row);
+    if (may_be_old) continue;
     const auto change = directory_.Apply(update);
     ApplyChange(change, now);
     const auto* row = directory_.Find(update.row.id);
@@ -263,6 +271,8 @@
   const auto as_of = watch_.HandleReply(reply);
   if (!as_of || table_ == nullptr) return;
   if (reply.config_version > table_->version()) return;
+  // A router that has started since the return takes the copy for the newest.
+  if (store_eras_.WasSettling(*as_of)) return;
   keys_.Confirm(*as_of);
 }
 
--- a/routing/store_eras.cpp
+++ b/routing/store_eras.cpp
@@ -73,6 +73,10 @@
   return SettlingTimeLeft(now) > Duration{};
 }
 
+auto StoreEras::WasSettling(Time at) const -> bool {
+  return at >= changed_at_ && IsSettling(at);
+}
+
 auto StoreEras::SettlingTimeLeft(Time now) const -> Duration {
   if (changes_ == 0) return {};
   return std::max<Duration>(Duration{}, changed_at_ + kSettleTime - now);
--- a/routing/store_eras.h
+++ b/routing/store_eras.h
@@ -50,6 +50,8 @@
   auto changes() const -> std::uint64_t { return changes_; }
   // Whether the store may not have all rows again yet.
   auto IsSettling(Time now) const -> bool;
+  // Whether the store may not have had all rows at that moment of this era.
+  auto WasSettling(Time at) const -> bool;
   // How much longer; zero if the era has settled.
   auto SettlingTimeLeft(Time now) const -> Duration;
   // Whether a row of this version was surely written in the current era.
--- a/routing/target_directory.h
+++ b/routing/target_directory.h
@@ -98,6 +98,10 @@
   // Whether the update takes the target out of service, and it is out of
   // service here.
   auto ConfirmsDeparture(const TargetUpdate& update) const -> bool;
+  // Whether a row that may come from an older copy of the store tells something
+  // new: of a target that is not known and was not removed, of a later process,
+  // or that the known one drains.
+  auto IsPlausible(const TargetRow& row) const -> bool;
   auto size() const -> std::size_t { return targets_.size(); }
   // Whether there are targets that the newest list lacks.
   auto has_missing_targets() const -> bool { return !missing_.empty(); }
@@ -116,10 +120,6 @@
   // Whether the update tells that a target, which is missing in the newest
   // list, is gone, and is newer than what last named the target.
   auto ConfirmsMissing(const TargetUpdate& update) const -> bool;
-  // Whether a row that may come from an older copy of the store tells something
-  // new: of a target that is not known and was not removed, of a later process,
-  // or that the known one drains.
-  auto IsPlausible(const TargetRow& row) const -> bool;
   // Whether other routers need an update for the row.
   auto IsChanged(const TargetRow& row) const -> bool;
   // Whether the target's process said itself that it leaves.
--- a/tests/gateway/test_gateway_core.cpp
+++ b/tests/gateway/test_gateway_core.cpp
@@ -293,6 +293,32 @@
   EXPECT_EQ(core_.key_age(kStart), milliseconds(4600)) << "no such query";
 }
 
+// A router that had started as the store returned from an older copy told the
+// others of targets that had left, and confirmed keys by the copy (DRAIN).
+TEST_F(GatewayCoreTest, NewsOfAStarterAreDoubtedWhileAnEraSettles) {
+  Serve(1);
+  const auto row = MakeTargets(1)[0];
+  core_.RecordStoreEra(StoreEra(1), kStart, kStart);
+  core_.ApplyTargetUpdates({TargetUpdate{99, true, row}}, StoreEra(1), kStart);
+  const auto returned_at = kStart + seconds(1);
+  core_.RecordStoreEra(StoreEra(2), returned_at, returned_at);
+  const std::vector<TargetUpdate> news = {TargetUpdate{150, false, row}};
+  const auto applied = core_.ApplyTargetUpdates(news, StoreEra(2), returned_at);
+  EXPECT_TRUE(applied.joined.empty());
+  EXPECT_EQ(core_.directory().Find(row.id), nullptr);
+
+  const auto age_before = core_.key_age(returned_at + seconds(1));
+  const auto query = core_.MakeQuery(returned_at + seconds(1));
+  core_.HandleReply(
+      FreshnessReply{query.nonce, core_.table()->version(), Duration{}});
+  EXPECT_EQ(core_.key_age(returned_at + seconds(1)), age_before);
+  // A confirmation from before the return is one by the newest store.
+  const auto other = core_.MakeQuery(returned_at + seconds(1));
+  core_.HandleReply(FreshnessReply{other.nonce, core_.table()->version(),
+                                   milliseconds(1500)});
+  EXPECT_EQ(core_.key_age(returned_at + seconds(1)), milliseconds(1500));
+}
+
 // Streams of the first moment were taken, whatever their limit, and cut (LOST).
 TEST_F(GatewayCoreTest, AStoppingRouterRefusesWhatCannotEnd) {
   Serve(1);
