Tests: versions that pass the lost ones at once, blind watchers, starters

The position from before the return is valid again, shows nothing of the burst, and the configuration before it is confirmed. The case holds the watches until the burst is over, so that it needs no luck; it fails on.

Departures are watched more strictly: the targets are used before, and every router still sends at the end. The soak wants the new route served as well.

--- a/tests/process/store_drill.py
+++ b/tests/process/store_drill.py
@@ -90,8 +90,8 @@
             for i in range(LOST_VERSIONS):
                 self.store.put("op", "other", i)
             time.sleep(1)
-            edge = self.change_random.choice(soak.edges)
-            soak.restart(edge, self.change_random.choice(
+            restarted = self.change_random.choice(soak.edges)
+            soak.restart(restarted, self.change_random.choice(
                 (signal.SIGHUP, signal.SIGKILL, signal.SIGTERM)))
             self.store.go_away()
             time.sleep(self.change_random.uniform(0.05, 1))
@@ -103,10 +103,15 @@
             acknowledged = time.monotonic()
             time.sleep(CHANGE_SECONDS)
             for edge in soak.edges:
-                status = self._ask(edge, f"/new{soak.version}/1", soak.keys[0])
-                if status in DENIALS:
+                path = f"/new{soak.version}/1"
+                # Other faults may refuse one of them.
+                statuses = [self._ask(edge, path, soak.keys[0])
+                            for _ in range(3)]
+                is_denied = any(status in DENIALS for status in statuses)
+                is_served = 200 in statuses or edge is restarted
+                if is_denied or not is_served:
                     soak.violations.append(
-                        f"{edge.name} answered {status} for a new route")
+                        f"{edge.name} answered {statuses} for a new route")
             time.sleep(CHANGE_SECONDS)
             late = [at for at, _ in list(target.requests)
                     if at > acknowledged + CHANGE_SECONDS]
--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -9,6 +9,7 @@
 import threading
 import time
 import unittest
+import urllib.parse
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
@@ -28,6 +29,23 @@
 PAUSE_SECONDS = 3  # Longer than a configuration may be unconfirmed.
 
 
+class StoreDoor(standin.Server):
+    """An address of a store for one router, whose watches show nothing while
+    `is_blind` is set."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_blind = False
+        super().__init__()
+
+    def serve(self, connection, start, headers, body):
+        if not (self.is_blind and start[1].startswith("/v1/rows-feed")):
+            return self.store.serve(connection, start, headers, body)
+        time.sleep(0.7)
+        return self.store.answer(connection, 200,
+                                 {"rows": [], "ver": self.store.version})
+
+
 class LostVersionsTest(unittest.TestCase):
     def setUp(self):
         self.store = standin.Store()
@@ -36,7 +54,9 @@
         self.store.put("op", "config", configuration(1))
         self.targets = {f"t{i}": standin.Target(self.store, f"t{i}", "s")
                         for i in range(4)}
-        self.edges = [Edge(self.store, f"e{i}") for i in range(ROUTERS)]
+        self.doors = [StoreDoor(self.store) for _ in range(ROUTERS)]
+        self.edges = [Edge(door, f"e{i}")
+                      for i, door in enumerate(self.doors)]
         for edge in self.edges:
             wait_for(edge.is_ready, "the router is ready")
         time.sleep(2)
@@ -44,16 +64,18 @@
     def tearDown(self):
         for edge in self.edges:
             edge.stop()
-        for server in [self.store, *self.targets.values()]:
+        for server in [self.store, *self.doors, *self.targets.values()]:
             server.stop()
 
     @staticmethod
     def ask(edge, path, key="key-1"):
+        """The status of a request whose id names the router."""
         connection = http.client.HTTPConnection("127.0.0.1", edge.caller,
                                                 timeout=10)
         connection.request("GET", path, headers={
             "Host": "shop.example", "Credential": key,
-            "Attempt-Id": f"id{time.monotonic_ns()}", "Deadline-Ms": "2000"})
+            "Attempt-Id": f"{edge.name}-{time.monotonic_ns()}",
+            "Deadline-Ms": "2000"})
         status = connection.getresponse().status
         connection.close()
         return status
@@ -101,6 +123,44 @@
         time.sleep(CONTACT_SECONDS)
         self.check_new_routes()
 
+    # In one go the operator and the targets wrote more than was lost: the watches
+    # that were on their way began from a version that the store had again, were
+    # shown nothing, and confirmed the configuration before.
+    def test_new_routes_if_versions_pass_the_lost_ones_at_once(self):
+        have_passed = threading.Event()
+        serve = self.store.serve
+
+        def serve_late(connection, start, headers, body):
+            path, _, query = start[1].partition("?")
+            if path == "/v1/rows-feed":
+                after = int(urllib.parse.parse_qs(query)["after-rev"][0])
+                if after > self.store.version:
+                    have_passed.wait(1)
+            return serve(connection, start, headers, body)
+        self.store.serve = serve_late
+        self.lose_versions()
+        time.sleep(1)
+        with self.store.changed:
+            path = self.add_route()
+            for i in range(LOST_VERSIONS):
+                self.store.put("op", "other", i)
+        have_passed.set()
+        # Its acknowledgement is of a store that is not stable yet.
+        time.sleep(CONTACT_SECONDS + CONFIG_SECONDS)
+        for edge in self.edges:
+            self.assertEqual(self.ask(edge, path), 200, edge.name)
+        self.check_new_routes()
+
+    # One of the two watchers is shown nothing, and the others tell it.
+    def test_new_routes_if_a_watcher_is_shown_nothing(self):
+        watchers = [
+            i for i, edge in enumerate(self.edges)
+            if [line for line in edge.lines
+                if line["event"] == "load"][-1]["is_watcher"]]
+        self.doors[watchers[0]].is_blind = True
+        time.sleep(1)
+        self.check_new_routes()
+
     # Neither the era nor a lost connection tells that the versions fell.
     def test_new_routes_if_nothing_tells_of_the_return(self):
         self.store.era = None
@@ -125,15 +185,14 @@
         self.assertLess(reads, READS_PER_ROUTER * ROUTERS)
         self.check_new_routes()
 
-    def watch_drains(self, names, drain):
-        """Requests that reach the targets too late, while all routers work."""
-        arrivals = {name: [] for name in names}
-        for name in names:
-            target = self.targets[name]
-
+    def watch_departures(self, names, depart):
+        """Requests that reach the targets too late, while all routers work;
+        `depart` returns when each departure was acknowledged."""
+        arrivals = {name: [] for name in self.targets}
+        for name, target in self.targets.items():
             def serve(connection, start, headers, body, name=name,
                       serve=target.serve):
-                arrivals[name].append(time.monotonic())
+                arrivals[name].append((time.monotonic(), headers["attempt-id"]))
                 return serve(connection, start, headers, body)
             target.serve = serve
         is_over = threading.Event()
@@ -145,13 +204,22 @@
                    for edge in self.edges]
         for caller in callers:
             caller.start()
-        acknowledged = drain()
+        time.sleep(0.5)
+        acknowledged = depart()
         time.sleep(DRAIN_SECONDS + 3)
+        ended_at = time.monotonic()
         is_over.set()
         for caller in callers:
             caller.join()
-        return {name: [round(at - acknowledged[name], 2)
-                       for at in arrivals[name]
+        for name in names:
+            self.assertTrue(any(at < acknowledged[name]
+                                for at, _ in arrivals[name]), name)
+        at_the_end = {request.split("-")[0]
+                      for requests in arrivals.values()
+                      for at, request in requests if at > ended_at - 1}
+        self.assertEqual(at_the_end, {edge.name for edge in self.edges})
+        return {name: [(round(at - acknowledged[name], 2), request)
+                       for at, request in arrivals[name]
                        if at - acknowledged[name] > DRAIN_SECONDS]
                 for name in names}
 
@@ -169,7 +237,7 @@
             self.lose_versions()
             time.sleep(CONTACT_SECONDS)
             return self.drain("t0", "t1")
-        late = self.watch_drains(("t0", "t1"), drain)
+        late = self.watch_departures(("t0", "t1"), drain)
         self.assertEqual(late, {"t0": [], "t1": []})
 
     # The row of a target that drains was doubted as long as the store settled.
@@ -177,9 +245,29 @@
         def drain():
             self.lose_versions()
             return self.drain("t0", "t1")
-        late = self.watch_drains(("t0", "t1"), drain)
+        late = self.watch_departures(("t0", "t1"), drain)
         self.assertEqual(late, {"t0": [], "t1": []})
 
+    # A router that starts in the return takes the copy for true, told the others
+    # of a target that they knew to be gone, and they used it again.
+    def test_departed_targets_if_a_router_starts_in_the_return(self):
+        def depart():
+            copy = self.store.copy()
+            self.store.remove("servers", "t0")
+            acknowledged = {"t0": time.monotonic()}
+            time.sleep(DRAIN_SECONDS + 0.5)
+            self.store.go_away()
+            time.sleep(0.5)
+            starter = Edge(self.store, "starter")
+            self.addCleanup(starter.stop)
+            time.sleep(0.5)
+            self.store.come_back(copy)
+            time.sleep(1.9)
+            self.store.remove("servers", "t0")
+            return acknowledged
+        late = self.watch_departures(("t0",), depart)
+        self.assertEqual(late, {"t0": []})
+
     def pause_all(self, change, path, key):
         """The answers to requests that wait at routers which are paused while
         the configuration changes."""
