Tests: each router counts the malformed limits that it relays, not e0 some

test_a_limit_that_ends_or_cannot_be_read_holds_nothing_back demanded that router e0 count a malformed limit within three seconds. It can't if none of its callers' requests reaches a target then, and that depends on chance: the owners of the four targets' permits follow from the ports of the run. Callers of this test ask again after 50 ms whatever Retry-After says, so those of an owner take nearly every permit. A router that owns no target gets few or none.

Now, for each router: at once no fewer are counted than its callers got, some were got at all, and after the load has ended no more are counted than targets sent to its callers' requests.

The old check also failed, by accident, when e0 was starved of permits. That no longer shows here: no rule says how routers divide permits.

--- a/tests/process/test_target_limits.py
+++ b/tests/process/test_target_limits.py
@@ -1,5 +1,6 @@
 """Tests that real routers together keep the limits that their targets name."""
 
+import collections
 import http.client
 import itertools
 import os
@@ -28,6 +29,7 @@
     def __init__(self, store, name):
         self.limit = None
         self.arrivals = []
+        self.named = []  # (Attempt-Id, limit) of each answer that named one.
         super().__init__(store, name, "s")
 
     def serve(self, connection, start, headers, body):
@@ -35,8 +37,10 @@
         return super().serve(connection, start, headers, body)
 
     def response_head(self, headers, status=200, extra=b""):
-        if self.limit is not None:
-            extra += b"Server-Limit: %s\r\n" % self.limit.encode()
+        limit = self.limit  # Tests change it meanwhile.
+        if limit is not None:
+            extra += b"Server-Limit: %s\r\n" % limit.encode()
+            self.named.append((headers["attempt-id"], limit))
         return super().response_head(headers, status, extra)
 
     def count(self, begin, end=float("inf")):
@@ -58,15 +62,20 @@
         self.requests = itertools.count()
         self.stops = threading.Event()
         self.answers = []  # (time, status, Retry-After) of each request.
+        self.edge_of = {}  # The router that each Attempt-Id was sent to.
+        self.relayed = []  # (router, Server-Limit) of each answer with one.
         self.load = [threading.Thread(target=self.send, args=(i,))
                      for i in range(9)]
         for thread in self.load:
             thread.start()
 
-    def tearDown(self):
+    def stop_load(self):
         self.stops.set()
         for thread in self.load:
             thread.join()
+
+    def tearDown(self):
+        self.stop_load()
         for edge in self.edges:
             edge.stop()
         for server in [self.store, *self.targets]:
@@ -79,6 +88,7 @@
             number = next(self.requests)
             headers = {"Host": "shop.example", "Attempt-Id": f"id{number}",
                        "Credential": "key-1", "Deadline-Ms": "6000"}
+            self.edge_of[headers["Attempt-Id"]] = edge.name
             if path == "/stream/1":
                 headers.update({"Token-Counts": "30,10",
                                 "Prefix-Hash": f"a1:20,{number + 4096:x}:10"})
@@ -88,6 +98,9 @@
                 connection.request("POST", path, b"x", headers)
                 answer = connection.getresponse()
                 answer.read()
+                limit = answer.headers.get("Server-Limit")
+                if limit is not None:
+                    self.relayed.append((edge.name, limit))
                 self.answers.append((time.monotonic(), answer.status,
                                      answer.headers.get("Retry-After")))
             except (OSError, http.client.HTTPException):
@@ -100,6 +113,24 @@
         return [line for edge in self.edges for line in edge.lines
                 if line["event"] == event]
 
+    def count_relayed(self, limit):
+        """Answers with this limit that callers got, by router."""
+        return collections.Counter(name for name, named in list(self.relayed)
+                                   if named == limit)
+
+    def count_sent(self, limit):
+        """The same of those that targets sent, relayed or not."""
+        return collections.Counter(
+            self.edge_of[attempt] for target in self.targets
+            for attempt, named in list(target.named) if named == limit)
+
+    @staticmethod
+    def malformed_limits(edge):
+        metrics = get(edge.metrics, "/metrics")[1].decode()
+        value, = [line.split()[1] for line in metrics.splitlines()
+                  if line.startswith("papayaplank_limits_malformed_total")]
+        return float(value)
+
     def set_limits(self, targets, limit):
         for target in targets:
             target.limit = limit
@@ -159,10 +190,14 @@
         for target in self.targets:
             self.assertLessEqual(target.count(begin),
                                  ALLOWED_FACTOR * 2 * 3 + ALLOWED_EXCESS)
-        metrics = get(self.edges[0].metrics, "/metrics")[1].decode()
-        malformed = [line for line in metrics.splitlines()
-                     if line.startswith("papayaplank_limits_malformed_total")]
-        self.assertGreater(float(malformed[0].split()[1]), 0)
+        # Each router counts those that it relays, at once. A router that owns
+        # no target's permits may relay none: callers here return at once, and
+        # the owners' callers come first.
+        relayed = self.count_relayed("many")
+        self.assertGreater(sum(relayed.values()), 0)
+        for edge in self.edges:
+            self.assertGreaterEqual(self.malformed_limits(edge),
+                                    relayed[edge.name], edge.name)
         self.set_limits(self.targets, None)
         time.sleep(2)
         begin = time.monotonic()
@@ -170,6 +205,14 @@
         self.assertGreater(sum(target.count(begin) for target in self.targets),
                            2 * 2 * 2 * len(self.targets))
         self.assertTrue(self.lines("target_limit_ended"))
+        # Each was counted once, and nothing else was.
+        self.stop_load()
+        relayed = self.count_relayed("many")
+        sent = self.count_sent("many")
+        for edge in self.edges:
+            counted = self.malformed_limits(edge)
+            self.assertGreaterEqual(counted, relayed[edge.name], edge.name)
+            self.assertLessEqual(counted, sent[edge.name], edge.name)
 
 
 if __name__ == "__main__":
