--- a/tests/process/store_drill.py
+++ b/tests/process/store_drill.py
@@ -2,7 +2,7 @@
 the operator and the targets write again what is lost."""
 
 import http.client
-import random as randoms
+import random
 import signal
 import threading
 import time
@@ -26,8 +26,8 @@
 
     def __init__(self, store, seed):
         self.store = store
-        self.random = randoms.Random(f"drill {seed}")
-        self.change_random = randoms.Random(f"changes after a drill {seed}")
+        self.random = random.Random(f"drill {seed}")
+        self.change_random = random.Random(f"changes after a drill {seed}")
         store.lost_watch = self.change_random.choice(LOST_WATCHES)
         self.copies = []
         self.lock = threading.Lock()  # Held during a drill.
