--- a/tests/process/test_lost_versions.py
+++ b/tests/process/test_lost_versions.py
@@ -176,7 +176,7 @@
                 if line["event"] == "watch_lost"}
         self.assertEqual(told, {"lower_version"})
 
-    # 453 calls a second of two watchers, for as long as it lasted.
+    # 190,313 calls in ten seconds by two watchers.
     def test_watches_that_are_answered_at_once_are_few(self):
         self.store.ignores_wait = True
         began = time.monotonic()
